--- /dev/null
+++ b/dispatch/planner/endpoint.go
@@ -0,0 +1,173 @@
+package planner
+
+import (
+	"slices"
+
+	"almondstand.dev/dispatch/work"
+)
+
+// Room is what an endpoint's guard says of it.
+type Room struct {
+	Service string
+	Runner  string
+	Open    bool
+	Total   work.Amounts
+	Used    work.Amounts
+	Labels  []string
+}
+
+// endpoint is one guarded runner.
+type endpoint struct {
+	id      string
+	zone    string
+	service *service
+	runner  string
+	// attached is false while its guard can't be reached.
+	attached bool
+	open     bool
+	total    work.Amounts
+	// used is what the guard says is taken, of all entries; ordered is what this
+	// entry has ordered since and the guard has not answered yet.
+	used, ordered work.Amounts
+	labels        []string
+	runs          map[work.TaskID]*task
+	health        health
+}
+
+func (e *endpoint) free() work.Amounts { return e.total.Sub(e.used).Sub(e.ordered) }
+
+// Attach makes an endpoint known. fresh is true when its guard is a new life:
+// every run of the older one is over.
+func (p *Planner) Attach(id, zone string, fresh bool) []work.RunID {
+	e := p.endpoints[id]
+	if e == nil {
+		e = &endpoint{id: id, zone: zone, runs: map[work.TaskID]*task{}}
+		p.endpoints[id] = e
+	}
+	e.attached = true
+	e.zone = zone
+	if fresh {
+		p.dropRuns(e)
+	}
+	open := make([]work.RunID, 0, len(e.runs))
+	for _, t := range e.runs {
+		open = append(open, t.run())
+	}
+	return open
+}
+
+// dropRuns takes note that every run at an endpoint is over.
+func (p *Planner) dropRuns(e *endpoint) {
+	for _, t := range e.runs {
+		// Whether it ran is not known: its guard's account is gone.
+		t.job.ran = true
+		p.over(t)
+		p.again(t)
+	}
+	e.ordered = work.Amounts{}
+}
+
+// Detach takes note that an endpoint's guard can't be reached. Its runs stay
+// open: they may go on.
+func (p *Planner) Detach(id string) {
+	if e := p.endpoints[id]; e != nil {
+		e.attached = false
+	}
+}
+
+// Forget drops an endpoint that has no runs. It returns false when it has.
+func (p *Planner) Forget(id string) bool {
+	e := p.endpoints[id]
+	if e == nil {
+		return true
+	}
+	if len(e.runs) > 0 || e.attached {
+		return false
+	}
+	p.move(e, nil)
+	delete(p.endpoints, id)
+	return true
+}
+
+// Describe takes what an endpoint's guard says of it.
+func (p *Planner) Describe(id string, r Room) {
+	e := p.endpoints[id]
+	if e == nil {
+		return
+	}
+	if r.Service != "" {
+		p.move(e, p.service(r.Service))
+	}
+	if r.Runner != e.runner {
+		e.health = health{}
+	}
+	e.runner = r.Runner
+	e.open = r.Open
+	e.total = r.Total
+	e.used = r.Used
+	e.labels = r.Labels
+}
+
+// move puts an endpoint into another service.
+func (p *Planner) move(e *endpoint, to *service) {
+	if e.service == to {
+		return
+	}
+	if e.service != nil {
+		e.service.endpoints = slices.DeleteFunc(e.service.endpoints, func(o *endpoint) bool { return o == e })
+	}
+	e.service = to
+	if to != nil {
+		to.endpoints = append(to.endpoints, e)
+	}
+}
+
+// Reachable counts the endpoints that take starts.
+func (p *Planner) Reachable() int {
+	n := 0
+	for _, e := range p.endpoints {
+		if e.attached && e.open {
+			n++
+		}
+	}
+	return n
+}
+
+// fit of a job to a service's endpoints.
+type fit int
+
+const (
+	fitsSome fit = iota
+	noEndpoint
+	tooLarge
+)
+
+// fits reports whether some endpoint could ever run each step.
+func (s *service) fits(j *job) fit {
+	known := 0
+	for _, step := range j.work.Steps {
+		found := false
+		known = 0
+		for _, e := range s.endpoints {
+			if e.total == (work.Amounts{}) {
+				continue
+			}
+			known++
+			if step.Need.Fits(e.total) && e.labelled(step.Label) {
+				found = true
+				break
+			}
+		}
+		if !found && known == 0 {
+			return noEndpoint
+		}
+		if !found {
+			return tooLarge
+		}
+	}
+	return fitsSome
+}
+
+func (e *endpoint) labelled(label string) bool {
+	return label == "" || slices.Contains(e.labels, label)
+}
--- /dev/null
+++ b/dispatch/planner/estimate.go
@@ -0,0 +1,59 @@
+package planner
+
+import "time"
+
+const (
+	// guess is the run time of a task of which nothing is known.
+	guess = 200 * time.Millisecond
+	// learnShare is the weight of a new run in the means: some twenty runs count.
+	learnShare = 0.05
+	// declaredShare is the weight of the caller's own estimate against the mean of
+	// the contract's runs: declared times are some 40 % off, and tasks of one
+	// contract differ by as much.
+	declaredShare = 0.5
+)
+
+// estimate learns the run times of one contract's tasks.
+type estimate struct {
+	// ran and declared are means in seconds; zero before the first run.
+	ran, declared float64
+}
+
+func (p *Planner) estimate(contract string) *estimate {
+	e := p.estimates[contract]
+	if e == nil {
+		e = &estimate{}
+		p.estimates[contract] = e
+	}
+	return e
+}
+
+func (e *estimate) expect(declared time.Duration) time.Duration {
+	if e.ran == 0 {
+		if declared > 0 {
+			return declared
+		}
+		return guess
+	}
+	if declared <= 0 || e.declared == 0 {
+		return seconds(e.ran)
+	}
+	own := declared.Seconds() * e.ran / e.declared
+	return seconds(declaredShare*own + (1-declaredShare)*e.ran)
+}
+
+func (e *estimate) learn(ran, declared time.Duration) {
+	e.ran = mean(e.ran, ran.Seconds())
+	if declared > 0 {
+		e.declared = mean(e.declared, declared.Seconds())
+	}
+}
+
+func mean(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + learnShare*(sample-old)
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/dispatch/planner/job.go
@@ -0,0 +1,181 @@
+package planner
+
+import (
+	"slices"
+	"time"
+
+	"almondstand.dev/dispatch/work"
+)
+
+// job is one submission.
+type job struct {
+	work    work.Job
+	terms   Terms
+	service *service
+	tasks   []*task
+	// arrived and deadline bound the caller's wait.
+	arrived, deadline time.Duration
+	// startBy is the latest start for an answer in the time wanted, keepUntil the
+	// latest for one that is of any use.
+	startBy, keepUntil time.Duration
+	// expected is the run time of a task, by step.
+	expected []time.Duration
+	// begun is true once a start was ordered, ran once one has begun.
+	begun, ran bool
+	firstStart time.Duration
+	outcome    Outcome
+	// left counts the tasks that are not done, by step.
+	left []int
+	// queued is true while the job is in one of its service's lists.
+	queued bool
+	// typical is the mean run time of the tasks that are done.
+	typical time.Duration
+	done    int
+}
+
+// task is one task of a job.
+type task struct {
+	job         *job
+	step, index int
+	attempt     int
+	failures    int
+	done        bool
+	// endpoint holds the open run, nil when there is none.
+	endpoint *endpoint
+	// ordered and running are when the start was sent and when the guard said
+	// that it runs; running is zero before.
+	ordered, running time.Duration
+	stopping         bool
+	// avoid is where the last run went wrong.
+	avoid *endpoint
+}
+
+func (t *task) open() bool { return t.endpoint != nil }
+
+func (t *task) id() work.TaskID {
+	return work.TaskID{Job: t.job.work.ID, Step: t.step, Index: t.index}
+}
+
+func (t *task) run() work.RunID { return work.RunID{Task: t.id(), Attempt: t.attempt} }
+
+func newJob(now, deadline time.Duration, w work.Job, t Terms) *job {
+	j := &job{work: w, terms: t, arrived: now, deadline: deadline, left: make([]int, len(w.Steps))}
+	for s, step := range w.Steps {
+		j.left[s] = step.Count
+		for i := range step.Count {
+			j.tasks = append(j.tasks, &task{job: j, step: s, index: i})
+		}
+	}
+	return j
+}
+
+// predict works out by when the job must start.
+func (j *job) predict(e *estimate) {
+	ends := make([]time.Duration, len(j.work.Steps))
+	var chain time.Duration
+	for s, step := range j.work.Steps {
+		run := e.expect(step.Declared)
+		j.expected = append(j.expected, run)
+		for _, a := range step.After {
+			ends[s] = max(ends[s], ends[a])
+		}
+		ends[s] += run
+		chain = max(chain, ends[s])
+	}
+	longest := time.Duration(float64(chain) * unevenFactor)
+	wanted := time.Duration(float64(chain)*j.terms.Stretch) + j.terms.Allowance
+	end := j.deadline - answerMargin
+	j.startBy = min(j.arrived+wanted, end) - longest - startMargin
+	j.keepUntil = min(j.arrived+lateFactor*wanted, end) - longest - startMargin
+	// A caller with hardly any time is served only if there is room at once.
+	j.startBy = max(j.startBy, j.arrived+time.Millisecond)
+	j.keepUntil = max(j.keepUntil, j.startBy)
+}
+
+// eligible reports whether the step's predecessors are done.
+func (j *job) eligible(step int) bool {
+	for _, a := range j.work.Steps[step].After {
+		if j.left[a] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// waits reports whether the task may start now.
+func (t *task) waits() bool { return !t.done && !t.open() && t.job.eligible(t.step) }
+
+// wanting reports whether any task may start now.
+func (j *job) wanting() bool { return slices.ContainsFunc(j.tasks, (*task).waits) }
+
+// coreTime is the work left, in thousandths of a core times seconds.
+func (j *job) coreTime() float64 {
+	var sum float64
+	for _, t := range j.tasks {
+		if !t.done && !t.open() {
+			sum += float64(j.work.Steps[t.step].Need.CPUMilli) * j.expected[t.step].Seconds()
+		}
+	}
+	return sum
+}
+
+func (s *service) addFresh(j *job) {
+	at := sortIndex(s.fresh, func(o *job) bool {
+		if o.startBy != j.startBy {
+			return o.startBy > j.startBy
+		}
+		return o.terms.Urgency > j.terms.Urgency
+	})
+	s.fresh = slices.Insert(s.fresh, at, j)
+	j.queued = true
+}
+
+func (s *service) addBegun(j *job) {
+	at := sortIndex(s.begun, func(o *job) bool { return o.arrived > j.arrived })
+	s.begun = slices.Insert(s.begun, at, j)
+	j.queued = true
+}
+
+func (s *service) remove(j *job) {
+	if !j.queued {
+		return
+	}
+	j.queued = false
+	same := func(o *job) bool { return o == j }
+	s.begun = slices.DeleteFunc(s.begun, same)
+	s.fresh = slices.DeleteFunc(s.fresh, same)
+}
+
+// promote moves a job of which only some tasks have started to those that have
+// begun: it may not be refused any more.
+func (s *service) promote(j *job) {
+	if j.begun {
+		s.remove(j)
+		s.addBegun(j)
+	}
+}
+
+// requeue puts a job with tasks that may start into the right list.
+func (s *service) requeue(j *job) {
+	if j.outcome != 0 || j.queued || !j.wanting() {
+		return
+	}
+	if j.begun {
+		s.addBegun(j)
+	} else {
+		s.addFresh(j)
+	}
+}
+
+// nextDue is when the first waiting job's time is over.
+func (s *service) nextDue(now time.Duration) time.Duration {
+	next := now + time.Second
+	for _, j := range s.fresh {
+		due := j.startBy + time.Millisecond
+		if now > j.startBy {
+			due = j.keepUntil
+		}
+		next = min(next, due)
+	}
+	return next
+}
--- /dev/null
+++ b/dispatch/planner/place.go
@@ -0,0 +1,205 @@
+package planner
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// samples is how many endpoints with room are compared for a placement. With
+	// two, the fullest of many is rarely hit; more make entries that know the same
+	// pick the same.
+	samples = 3
+	// tries bounds the random picks before all endpoints are looked through.
+	tries = 8
+	// misses in a row end a round: what waits behind is of much the same size.
+	misses = 6
+)
+
+// place starts what fits.
+func (p *Planner) place(now time.Duration, s *service) {
+	missed := 0
+	for _, list := range [][]*job{slices.Clone(s.begun), slices.Clone(s.fresh)} {
+		for _, j := range list {
+			if missed >= misses {
+				return
+			}
+			if p.placeJob(now, j) {
+				missed = 0
+			} else {
+				missed++
+			}
+		}
+	}
+}
+
+// placeJob starts the tasks of a job that fit, and reports whether none is left
+// waiting.
+func (p *Planner) placeJob(now time.Duration, j *job) bool {
+	for step := range j.work.Steps {
+		if !j.eligible(step) {
+			continue
+		}
+		if !p.placeStep(now, j, step) {
+			j.service.promote(j)
+			return false
+		}
+	}
+	j.service.remove(j)
+	return true
+}
+
+func (p *Planner) placeStep(now time.Duration, j *job, step int) bool {
+	var waiting []*task
+	for _, t := range j.tasks {
+		if t.step == step && t.waits() {
+			waiting = append(waiting, t)
+		}
+	}
+	for len(waiting) > 0 {
+		e, n := p.pick(now, j, step, len(waiting), waiting[0].avoid)
+		if e == nil {
+			return false
+		}
+		for _, t := range waiting[:n] {
+			p.start(now, t, e)
+		}
+		waiting = waiting[n:]
+	}
+	return true
+}
+
+// pick returns the endpoint for the next tasks of a step, and how many it takes.
+func (p *Planner) pick(now time.Duration, j *job, step, want int, avoid *endpoint) (*endpoint, int) {
+	s := j.service
+	var best *endpoint
+	var bestScore score
+	found := 0
+	consider := func(e *endpoint) {
+		sc := p.score(now, j, step, want, e)
+		if sc.takes == 0 {
+			return
+		}
+		found++
+		sc.avoided = e == avoid
+		if best == nil || sc.better(bestScore) {
+			best, bestScore = e, sc
+		}
+	}
+	n := len(s.endpoints)
+	if n > tries {
+		for range tries {
+			if found >= samples {
+				break
+			}
+			consider(s.endpoints[p.random.IntN(n)])
+		}
+	}
+	if best == nil || bestScore.standing > steady || bestScore.avoided {
+		for i, at := 0, p.random.IntN(max(n, 1)); i < n; i++ {
+			consider(s.endpoints[(at+i)%n])
+		}
+	}
+	return best, bestScore.takes
+}
+
+// score of an endpoint for the next tasks of a step.
+type score struct {
+	// takes is the number of tasks that fit, 0 for none.
+	takes    int
+	standing standing
+	avoided  bool
+	// far is true when the step's data is in another rack.
+	far bool
+	// left is the share of its processors that stays free.
+	left float64
+	here bool
+}
+
+func (s score) better(o score) bool {
+	switch {
+	case s.avoided != o.avoided:
+		return !s.avoided
+	case s.standing != o.standing:
+		return s.standing < o.standing
+	case s.far != o.far:
+		return !s.far
+	case s.takes != o.takes:
+		// Fewer runners for a job: fewer that can spoil it, and fewer messages.
+		return s.takes > o.takes
+	case s.here != o.here:
+		return s.here
+	default:
+		return s.left > o.left
+	}
+}
+
+func (p *Planner) score(now time.Duration, j *job, step, want int, e *endpoint) score {
+	st := e.standing(now, j.service)
+	spec := j.work.Steps[step]
+	if st == unusable || !e.labelled(spec.Label) {
+		return score{}
+	}
+	free := e.free()
+	takes := spec.Need.Times(free, want)
+	if st == probe {
+		takes = min(takes, 1)
+	}
+	if spec.MaxPerRunner > 0 {
+		takes = min(takes, spec.MaxPerRunner-e.holds(j, step))
+	}
+	if takes <= 0 {
+		return score{}
+	}
+	if st == slow && !j.canWait(now, step, e) {
+		return score{}
+	}
+	left := 0.0
+	if e.total.CPUMilli > 0 {
+		left = float64(free.CPUMilli) / float64(e.total.CPUMilli)
+	}
+	far := spec.DataRack != "" && !slices.Contains(e.labels, spec.DataRack)
+	return score{takes: takes, standing: st, far: far, left: left, here: e.zone == p.opt.Zone}
+}
+
+// canWait reports whether a slow endpoint would still be in time to be of use.
+func (j *job) canWait(now time.Duration, step int, e *endpoint) bool {
+	run := time.Duration(float64(j.expected[step]) * e.health.speed())
+	return now+run < j.deadline-answerMargin
+}
+
+// holds counts the runs of a step at an endpoint.
+func (e *endpoint) holds(j *job, step int) int {
+	n := 0
+	for _, t := range e.runs {
+		if t.job == j && t.step == step {
+			n++
+		}
+	}
+	return n
+}
+
+// start orders a task at an endpoint.
+func (p *Planner) start(now time.Duration, t *task, e *endpoint) {
+	j := t.job
+	t.attempt++
+	t.endpoint = e
+	t.ordered = now
+	t.running = 0
+	t.stopping = false
+	need := j.work.Steps[t.step].Need
+	e.ordered = e.ordered.Add(need)
+	e.runs[t.id()] = t
+	p.watchAt = min(p.watchAt, j.deadline-answerMargin)
+	if !j.begun {
+		j.begun = true
+		j.firstStart = now
+	}
+	p.out.Starts = append(p.out.Starts, Start{
+		Endpoint: e.id,
+		Run:      t.run(),
+		Spec:     j.work.Spec,
+		Need:     need,
+		Life:     j.deadline - now,
+	})
+}
--- /dev/null
+++ b/dispatch/planner/planner.go
@@ -0,0 +1,404 @@
+// Package planner decides which task of which job starts where and when, and
+// which job is turned away. Endpoints are known by their capacity. It is one
+// state machine without a clock, input or output: every event comes with the
+// time at which it happened, and Act returns what is to be done.
+//
+// Load patterns it answers:
+//   - more work than room: a job that can't be answered in the time that its
+//     contract names is refused while its caller can still use the refusal, and
+//     room goes to the jobs that can;
+//   - runners that fail, hang, crawl or leave orders unanswered: they are used
+//     last, or not at all for a while;
+//   - many entries that see the same free runner: each picks among a few at
+//     random, so that they don't all pick one.
+package planner
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"almondstand.dev/dispatch/work"
+)
+
+// Terms are what the job's contract says.
+type Terms struct {
+	Contract string
+	Service  string
+	// Urgency orders jobs that must start at the same time; 0 comes first.
+	Urgency     int
+	MaxAttempts int
+	// Stretch times the longest chain of work and Allowance more is the time in
+	// which the answer is wanted.
+	Stretch   float64
+	Allowance time.Duration
+}
+
+// Outcome of a job.
+type Outcome int
+
+// Outcomes.
+const (
+	// Completed: every task is done.
+	Completed Outcome = iota + 1
+	// Failed: a task failed as often as its contract allows, or can't be run.
+	Failed
+	// Refused: no task has started, and none will.
+	Refused
+	// Expired: some task has started, and the caller's time is over.
+	Expired
+	// Cancelled: the caller no longer waits.
+	Cancelled
+)
+
+// String names the outcome for logs and metrics.
+func (o Outcome) String() string {
+	return [...]string{"open", "completed", "failed", "refused", "expired", "cancelled"}[o]
+}
+
+// Why a job ended as it did.
+type Why string
+
+// Reasons.
+const (
+	WhyDone        Why = "done"
+	WhyTaskFailed  Why = "task_failed"
+	WhyTooLarge    Why = "fits_no_runner"
+	WhyNoRunner    Why = "no_runner"
+	WhyOverload    Why = "no_room_in_time"
+	WhyDeadline    Why = "caller_time_over"
+	WhyCallerGone  Why = "caller_gone"
+	WhyUnreachable Why = "guard_unreachable"
+)
+
+// Ended tells that a job has its outcome.
+type Ended struct {
+	Job     string
+	Outcome Outcome
+	Why     Why
+	// RetryAfter is when a refused job may have room; zero otherwise.
+	RetryAfter time.Duration
+	// Waited is the time from submission to the first start, or to the outcome.
+	Waited time.Duration
+}
+
+// Answer is what a job's callers are told.
+type Answer struct {
+	Outcome    Outcome
+	Why        Why
+	RetryAfter time.Duration
+}
+
+// Start orders one task.
+type Start struct {
+	Endpoint string
+	Run      work.RunID
+	Spec     string
+	Need     work.Amounts
+	// Life is the time left until the caller stops waiting.
+	Life time.Duration
+}
+
+// Stop ends one run.
+type Stop struct {
+	Endpoint string
+	Run      work.RunID
+}
+
+// Actions is what is to be done now.
+type Actions struct {
+	Starts []Start
+	Stops  []Stop
+	Ended  []Ended
+	// Settled names jobs that have ended before and whose last run is over now.
+	Settled []string
+}
+
+// Options of a Planner. Zero values take the defaults.
+type Options struct {
+	// Zone of this entry.
+	Zone string
+	// Seed of the choice among equal endpoints.
+	Seed uint64
+}
+
+// Limits on time. Each stands beside its reason.
+const (
+	// answerMargin is kept of the caller's time for the way back, some
+	// milliseconds, and a late timer.
+	answerMargin = 25 * time.Millisecond
+	// startMargin is the time from a start's decision to the run's begin and from
+	// its end to the answer: four messages of a millisecond, and processors at
+	// half load.
+	startMargin = 12 * time.Millisecond
+	// lateFactor times the wanted time is the latest at which an answer is still
+	// worth something to the caller.
+	lateFactor = 3
+	// unevenFactor is how much longer the longest of a job's tasks runs than the
+	// mean: tasks of a job differ by some 15 %.
+	unevenFactor = 1.15
+)
+
+// Planner is the state machine. It is not safe for concurrent use.
+type Planner struct {
+	opt       Options
+	random    *rand.Rand
+	jobs      map[string]*job
+	endpoints map[string]*endpoint
+	services  map[string]*service
+	estimates map[string]*estimate
+	out       Actions
+	// watchAt is when open jobs must be looked through next.
+	watchAt time.Duration
+}
+
+// service is one service's endpoints and the jobs that wait for them.
+type service struct {
+	name      string
+	endpoints []*endpoint
+	// begun are jobs with tasks that wait and others that have started, by
+	// arrival; fresh are jobs of which none has, by their latest start.
+	begun, fresh []*job
+	// failRate is the share of runs that fail, all endpoints together.
+	failRate float64
+	pace     float64
+}
+
+// New returns a planner without endpoints.
+func New(o Options) *Planner {
+	return &Planner{
+		opt:       o,
+		random:    rand.New(rand.NewPCG(o.Seed, o.Seed)),
+		jobs:      map[string]*job{},
+		endpoints: map[string]*endpoint{},
+		services:  map[string]*service{},
+		estimates: map[string]*estimate{},
+	}
+}
+
+func (p *Planner) service(name string) *service {
+	s := p.services[name]
+	if s == nil {
+		s = &service{name: name, pace: 1}
+		p.services[name] = s
+	}
+	return s
+}
+
+// Verdict on a submission.
+type Verdict int
+
+// Verdicts.
+const (
+	// Taken: the job waits or runs.
+	Taken Verdict = iota + 1
+	// Known: a job of that id is open already; the caller joins it.
+	Known
+	// Ending: a job of that id has ended and a run of it may still be going on.
+	Ending
+)
+
+// Submit takes a job whose caller waits until the deadline.
+func (p *Planner) Submit(now, deadline time.Duration, w work.Job, t Terms) Verdict {
+	if j := p.jobs[w.ID]; j != nil {
+		if j.outcome != 0 {
+			return Ending
+		}
+		return Known
+	}
+	j := newJob(now, deadline, w, t)
+	j.service = p.service(t.Service)
+	j.predict(p.estimate(t.Contract))
+	p.jobs[w.ID] = j
+	switch fit := j.service.fits(j); {
+	case fit == noEndpoint:
+		j.keepUntil = j.startBy
+		j.service.addFresh(j)
+	case fit == tooLarge:
+		p.end(now, j, Failed, WhyTooLarge)
+	default:
+		j.service.addFresh(j)
+	}
+	return Taken
+}
+
+// Cancel ends a job whose caller no longer waits.
+func (p *Planner) Cancel(now time.Duration, id string) {
+	if j := p.jobs[id]; j != nil && j.outcome == 0 {
+		p.end(now, j, Cancelled, WhyCallerGone)
+	}
+}
+
+// Counts of open jobs.
+type Counts struct {
+	// Waiting jobs have started nothing.
+	Waiting int
+	Running int
+}
+
+// Count returns the open jobs of a contract, or of all for "".
+func (p *Planner) Count(contract string) Counts {
+	var c Counts
+	for _, j := range p.jobs {
+		if j.outcome != 0 || contract != "" && j.terms.Contract != contract {
+			continue
+		}
+		if j.begun {
+			c.Running++
+		} else {
+			c.Waiting++
+		}
+	}
+	return c
+}
+
+// Waiting reports whether tasks wait for room at the endpoint's service.
+func (p *Planner) Waiting(endpoint string) bool {
+	e := p.endpoints[endpoint]
+	return e != nil && e.service != nil && len(e.service.begun)+len(e.service.fresh) > 0
+}
+
+// State of a job as callers read it: known is false when there is none.
+func (p *Planner) State(id string) (outcome Outcome, begun, known bool) {
+	j := p.jobs[id]
+	if j == nil {
+		return 0, false, false
+	}
+	return j.outcome, j.begun, true
+}
+
+// end gives a job its outcome, and stops what runs.
+func (p *Planner) end(now time.Duration, j *job, o Outcome, why Why) {
+	j.outcome = o
+	j.service.remove(j)
+	waited := now - j.arrived
+	if j.begun {
+		waited = j.firstStart - j.arrived
+	}
+	ended := Ended{Job: j.work.ID, Outcome: o, Why: why, Waited: waited}
+	if o == Refused {
+		ended.RetryAfter = p.retryAfter(j.service)
+	}
+	p.out.Ended = append(p.out.Ended, ended)
+	for _, t := range j.tasks {
+		if t.open() && !t.stopping {
+			t.stopping = true
+			p.out.Stops = append(p.out.Stops, Stop{t.endpoint.id, t.run()})
+		}
+	}
+	p.settle(j)
+}
+
+// settle forgets a job that has ended and whose runs are over.
+func (p *Planner) settle(j *job) {
+	if j.outcome == 0 {
+		return
+	}
+	for _, t := range j.tasks {
+		if t.open() {
+			return
+		}
+	}
+	if p.jobs[j.work.ID] == j {
+		delete(p.jobs, j.work.ID)
+		p.out.Settled = append(p.out.Settled, j.work.ID)
+	}
+}
+
+// Bounds of the time after which a refused caller may come back.
+const (
+	leastRetryAfter = time.Second
+	mostRetryAfter  = 8 * time.Second
+)
+
+// retryAfter is the time in which what waits will have drained, spread so that
+// those who are refused together don't come back as one wave.
+func (p *Planner) retryAfter(s *service) time.Duration {
+	var queued, room float64
+	for _, list := range [][]*job{s.begun, s.fresh} {
+		for _, j := range list {
+			queued += j.coreTime()
+		}
+	}
+	for _, e := range s.endpoints {
+		room += float64(e.total.CPUMilli)
+	}
+	drain := leastRetryAfter
+	if room > 0 {
+		drain += time.Duration(queued / room * float64(time.Second))
+	}
+	drain = time.Duration(float64(drain) * (1 + p.random.Float64()))
+	return min(drain, mostRetryAfter)
+}
+
+// Act returns what is to be done, and when to be asked again at the latest.
+func (p *Planner) Act(now time.Duration) (Actions, time.Duration) {
+	next := now + time.Second
+	for _, s := range p.services {
+		p.weed(now, s)
+		p.place(now, s)
+		next = min(next, s.nextDue(now))
+	}
+	if now >= p.watchAt {
+		p.watchAt = p.watch(now)
+	}
+	next = min(next, p.watchAt)
+	out := p.out
+	p.out = Actions{}
+	return out, next
+}
+
+// weed ends jobs that wait and whose time is over.
+func (p *Planner) weed(now time.Duration, s *service) {
+	onTime := 0
+	for _, j := range s.fresh {
+		if now <= j.startBy {
+			onTime++
+		}
+	}
+	for _, j := range append([]*job(nil), s.fresh...) {
+		switch {
+		case now >= j.keepUntil:
+			p.refuse(now, j)
+		case now > j.startBy && (onTime > 0 || len(s.begun) > 0):
+			// Room is short, and others can still be answered in time.
+			p.refuse(now, j)
+		}
+	}
+}
+
+func (p *Planner) refuse(now time.Duration, j *job) {
+	why := WhyOverload
+	if len(j.service.endpoints) == 0 {
+		why = WhyNoRunner
+	}
+	p.end(now, j, Refused, why)
+}
+
+// watch ends jobs whose caller's time is over, and runs that take too long. It
+// returns when it must look again.
+func (p *Planner) watch(now time.Duration) time.Duration {
+	next := now + time.Second
+	for _, j := range p.jobs {
+		if j.outcome != 0 || !j.begun {
+			continue
+		}
+		if now >= j.deadline-answerMargin {
+			why := WhyDeadline
+			for _, t := range j.tasks {
+				if t.open() && !t.endpoint.attached {
+					why = WhyUnreachable
+				}
+			}
+			p.end(now, j, Expired, why)
+			continue
+		}
+		next = min(next, j.deadline-answerMargin, p.watchRuns(now, j))
+	}
+	return next
+}
+
+// sortIndex returns where to insert by the key.
+func sortIndex(list []*job, less func(*job) bool) int {
+	return sort.Search(len(list), func(i int) bool { return less(list[i]) })
+}
--- /dev/null
+++ b/dispatch/planner/report.go
@@ -0,0 +1,214 @@
+package planner
+
+import (
+	"time"
+
+	"almondstand.dev/dispatch/work"
+)
+
+// Change of a run, as its guard reports it.
+type Change int
+
+// Changes.
+const (
+	Running Change = iota + 1
+	Done
+	TaskFailed
+	// Stopped: over before its work was done.
+	Stopped
+	// NoRoom: never started, the endpoint is full.
+	NoRoom
+	// NotTaken: never started, for a reason that says nothing of the runner.
+	NotTaken
+	// NotStarted: never started, the runner turned it down or left it unanswered.
+	NotStarted
+)
+
+// Report takes what a guard reports of a run.
+func (p *Planner) Report(now time.Duration, id string, run work.RunID, c Change) {
+	e := p.endpoints[id]
+	if e == nil {
+		return
+	}
+	t := e.runs[run.Task]
+	if t == nil || t.attempt != run.Attempt {
+		return
+	}
+	if c == Running {
+		p.began(now, t)
+		return
+	}
+	ran := time.Duration(0)
+	if t.running > 0 {
+		ran = now - t.running
+	}
+	stopping := t.stopping
+	p.over(t)
+	switch c {
+	case Done:
+		p.done(now, t, e, ran)
+	case TaskFailed:
+		t.job.ran = true
+		t.failures++
+		t.avoid = e
+		e.health.bad(now, e.service.failRate)
+		p.rate(e.service, 1)
+		if t.failures >= t.job.terms.MaxAttempts && t.job.outcome == 0 {
+			p.end(now, t.job, Failed, WhyTaskFailed)
+		}
+	case Stopped:
+		t.job.ran = true
+		if !stopping {
+			e.health.bad(now, e.service.failRate)
+		}
+		t.avoid = e
+	case NotStarted:
+		if !stopping {
+			e.health.bad(now, e.service.failRate)
+		}
+		t.avoid = e
+	case NoRoom, NotTaken:
+		t.avoid = e
+	}
+	p.again(t)
+}
+
+// began takes note that a run has begun.
+func (p *Planner) began(now time.Duration, t *task) {
+	if t.running > 0 {
+		return
+	}
+	t.running = now
+	t.job.ran = true
+	p.watchAt = min(p.watchAt, now+t.limit())
+	t.endpoint.ordered = t.endpoint.ordered.Sub(t.job.work.Steps[t.step].Need)
+}
+
+// over closes a task's run.
+func (p *Planner) over(t *task) {
+	e := t.endpoint
+	if t.running == 0 {
+		e.ordered = e.ordered.Sub(t.job.work.Steps[t.step].Need)
+	}
+	delete(e.runs, t.id())
+	t.endpoint = nil
+	t.stopping = false
+}
+
+// done takes note of a task that is done.
+func (p *Planner) done(now time.Duration, t *task, e *endpoint, ran time.Duration) {
+	j := t.job
+	if !t.done {
+		t.done = true
+		j.left[t.step]--
+		j.typical += (ran - j.typical) / time.Duration(j.done+1)
+		j.done++
+	}
+	expected := j.expected[t.step]
+	ratio := float64(ran) / float64(max(expected, time.Millisecond))
+	e.health.good(ratio)
+	p.rate(e.service, 0)
+	e.service.pace += learnShare * (min(ratio, 4) - e.service.pace)
+	if e.health.speed() <= slowPace*e.service.pace {
+		// A slow runner's times say nothing of the tasks.
+		p.estimate(j.terms.Contract).learn(ran, j.work.Steps[t.step].Declared)
+	}
+	if j.outcome != 0 {
+		return
+	}
+	if j.mostDone() {
+		p.watchAt = now
+	}
+	for _, left := range j.left {
+		if left > 0 {
+			j.service.requeue(j)
+			return
+		}
+	}
+	p.end(now, j, Completed, WhyDone)
+}
+
+func (p *Planner) rate(s *service, wrong float64) {
+	s.failRate += learnShare * (wrong - s.failRate)
+}
+
+// again lets a task wait for another run, or lets its ended job go.
+func (p *Planner) again(t *task) {
+	j := t.job
+	if j.outcome != 0 {
+		p.settle(j)
+		return
+	}
+	if !t.done && j.allBack() {
+		// Nothing has ever run: the job may still be refused truthfully.
+		j.begun = false
+	}
+	j.service.remove(j)
+	j.service.requeue(j)
+}
+
+// allBack reports whether no task of the job has run or may be running.
+func (j *job) allBack() bool {
+	if j.ran {
+		return false
+	}
+	for _, t := range j.tasks {
+		if t.open() || t.done {
+			return false
+		}
+	}
+	return true
+}
+
+// Limits of a run that takes too long.
+const (
+	// hangFactor times the expected run time, and hangMargin more, with its peers
+	// unknown: run times of one contract differ by a factor of two.
+	hangFactor = 3
+	hangMargin = 60 * time.Millisecond
+	// strayFactor times the mean of the job's tasks that are done: tasks of one
+	// job differ by some 15 %.
+	strayFactor = 2
+)
+
+// watchRuns stops runs that take far too long, if a run elsewhere would still
+// be in time. It returns when to look again.
+func (p *Planner) watchRuns(now time.Duration, j *job) time.Duration {
+	next := now + time.Second
+	for _, t := range j.tasks {
+		if !t.open() || t.running == 0 || t.stopping || !t.endpoint.attached {
+			continue
+		}
+		expected := j.expected[t.step]
+		if j.mostDone() {
+			expected = j.typical
+		}
+		due := t.running + t.limit()
+		if now < due {
+			next = min(next, due)
+			continue
+		}
+		if now+expected+startMargin+stopTime > j.deadline-answerMargin || len(j.service.endpoints) < 2 {
+			continue
+		}
+		t.stopping = true
+		t.endpoint.health.bad(now, j.service.failRate)
+		p.out.Stops = append(p.out.Stops, Stop{t.endpoint.id, t.run()})
+	}
+	return next
+}
+
+// mostDone reports whether the job's own tasks tell how long one runs.
+func (j *job) mostDone() bool { return len(j.work.Steps) == 1 && 2*j.done >= len(j.tasks) }
+
+// limit is the run time above which a run is taken to hang.
+func (t *task) limit() time.Duration {
+	limit := time.Duration(hangFactor*float64(t.job.expected[t.step])) + hangMargin
+	if t.job.mostDone() {
+		limit = min(limit, time.Duration(strayFactor*float64(t.job.typical))+hangMargin)
+	}
+	return limit
+}
+
+// stopTime is how long a stop takes at a runner, with the messages.
+const stopTime = 60 * time.Millisecond
--- a/entry/cmd/almondstand/entry.go
+++ b/entry/cmd/almondstand/entry.go
@@ -12,6 +12,7 @@
 	"github.com/oklog/run"
 
 	"almondstand.dev/entry/command"
+	"almondstand.dev/entry/edge"
 	"almondstand.dev/entry/node"
 	"almondstand.dev/settings"
 	"almondstand.dev/telemetry"
@@ -20,15 +21,42 @@
 // entry wires the entry process into the command line.
 func entry() command.Entry {
 	return command.Entry{
-		Run: runEntry,
-		Check: func(path string) error {
-			_, err := node.Load(path)
-			return err
-		},
+		Run:     runEither,
+		Check:   check,
 		Example: func() any { return example() },
 	}
 }
 
+// capacitySection of a settings file holds the settings of an entry whose runners
+// are known by their capacity.
+const capacitySection = "capacity"
+
+// check checks a settings file of either kind.
+func check(path string) error {
+	fleet, err := settings.Has(path, capacitySection)
+	if err != nil {
+		return err
+	}
+	if fleet {
+		_, err = edge.Load(path)
+		return err
+	}
+	_, err = node.Load(path)
+	return err
+}
+
+// runEither runs the kind of entry that the settings are for.
+func runEither(ctx context.Context, path string) error {
+	fleet, err := settings.Has(path, capacitySection)
+	if err != nil {
+		return err
+	}
+	if fleet {
+		return runEdge(ctx, path)
+	}
+	return runEntry(ctx, path)
+}
+
 // runEntry serves until SIGTERM or SIGINT, then drains.
 func runEntry(ctx context.Context, path string) error {
 	s, err := node.Load(path)
--- /dev/null
+++ b/entry/jobs/jobs.go
@@ -0,0 +1,344 @@
+// Package jobs runs the jobs that this entry took: it feeds the planner with
+// what happens, hands its orders to the sessions, and its outcomes to callers.
+package jobs
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"almondstand.dev/dispatch/planner"
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/telemetry/uptime"
+)
+
+// keepAnswers is how long an answer is kept for a request that comes again
+// though its answer was delivered: such ones come within seconds.
+const keepAnswers = 8 * time.Second
+
+// endingWait bounds how long a job that is submitted again waits for the runs
+// of its predecessor to end; a stop takes some 60 ms, a lease's end 700 ms.
+const endingWait = 800 * time.Millisecond
+
+// endingRetry is told to a caller whose job's predecessor has not ended.
+const endingRetry = time.Second
+
+// Guard takes orders for one endpoint. Its methods must not block.
+type Guard interface {
+	Order(starts []planner.Start, stops []planner.Stop)
+}
+
+// Options of an Engine.
+type Options struct {
+	Planner planner.Options
+	Logger  *slog.Logger
+	Scope   tally.Scope
+}
+
+// Engine runs jobs.
+type Engine struct {
+	logger  *slog.Logger
+	metrics *metrics
+
+	mu      sync.Mutex
+	plan    *planner.Planner
+	waiters map[string]*waiters
+	guards  map[string]Guard
+	answers map[string]kept
+	// endings are closed when the last run of an ended job is over.
+	endings map[string]chan struct{}
+	wake    *time.Timer
+	pruned  time.Duration
+}
+
+// waiters are the callers of one job.
+type waiters struct {
+	callers int
+	ready   chan struct{}
+	answer  planner.Answer
+	terms   planner.Terms
+	arrived time.Duration
+}
+
+type kept struct {
+	answer planner.Answer
+	at     time.Duration
+}
+
+// New returns an engine without endpoints.
+func New(o Options) *Engine {
+	e := &Engine{
+		logger:  o.Logger,
+		metrics: newMetrics(o.Scope),
+		plan:    planner.New(o.Planner),
+		waiters: map[string]*waiters{},
+		guards:  map[string]Guard{},
+		answers: map[string]kept{},
+		endings: map[string]chan struct{}{},
+	}
+	e.wake = time.AfterFunc(time.Hour, e.tick)
+	return e
+}
+
+// Run keeps the engine until the context ends.
+func (e *Engine) Run(ctx context.Context) error {
+	<-ctx.Done()
+	e.wake.Stop()
+	return nil
+}
+
+func (e *Engine) tick() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.act(uptime.Now())
+}
+
+// Submit runs a job and returns its outcome. deadline is the uptime until which
+// the caller waits; the context ends when the caller is gone.
+func (e *Engine) Submit(ctx context.Context, job work.Job, terms planner.Terms, deadline time.Duration) planner.Answer {
+	e.mu.Lock()
+	now := uptime.Now()
+	if k, again := e.answers[job.ID]; again && now-k.at < keepAnswers {
+		e.mu.Unlock()
+		return k.answer
+	}
+	verdict := e.plan.Submit(now, deadline, job, terms)
+	for verdict == planner.Ending {
+		ending := e.endings[job.ID]
+		e.mu.Unlock()
+		if !awaitEnding(ctx, ending) {
+			return planner.Answer{Outcome: planner.Refused, Why: planner.WhyOverload, RetryAfter: endingRetry}
+		}
+		e.mu.Lock()
+		now = uptime.Now()
+		verdict = e.plan.Submit(now, deadline, job, terms)
+	}
+	w := e.waiters[job.ID]
+	if w == nil {
+		w = &waiters{ready: make(chan struct{}), terms: terms, arrived: now}
+		e.waiters[job.ID] = w
+	}
+	w.callers++
+	e.act(now)
+	e.mu.Unlock()
+	select {
+	case <-w.ready:
+	case <-ctx.Done():
+		e.leave(job.ID, w)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return w.answer
+}
+
+// awaitEnding reports whether a job's predecessor ended in time.
+func awaitEnding(ctx context.Context, ending chan struct{}) bool {
+	select {
+	case <-ending:
+		return true
+	case <-time.After(endingWait):
+	case <-ctx.Done():
+	}
+	return false
+}
+
+// leave takes a caller away; a job without callers is stopped.
+func (e *Engine) leave(id string, w *waiters) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.callers--
+	if w.callers > 0 || e.waiters[id] != w {
+		return
+	}
+	now := uptime.Now()
+	e.plan.Cancel(now, id)
+	e.act(now)
+}
+
+// Cancel ends a job at its caller's wish; it reports whether there was one.
+func (e *Engine) Cancel(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, open := e.waiters[id]; !open {
+		return false
+	}
+	now := uptime.Now()
+	e.plan.Cancel(now, id)
+	e.act(now)
+	return true
+}
+
+// State of a job, for a caller who asks.
+func (e *Engine) State(id string) (outcome planner.Outcome, begun, known bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if outcome, begun, known = e.plan.State(id); known && outcome == 0 {
+		return outcome, begun, true
+	}
+	if k, kept := e.answers[id]; kept {
+		return k.answer.Outcome, true, true
+	}
+	return outcome, begun, known
+}
+
+// Count returns the open jobs of a contract, or of all for "".
+func (e *Engine) Count(contract string) planner.Counts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.plan.Count(contract)
+}
+
+// Reachable counts the endpoints that take starts.
+func (e *Engine) Reachable() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.plan.Reachable()
+}
+
+// Attach makes a guard's endpoint known and returns its open runs. fresh is
+// true when the guard is a new life. Orders go to g from now on.
+func (e *Engine) Attach(id, zone string, fresh bool, g Guard) []work.RunID {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	open := e.plan.Attach(id, zone, fresh)
+	e.guards[id] = g
+	e.act(uptime.Now())
+	return open
+}
+
+// Detach takes note that a guard can't be reached, unless a newer session has
+// taken over.
+func (e *Engine) Detach(id string, g Guard) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.guards[id] != g {
+		return
+	}
+	delete(e.guards, id)
+	e.plan.Detach(id)
+}
+
+// Current reports whether a guard's session is the newest.
+func (e *Engine) Current(id string, g Guard) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.guards[id] == g
+}
+
+// News is what a guard tells in one message.
+type News struct {
+	Room    *planner.Room
+	Reports []Report
+}
+
+// Report of a run.
+type Report struct {
+	Run    work.RunID
+	Change planner.Change
+}
+
+// Tell takes a guard's message, unless a newer session has taken over.
+func (e *Engine) Tell(id string, g Guard, n News) {
+	now := uptime.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.guards[id] != g {
+		return
+	}
+	for _, r := range n.Reports {
+		e.metrics.change(r.Change)
+		e.plan.Report(now, id, r.Run, r.Change)
+	}
+	if n.Room != nil {
+		e.plan.Describe(id, *n.Room)
+	}
+	e.act(now)
+}
+
+// Forget drops an endpoint that nobody reaches; false when it has open runs.
+func (e *Engine) Forget(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.plan.Forget(id)
+}
+
+// Waiting reports whether tasks wait for room at the endpoint's service.
+func (e *Engine) Waiting(id string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.plan.Waiting(id)
+}
+
+// act carries out what the planner decides. The lock is held.
+func (e *Engine) act(now time.Duration) {
+	actions, next := e.plan.Act(now)
+	type orders struct {
+		starts []planner.Start
+		stops  []planner.Stop
+	}
+	byGuard := map[string]*orders{}
+	of := func(id string) *orders {
+		if byGuard[id] == nil {
+			byGuard[id] = &orders{}
+		}
+		return byGuard[id]
+	}
+	for _, s := range actions.Starts {
+		of(s.Endpoint).starts = append(of(s.Endpoint).starts, s)
+	}
+	for _, s := range actions.Stops {
+		of(s.Endpoint).stops = append(of(s.Endpoint).stops, s)
+	}
+	for id, o := range byGuard {
+		if g := e.guards[id]; g != nil {
+			g.Order(o.starts, o.stops)
+		}
+	}
+	for _, ended := range actions.Ended {
+		e.ended(now, ended)
+	}
+	for _, id := range actions.Settled {
+		if c := e.endings[id]; c != nil {
+			close(c)
+			delete(e.endings, id)
+		}
+	}
+	e.prune(now)
+	e.wake.Reset(max(next-now, time.Millisecond))
+}
+
+// ended hands a job's outcome to its callers.
+func (e *Engine) ended(now time.Duration, d planner.Ended) {
+	w := e.waiters[d.Job]
+	if w == nil {
+		return
+	}
+	delete(e.waiters, d.Job)
+	w.answer = planner.Answer{Outcome: d.Outcome, Why: d.Why, RetryAfter: d.RetryAfter}
+	close(w.ready)
+	if d.Outcome == planner.Completed || d.Outcome == planner.Failed {
+		e.answers[d.Job] = kept{w.answer, now}
+	}
+	if e.endings[d.Job] == nil {
+		e.endings[d.Job] = make(chan struct{})
+	}
+	e.metrics.ended(w.terms.Contract, d)
+	jobEnded.Log(context.Background(), e.logger, slog.String("job", d.Job), slog.String("contract", w.terms.Contract),
+		slog.String("outcome", d.Outcome.String()), slog.String("why", string(d.Why)),
+		slog.Duration("waited", d.Waited), slog.Duration("took", now-w.arrived))
+}
+
+func (e *Engine) prune(now time.Duration) {
+	if now-e.pruned < keepAnswers/4 {
+		return
+	}
+	e.pruned = now
+	for id, k := range e.answers {
+		if now-k.at > keepAnswers {
+			delete(e.answers, id)
+		}
+	}
+}
--- /dev/null
+++ b/entry/registry/events.go
@@ -0,0 +1,16 @@
+package registry
+
+import (
+	"log/slog"
+
+	"almondstand.dev/eventlog"
+)
+
+var (
+	registered = eventlog.Define(1581, "registry.registered", slog.LevelInfo,
+		"This entry's key is in the store, under a lease.", "None.")
+	leaseLost = eventlog.Define(1582, "registry.lease_lost", slog.LevelWarn,
+		"The lease had ended; the entry registers anew.", "None, after an outage of the store.")
+	meetFailed = eventlog.Define(1583, "registry.meet_failed", slog.LevelDebug,
+		"Another entry did not answer.", "None.")
+)
--- /dev/null
+++ b/entry/sessions/sessions.go
@@ -0,0 +1,361 @@
+// Package sessions serves the guards that attach to this entry.
+package sessions
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"almondstand.dev/dispatch/planner"
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/entry/jobs"
+	"almondstand.dev/telemetry/uptime"
+	"almondstand.dev/wire/fleetwire"
+	"almondstand.dev/wire/wirev1"
+)
+
+// Timing of a session.
+const (
+	// pingBusy is the pause after which a guard that runs tasks of this entry
+	// hears from it though there is nothing to order: a guard stops the runs of an
+	// entry that is silent for some 520 ms, so three may be lost.
+	pingBusy = 150 * time.Millisecond
+	// pingIdle is the same for the others; they take the entry for gone after 3 s.
+	pingIdle = time.Second
+	// listenFor ends a session whose guard was silent for so long; guards send
+	// once a second at least.
+	listenFor = 2500 * time.Millisecond
+	// forgetEvery paces the removal of endpoints that are gone.
+	forgetEvery = 5 * time.Second
+	// forgetAfter drops the endpoint of a guard that was gone for so long.
+	forgetAfter = 30 * time.Second
+)
+
+// ErrNoGreeting means that a guard's first message was no greeting.
+var ErrNoGreeting = errors.New("sessions: no greeting")
+
+// errOlder means that a newer life of the same guard is attached.
+var errOlder = errors.New("sessions: a newer life of the guard is attached")
+
+// Members knows the entries.
+type Members interface {
+	// Known returns the entries' addresses and a number that changes with them.
+	Known() (addresses []string, version uint64)
+	// Hint takes addresses that may be entries.
+	Hint(addresses []string)
+}
+
+// Options of a Server.
+type Options struct {
+	Entry       string
+	Incarnation uint64
+	Logger      *slog.Logger
+}
+
+// Server keeps the guards' sessions.
+type Server struct {
+	opt     Options
+	jobs    *jobs.Engine
+	members Members
+	logger  *slog.Logger
+
+	mu sync.Mutex
+	// lives are the newest lives of the guards, by id.
+	lives map[string]life
+}
+
+type life struct {
+	incarnation uint64
+	// seen is when a session of the guard last ended; zero while one is on.
+	seen time.Time
+}
+
+// New returns a server without sessions.
+func New(o Options, e *jobs.Engine, m Members) *Server {
+	return &Server{opt: o, jobs: e, members: m, logger: o.Logger, lives: map[string]life{}}
+}
+
+// Run drops endpoints that are gone, until the context ends.
+func (s *Server) Run(ctx context.Context) error {
+	tick := time.NewTicker(forgetEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			s.forget()
+		}
+	}
+}
+
+func (s *Server) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, l := range s.lives {
+		if !l.seen.IsZero() && time.Since(l.seen) > forgetAfter && s.jobs.Forget(id) {
+			delete(s.lives, id)
+		}
+	}
+}
+
+type stream = connect.BidiStream[wirev1.AttachRequest, wirev1.AttachResponse]
+
+// Attach serves one guard's stream.
+func (s *Server) Attach(ctx context.Context, st *stream) error {
+	first, err := st.Receive()
+	if err != nil {
+		return connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	g := first.GetGreeting()
+	if g == nil {
+		return connect.NewError(connect.CodeInvalidArgument, ErrNoGreeting)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ses := &session{server: s, guard: g.GetGuard(), stream: st, wake: make(chan struct{}, 1), cancel: cancel}
+	ses.heard(first.GetClockUs())
+	open, err := s.admit(ses, g)
+	if err != nil {
+		return connect.NewError(connect.CodeFailedPrecondition, err)
+	}
+	s.members.Hint(g.GetEntries())
+	guardAttached.Log(ctx, s.logger, slog.String("guard", ses.guard), slog.Uint64("incarnation", g.GetIncarnation()), slog.Int("open_runs", len(open)))
+	err = ses.serve(ctx, open)
+	s.jobs.Detach(ses.guard, ses)
+	s.left(ses.guard)
+	guardLost.Log(ctx, s.logger, slog.String("guard", ses.guard), slog.Any("error", err))
+	return nil
+}
+
+// admit makes the session its guard's newest and returns the open runs there.
+func (s *Server) admit(ses *session, g *wirev1.GuardGreeting) ([]work.RunID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.lives[ses.guard]
+	if g.GetIncarnation() < known.incarnation {
+		return nil, errOlder
+	}
+	s.lives[ses.guard] = life{incarnation: g.GetIncarnation()}
+	return s.jobs.Attach(ses.guard, g.GetZone(), g.GetIncarnation() != known.incarnation, ses), nil
+}
+
+func (s *Server) left(guard string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.lives[guard]
+	l.seen = time.Now()
+	s.lives[guard] = l
+}
+
+// session is one guard's stream.
+type session struct {
+	server *Server
+	guard  string
+	stream *stream
+	wake   chan struct{}
+	cancel context.CancelFunc
+
+	mu     sync.Mutex
+	starts []planner.Start
+	stops  []planner.Stop
+	// open counts the runs ordered here and not over.
+	open int
+	// clock is the guard's newest clock, and clockAt when it came, uptime.
+	clock, clockAt time.Duration
+	lastHeard      time.Duration
+	membersVersion uint64
+}
+
+// Order implements jobs.Guard.
+func (s *session) Order(starts []planner.Start, stops []planner.Stop) {
+	s.mu.Lock()
+	s.starts = append(s.starts, starts...)
+	s.stops = append(s.stops, stops...)
+	s.open += len(starts)
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// heard notes the guard's clock. Only a newer one counts: the oldest possible
+// time of an order is worked out from it.
+func (s *session) heard(clockUs int64) {
+	now := uptime.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastHeard = now
+	s.clock = time.Duration(clockUs) * time.Microsecond
+	s.clockAt = now
+}
+
+// serve runs the session until either side ends it.
+func (s *session) serve(ctx context.Context, open []work.RunID) error {
+	entries, version := s.server.members.Known()
+	s.mu.Lock()
+	s.membersVersion = version
+	s.open += len(open)
+	s.mu.Unlock()
+	greeting := &wirev1.EntryGreeting{Entry: s.server.opt.Entry, Incarnation: s.server.opt.Incarnation}
+	for _, r := range open {
+		greeting.Open = append(greeting.Open, &wirev1.OpenRun{Task: fleetwire.Task(r.Task), Attempt: uint32(r.Attempt)})
+	}
+	if err := s.stream.Send(&wirev1.AttachResponse{Greeting: greeting, Entries: entries}); err != nil {
+		return err
+	}
+	failed := make(chan error, 1)
+	go func() {
+		failed <- s.receive()
+	}()
+	return s.send(ctx, failed)
+}
+
+// receive takes messages until the stream ends. It goes on after the session
+// has ended, until the handler's return breaks the stream.
+func (s *session) receive() error {
+	for {
+		m, err := s.stream.Receive()
+		if err != nil {
+			return err
+		}
+		s.heard(m.GetClockUs())
+		news := jobs.News{Room: roomOf(m.GetRoom())}
+		over := 0
+		for _, r := range m.GetReports() {
+			c := changeOf(r)
+			if c != planner.Running {
+				over++
+			}
+			news.Reports = append(news.Reports, jobs.Report{Run: fleetwire.FromRun(r.GetTask(), r.GetAttempt()), Change: c})
+		}
+		s.mu.Lock()
+		s.open = max(s.open-over, 0)
+		s.mu.Unlock()
+		if news.Room != nil || len(news.Reports) > 0 {
+			s.server.jobs.Tell(s.guard, s, news)
+		}
+	}
+}
+
+// send writes orders at once, and a ping when there are none.
+func (s *session) send(ctx context.Context, failed chan error) error {
+	timer := time.NewTimer(pingBusy)
+	defer timer.Stop()
+	lastSent := uptime.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case err := <-failed:
+			return err
+		case <-s.wake:
+		case <-timer.C:
+		}
+		now := uptime.Now()
+		m, silent, pause := s.take(now)
+		if silent > listenFor {
+			return context.DeadlineExceeded
+		}
+		if !s.server.jobs.Current(s.guard, s) {
+			return errOlder
+		}
+		if len(m.Starts) == 0 && len(m.Stops) == 0 && now-lastSent < pause {
+			timer.Reset(min(pause-(now-lastSent), pingBusy))
+			continue
+		}
+		m.Waiting = s.server.jobs.Waiting(s.guard)
+		if err := s.stream.Send(m); err != nil {
+			return err
+		}
+		lastSent = now
+		timer.Reset(pingBusy)
+	}
+}
+
+// take builds the next message. pause is how long the guard may go without one.
+func (s *session) take(now time.Duration) (m *wirev1.AttachResponse, silent, pause time.Duration) {
+	entries, version := s.server.members.Known()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m = &wirev1.AttachResponse{EchoUs: (s.clock + now - s.clockAt).Microseconds(), Starts: group(s.starts)}
+	for _, x := range s.stops {
+		m.Stops = append(m.Stops, &wirev1.StopOrder{Task: fleetwire.Task(x.Run.Task), Attempt: uint32(x.Run.Attempt)})
+	}
+	s.starts, s.stops = nil, nil
+	if version != s.membersVersion {
+		s.membersVersion = version
+		m.Entries = entries
+	}
+	pause = pingIdle
+	if s.open > 0 {
+		pause = pingBusy
+	}
+	return m, now - s.lastHeard, pause
+}
+
+// group puts the tasks of one step into one order.
+func group(starts []planner.Start) []*wirev1.StartOrder {
+	var out []*wirev1.StartOrder
+	for _, s := range starts {
+		t := &wirev1.TaskStart{Index: uint32(s.Run.Task.Index), Attempt: uint32(s.Run.Attempt)}
+		if n := len(out); n > 0 && out[n-1].Job == s.Run.Task.Job && out[n-1].Step == uint32(s.Run.Task.Step) {
+			out[n-1].Tasks = append(out[n-1].Tasks, t)
+			continue
+		}
+		out = append(out, &wirev1.StartOrder{
+			Job:    s.Run.Task.Job,
+			Step:   uint32(s.Run.Task.Step),
+			Spec:   s.Spec,
+			Need:   fleetwire.Amounts(s.Need),
+			LifeMs: uint32(max(s.Life.Milliseconds(), 0)),
+			Tasks:  []*wirev1.TaskStart{t},
+		})
+	}
+	return out
+}
+
+func roomOf(r *wirev1.Room) *planner.Room {
+	if r == nil {
+		return nil
+	}
+	return &planner.Room{
+		Service: r.GetService(),
+		Runner:  r.GetRunner(),
+		Open:    r.GetOpen(),
+		Total:   fleetwire.FromAmounts(r.GetTotal()),
+		Used:    fleetwire.FromAmounts(r.GetUsed()),
+		Labels:  r.GetLabels(),
+	}
+}
+
+func changeOf(r *wirev1.RunReport) planner.Change {
+	switch r.GetState() {
+	case wirev1.RunState_RUN_STATE_RUNNING:
+		return planner.Running
+	case wirev1.RunState_RUN_STATE_DONE:
+		return planner.Done
+	case wirev1.RunState_RUN_STATE_FAILED:
+		return planner.TaskFailed
+	case wirev1.RunState_RUN_STATE_NOT_STARTED:
+		return refusalOf(r.GetRefusal())
+	default:
+		return planner.Stopped
+	}
+}
+
+func refusalOf(r wirev1.Refusal) planner.Change {
+	switch r {
+	case wirev1.Refusal_REFUSAL_ROOM:
+		return planner.NoRoom
+	case wirev1.Refusal_REFUSAL_RUNNER:
+		return planner.NotStarted
+	default:
+		return planner.NotTaken
+	}
+}
--- a/guard/cmd/almondguard/command.go
+++ b/guard/cmd/almondguard/command.go
@@ -15,6 +15,8 @@
 
 	"almondstand.dev/guard/config"
 	"almondstand.dev/guard/node"
+	"almondstand.dev/guard/side"
+	"almondstand.dev/settings"
 	"almondstand.dev/telemetry"
 )
 
@@ -39,6 +41,13 @@
 		Short: "Run the guard until SIGTERM or SIGINT, then drain and end",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			fleet, err := settings.Has(path, capacitySection)
+			if err != nil {
+				return err
+			}
+			if fleet {
+				return runSide(c.Context(), path)
+			}
 			s, err := config.Load(path)
 			if err != nil {
 				return err
@@ -78,6 +87,20 @@
 	return served
 }
 
+// check checks a settings file of either kind.
+func check(path string) error {
+	fleet, err := settings.Has(path, capacitySection)
+	if err != nil {
+		return err
+	}
+	if fleet {
+		_, err = side.Load(path)
+		return err
+	}
+	_, err = config.Load(path)
+	return err
+}
+
 func settingsCommand() *cobra.Command {
 	c := &cobra.Command{Use: "settings", Short: "Check a settings file or print an example"}
 	c.AddCommand(
@@ -86,7 +109,7 @@
 			Short: "Check a settings file",
 			Args:  cobra.ExactArgs(1),
 			RunE: func(c *cobra.Command, args []string) error {
-				if _, err := config.Load(args[0]); err != nil {
+				if err := check(args[0]); err != nil {
 					return err
 				}
 				_, err := fmt.Fprintln(c.OutOrStdout(), "ok")
--- a/guard/cmd/almondguard/main.go
+++ b/guard/cmd/almondguard/main.go
@@ -4,9 +4,14 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 func main() {
+	// A hangup asks for a reload; one that comes before the process listens for
+	// it must not end it.
+	signal.Ignore(syscall.SIGHUP)
 	if err := command().Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "almondguard:", err)
 		os.Exit(1)
--- /dev/null
+++ b/guard/cmd/almondguard/side.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/oklog/run"
+
+	"almondstand.dev/guard/side"
+	"almondstand.dev/telemetry"
+)
+
+// capacitySection of a settings file holds the settings of a guard whose runner is
+// known by its capacity.
+const capacitySection = "capacity"
+
+// runSide runs such a guard and the signals that reload and end it.
+func runSide(ctx context.Context, path string) error {
+	s, err := side.Load(path)
+	if err != nil {
+		return err
+	}
+	logger, err := telemetry.NewLogger(os.Stdout, s.Log.Level, telemetry.FormatJSON)
+	if err != nil {
+		return err
+	}
+	logger = logger.With(slog.String("guard", s.ID))
+	slog.SetDefault(logger)
+	metrics := telemetry.NewMetrics(metricsPrefix)
+	defer func() { _ = metrics.Close() }()
+	n := side.New(s, side.Options{Path: path, Logger: logger, Metrics: metrics})
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	var g run.Group
+	g.Add(run.SignalHandler(ctx, os.Interrupt, syscall.SIGTERM))
+	serving, stop := context.WithCancel(ctx)
+	g.Add(func() error {
+		for {
+			select {
+			case <-serving.Done():
+				return nil
+			case <-hangups:
+				n.Reload(serving)
+			}
+		}
+	}, func(error) { stop() })
+	var served error
+	g.Add(func() error {
+		served = n.Run(serving)
+		return served
+	}, func(error) { stop() })
+	if err := g.Run(); !errors.Is(err, run.ErrSignal) {
+		return err
+	}
+	return served
+}
--- /dev/null
+++ b/guard/host/events.go
@@ -0,0 +1,30 @@
+package host
+
+import (
+	"log/slog"
+
+	"almondstand.dev/eventlog"
+)
+
+var (
+	runnerAdopted = eventlog.Define(2201, "guard.runner_adopted", slog.LevelInfo,
+		"A runner that announced itself answered, and gets work once what an older guard left running is over.",
+		"None.")
+	runnerLeft = eventlog.Define(2202, "guard.runner_left", slog.LevelInfo,
+		"The runner said that it ends; its runs are over.", "None.")
+	greetFailed = eventlog.Define(2203, "guard.greet_failed", slog.LevelWarn,
+		"A runner that announced itself did not answer, or another life of it did.",
+		"If it goes on, look at the runner: it announces an address at which nobody answers.")
+	startFailed = eventlog.Define(2204, "guard.start_failed", slog.LevelWarn,
+		"A start was turned down or got no answer. Without an answer the run is barred, and its room stays taken until that is sure.",
+		"If it is frequent at one runner, look at that runner.")
+	stopFailed = eventlog.Define(2205, "guard.stop_failed", slog.LevelWarn,
+		"A stop got no answer; it is sent again, and the lease is not extended beyond the run's end.",
+		"As for start_failed.")
+	lookFailed = eventlog.Define(2206, "guard.look_failed", slog.LevelWarn,
+		"The runner did not give its account; the lease was not extended.",
+		"As for start_failed.")
+	orderRefused = eventlog.Define(2207, "guard.order_refused", slog.LevelInfo,
+		"An entry's order was turned down before it reached the runner.",
+		"reason full: the entry's knowledge was late, or load is high; stale: the network or the entry is slow; closed: the runner leaves or is not known yet.")
+)
--- /dev/null
+++ b/guard/host/host.go
@@ -0,0 +1,311 @@
+// Package host carries out what the account of runs decides: it is the only
+// caller of the runner on this host.
+package host
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/guard/runs"
+	"almondstand.dev/platform/runner"
+	"almondstand.dev/telemetry/uptime"
+)
+
+// Bounds of orders to the runner. It is on this host and answers within a
+// millisecond or two; the bounds leave room for a processor that is held back
+// for the rest of a tenth of a second.
+const (
+	startTimeout = 150 * time.Millisecond
+	stopTimeout  = 120 * time.Millisecond
+	// lookWait is how long a look may wait for an end. It also paces the renewal
+	// of the lease: five renewals may go unanswered before a lease of 600 ms ends.
+	lookWait   = 100 * time.Millisecond
+	lookMargin = 120 * time.Millisecond
+	// stopPause spaces the attempts of a stop that fails at once.
+	stopPause = 30 * time.Millisecond
+	// adoptTries and adoptPause bound the greeting of a new runner between two of
+	// its reports, which come every 1.5 s.
+	adoptTries = 6
+	adoptPause = 100 * time.Millisecond
+	// forgetEvery paces the removal of old records.
+	forgetEvery = 2 * time.Second
+)
+
+// Lease arithmetic.
+const (
+	// slowClock is the rate of the slowest runner's clock against this host's.
+	slowClock = 0.98
+	// lapseMargin is the time after a lease's end by which its runs are over:
+	// the platform names 50 ms for a stop.
+	lapseMargin = 150 * time.Millisecond
+)
+
+// Runner takes orders; see platform/runner.
+type Runner interface {
+	Start(ctx context.Context, instance string, token int64, run work.RunName, spec string, until time.Duration) (time.Duration, error)
+	Stop(ctx context.Context, instance string, token int64, run work.RunName) (time.Duration, error)
+	Look(ctx context.Context, instance string, token int64, until time.Duration, seen int64, wait time.Duration) (work.Account, error)
+}
+
+// Sink takes what the entries are to be told.
+type Sink interface {
+	// Deliver hands reports to the sessions of their owners.
+	Deliver([]runs.Report)
+	// RoomChanged says that Room returns something new.
+	RoomChanged()
+}
+
+// Options of a Host.
+type Options struct {
+	Runs runs.Options
+	// Dial returns the runner at an address.
+	Dial    func(address string) Runner
+	Logger  *slog.Logger
+	Metrics *Metrics
+}
+
+// Host is the account of the runner on this host and its only caller.
+type Host struct {
+	opt    Options
+	logger *slog.Logger
+	sink   Sink
+	began  time.Time
+
+	mu   sync.Mutex
+	book *runs.Book
+	api  Runner
+	// heard is the newest report number of the current life.
+	heard int64
+	// candidate is a life that has announced itself and is not adopted yet.
+	candidate *runner.Report
+	adopting  bool
+	clock     sample
+	// leased is the steady time by which every lease given has run out.
+	leased time.Duration
+	// acked is the highest end that the runner knows to be taken note of.
+	acked int64
+	// silent is true while the runner answers no looks.
+	silent bool
+
+	sweep chan struct{}
+	look  chan struct{}
+	ctx   context.Context
+	calls sync.WaitGroup
+}
+
+// sample ties the runner's clock to this host's steady clock.
+type sample struct {
+	runner time.Duration
+	steady time.Duration
+}
+
+// New returns a host without a runner.
+func New(o Options) *Host {
+	return &Host{
+		opt:    o,
+		logger: o.Logger,
+		began:  time.Now(),
+		book:   runs.New(o.Runs),
+		sweep:  make(chan struct{}, 1),
+		look:   make(chan struct{}, 1),
+	}
+}
+
+// Run serves until the context ends. The sink must be ready.
+func (h *Host) Run(ctx context.Context, sink Sink) error {
+	h.mu.Lock()
+	h.sink = sink
+	h.ctx = ctx
+	h.mu.Unlock()
+	var loops sync.WaitGroup
+	loops.Go(func() { h.sweepLoop(ctx) })
+	loops.Go(func() { h.lookLoop(ctx) })
+	loops.Wait()
+	h.calls.Wait()
+	return nil
+}
+
+// steady is the clock by which leases are measured: like the runner's, it
+// stands still while the host is suspended.
+func (h *Host) steady() time.Duration { return time.Since(h.began) }
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Room returns what the runner has and what is taken.
+func (h *Host) Room() runs.Room {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.book.Room()
+}
+
+// Idle reports whether nothing is at the runner.
+func (h *Host) Idle() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.book.Idle()
+}
+
+// Leave takes no starts from now on.
+func (h *Host) Leave() {
+	h.mu.Lock()
+	h.book.Leave()
+	h.mu.Unlock()
+	h.sink.RoomChanged()
+}
+
+// Alive takes note that an entry lived at the uptime given.
+func (h *Host) Alive(o runs.Owner, at time.Duration) {
+	h.mu.Lock()
+	h.book.Alive(o, at)
+	h.mu.Unlock()
+}
+
+// Resume compares the open runs of an entry that has attached with those here.
+func (h *Host) Resume(o runs.Owner, open []work.RunID) []runs.Report {
+	h.mu.Lock()
+	reports := h.book.Resume(uptime.Now(), o, open)
+	h.mu.Unlock()
+	signal(h.sweep)
+	return reports
+}
+
+// Order carries out an entry's orders. sent is the earliest uptime at which the
+// entry can have sent them.
+func (h *Host) Order(sent time.Duration, o runs.Owner, orders []runs.Order, cancels []work.RunID) {
+	now := uptime.Now()
+	h.mu.Lock()
+	h.book.Alive(o, sent)
+	var reports []runs.Report
+	for _, id := range cancels {
+		if report, over := h.book.Cancel(now, o, id); over {
+			reports = append(reports, report)
+		}
+	}
+	for _, order := range orders {
+		start, report := h.book.Ask(now, sent, o, order)
+		if report.State == runs.NotStarted {
+			orderRefused.Log(h.ctx, h.logger, slog.String("job", order.Run.Task.Job), slog.Int("index", order.Run.Task.Index),
+				slog.Int("attempt", order.Run.Attempt), slog.String("reason", report.Refusal.String()),
+				slog.Duration("age", now-sent), slog.String("entry", o.Entry))
+			h.opt.Metrics.refused(report.Refusal)
+			reports = append(reports, report)
+			continue
+		}
+		h.launch(now, start)
+	}
+	h.mu.Unlock()
+	if len(reports) > 0 {
+		h.sink.Deliver(reports)
+	}
+	if len(cancels) > 0 {
+		signal(h.sweep)
+	}
+	if len(orders) > 0 {
+		signal(h.look)
+		signal(h.sweep)
+	}
+}
+
+// lease returns the runner's time to which its lease may be extended now.
+func (h *Host) lease(now time.Duration) time.Duration {
+	span := h.book.HoldUntil(now) - now
+	if span <= 0 {
+		return 0
+	}
+	steady := h.steady()
+	h.leased = max(h.leased, steady+span)
+	return h.clock.at(steady + span)
+}
+
+// at is the least that the runner's clock shows at a steady time.
+func (s sample) at(steady time.Duration) time.Duration {
+	return s.runner + time.Duration(float64(steady-s.steady)*slowClock)
+}
+
+// read notes the runner's clock from an answer.
+func (h *Host) read(clock time.Duration) {
+	if clock == 0 {
+		return
+	}
+	steady := h.steady()
+	if clock > h.clock.at(steady) {
+		h.clock = sample{clock, steady}
+	}
+}
+
+// launch sends a start. The lock is held.
+func (h *Host) launch(now time.Duration, s runs.Start) {
+	life := h.book.Life()
+	api := h.api
+	until := h.lease(now)
+	h.book.ValidUntil(s.Name, until)
+	h.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(h.ctx, startTimeout)
+		defer cancel()
+		clock, err := api.Start(ctx, life.Instance, life.Token, s.Name, s.Spec, until)
+		h.started(s, clock, err)
+	})
+}
+
+// started takes the answer of a start.
+func (h *Host) started(s runs.Start, clock time.Duration, err error) {
+	now := uptime.Now()
+	h.mu.Lock()
+	h.read(clock)
+	var reports []runs.Report
+	switch why, sure := declined(err); {
+	case err == nil:
+		if report, news := h.book.Started(now, s.Name); news {
+			reports = append(reports, report)
+		}
+	case sure:
+		if errors.Is(err, runner.ErrOldRun) {
+			h.book.Old(now, s.Run.Task)
+		}
+		reports = h.book.Declined(now, s.Name, why)
+	default:
+		h.book.Doubtful(now, s.Name)
+	}
+	h.mu.Unlock()
+	h.opt.Metrics.start(err)
+	if err != nil {
+		startFailed.Log(h.ctx, h.logger, slog.String("job", s.Run.Task.Job), slog.Int("index", s.Run.Task.Index),
+			slog.Int("attempt", s.Run.Attempt), slog.Int("run", s.Name.Number), slog.String("error", err.Error()))
+		signal(h.sweep)
+	}
+	h.deliver(reports)
+	signal(h.look)
+}
+
+// declined says why a start has not begun; sure is false when it may have, or
+// still may.
+func declined(err error) (why runs.Refusal, sure bool) {
+	switch {
+	case errors.Is(err, runner.ErrUnreachable), errors.Is(err, runner.ErrUnwell), errors.Is(err, runner.ErrRefused):
+		return runs.Unwell, true
+	case errors.Is(err, runner.ErrFull), errors.Is(err, runner.ErrOldRun):
+		return runs.Full, true
+	case errors.Is(err, runner.ErrExpired):
+		return runs.Late, true
+	case errors.Is(err, runner.ErrFenced), errors.Is(err, runner.ErrReplaced):
+		return runs.Closed, true
+	default:
+		return runs.NoRefusal, false
+	}
+}
+
+func (h *Host) deliver(reports []runs.Report) {
+	h.sink.RoomChanged()
+	if len(reports) > 0 {
+		h.sink.Deliver(reports)
+	}
+}
--- /dev/null
+++ b/guard/host/loops.go
@@ -0,0 +1,275 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/guard/runs"
+	"almondstand.dev/platform/runner"
+	"almondstand.dev/telemetry/uptime"
+)
+
+// sweepLoop ends runs that are no longer wanted.
+func (h *Host) sweepLoop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var forgot time.Duration
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.sweep:
+		case <-timer.C:
+		}
+		now := uptime.Now()
+		h.mu.Lock()
+		h.sendStops(now)
+		if now-forgot > forgetEvery {
+			h.book.Forget(now)
+			forgot = now
+		}
+		wait := min(h.book.Next()-now, forgetEvery)
+		h.mu.Unlock()
+		timer.Reset(max(wait, time.Millisecond))
+	}
+}
+
+// sendStops sends the stops that are due. The lock is held.
+func (h *Host) sendStops(now time.Duration) {
+	stops := h.book.Stops(now)
+	life := h.book.Life()
+	if life == nil {
+		return
+	}
+	api := h.api
+	for _, s := range stops {
+		h.calls.Go(func() {
+			ctx, cancel := context.WithTimeout(h.ctx, stopTimeout)
+			defer cancel()
+			clock, err := api.Stop(ctx, life.Instance, life.Token, s.Name)
+			if err != nil {
+				time.Sleep(stopPause)
+			}
+			h.stopped(s, clock, err)
+		})
+	}
+}
+
+// stopped takes the answer of a stop.
+func (h *Host) stopped(s runs.Stop, clock time.Duration, err error) {
+	h.mu.Lock()
+	h.read(clock)
+	if err == nil {
+		h.book.Barred(uptime.Now(), s.Name)
+	} else {
+		h.book.StopFailed(s.Name)
+	}
+	h.mu.Unlock()
+	h.opt.Metrics.stop(err)
+	if err != nil {
+		stopFailed.Log(h.ctx, h.logger, slog.String("job", s.Name.Task.Job), slog.Int("index", s.Name.Task.Index),
+			slog.Int("run", s.Name.Number), slog.String("error", err.Error()))
+		signal(h.sweep)
+	}
+	signal(h.look)
+}
+
+// lookLoop renews the lease and reads the runner's account while anything is
+// there, one look at a time.
+func (h *Host) lookLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if h.wanted() {
+			h.lookOnce(ctx)
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-h.look:
+		}
+	}
+}
+
+// wanted reports whether the runner's account is to be read.
+func (h *Host) wanted() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.book.Life() != nil && (!h.book.Idle() || !h.book.Checked() || h.book.Seen() > h.acked)
+}
+
+func (h *Host) lookOnce(ctx context.Context) {
+	asked := uptime.Now()
+	h.mu.Lock()
+	life := *h.book.Life()
+	api := h.api
+	until := h.lease(asked)
+	seen := h.book.Seen()
+	wait := lookWait
+	if h.silent || h.book.Idle() || seen > h.acked && !h.book.Open() {
+		wait = 0
+	}
+	if h.book.Idle() {
+		until = 0
+	}
+	h.mu.Unlock()
+	called, cancel := context.WithTimeout(ctx, wait+lookMargin)
+	account, err := api.Look(called, life.Instance, life.Token, until, seen, wait)
+	cancel()
+	now := uptime.Now()
+	h.mu.Lock()
+	h.read(account.Clock)
+	if current := h.book.Life(); current == nil || current.Instance != life.Instance {
+		h.mu.Unlock()
+		return
+	}
+	var reports []runs.Report
+	h.silent = err != nil
+	switch {
+	case err == nil:
+		h.acked = max(h.acked, seen)
+		reports = h.book.Read(now, asked, account)
+	case errors.Is(err, runner.ErrReplaced):
+		reports = h.book.Lose(now)
+	case h.steady() > h.leased+lapseMargin:
+		reports = h.book.Lapse(now)
+	}
+	h.sendStops(now)
+	h.mu.Unlock()
+	h.opt.Metrics.look(err)
+	if err != nil {
+		lookFailed.Log(ctx, h.logger, slog.String("runner", life.Instance), slog.String("error", err.Error()))
+		pause(ctx, stopPause)
+	}
+	h.deliver(reports)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Heard takes a runner's report about itself.
+func (h *Host) Heard(r runner.Report) bool {
+	h.mu.Lock()
+	if life := h.book.Life(); life != nil && life.Instance == r.Instance {
+		if r.Seq > h.heard {
+			h.heard = r.Seq
+			h.book.Describe(r.Capacity, r.Labels, r.Draining)
+			h.read(r.Clock)
+		}
+		h.mu.Unlock()
+		h.sink.RoomChanged()
+		return true
+	}
+	if h.candidate == nil || h.candidate.Instance != r.Instance || r.Seq > h.candidate.Seq {
+		h.candidate = &r
+	}
+	if !h.adopting {
+		h.adopting = true
+		h.calls.Go(h.adopt)
+	}
+	h.mu.Unlock()
+	return true
+}
+
+// Left takes note that a runner has ended as planned.
+func (h *Host) Left(instance string) bool {
+	h.mu.Lock()
+	var reports []runs.Report
+	life := h.book.Life()
+	left := life != nil && life.Instance == instance
+	if left {
+		reports = h.book.Lose(uptime.Now())
+	}
+	if h.candidate != nil && h.candidate.Instance == instance {
+		h.candidate = nil
+	}
+	h.mu.Unlock()
+	if left {
+		runnerLeft.Log(h.ctx, h.logger, slog.String("runner", instance))
+		h.deliver(reports)
+	}
+	return true
+}
+
+// adopt asks a runner that has announced itself whether it is there. A report
+// that was held up may come from a life that is over, after its successor's:
+// only an answer to an order meant for that life shows which one lives.
+func (h *Host) adopt() {
+	defer func() {
+		h.mu.Lock()
+		h.adopting = false
+		h.mu.Unlock()
+	}()
+	for range adoptTries {
+		h.mu.Lock()
+		c := h.candidate
+		h.mu.Unlock()
+		if c == nil || h.ctx.Err() != nil {
+			return
+		}
+		if h.greet(*c) {
+			return
+		}
+		pause(h.ctx, adoptPause)
+	}
+}
+
+// greet returns true when the candidate is adopted or known to be over.
+func (h *Host) greet(c runner.Report) bool {
+	api := h.opt.Dial(c.Address)
+	token := c.Clock.Milliseconds()
+	asked := uptime.Now()
+	account, err := h.firstLook(api, c.Instance, token)
+	if errors.Is(err, runner.ErrFenced) && account.Clock > 0 {
+		// The report is older than an order of an earlier guard.
+		token = account.Clock.Milliseconds() + 1
+		asked = uptime.Now()
+		account, err = h.firstLook(api, c.Instance, token)
+	}
+	if err != nil {
+		greetFailed.Log(h.ctx, h.logger, slog.String("runner", c.Instance), slog.String("error", err.Error()))
+	}
+	h.mu.Lock()
+	if errors.Is(err, runner.ErrReplaced) && h.candidate != nil && h.candidate.Instance == c.Instance {
+		h.candidate = nil
+	}
+	if err != nil {
+		h.mu.Unlock()
+		return errors.Is(err, runner.ErrReplaced)
+	}
+	if h.candidate != nil && h.candidate.Instance == c.Instance {
+		// A newer report may have come meanwhile.
+		c = *h.candidate
+		h.candidate = nil
+	}
+	now := uptime.Now()
+	reports := h.book.Adopt(now, runs.Life{Instance: c.Instance, Service: c.Service, Address: c.Address, Token: token})
+	h.book.Describe(c.Capacity, c.Labels, c.Draining)
+	h.api = api
+	h.heard = c.Seq
+	h.acked = 0
+	h.leased = 0
+	h.silent = false
+	h.clock = sample{account.Clock, h.steady()}
+	reports = append(reports, h.book.Read(now, asked, account)...)
+	left := len(account.Running)
+	h.mu.Unlock()
+	runnerAdopted.Log(h.ctx, h.logger, slog.String("runner", c.Instance), slog.String("service", c.Service),
+		slog.Int64("token", token), slog.Int64("cpu_milli", c.Capacity.CPUMilli), slog.Int("left_running", left))
+	signal(h.look)
+	signal(h.sweep)
+	h.deliver(reports)
+	return true
+}
+
+func (h *Host) firstLook(api Runner, instance string, token int64) (account work.Account, err error) {
+	ctx, cancel := context.WithTimeout(h.ctx, startTimeout)
+	defer cancel()
+	return api.Look(ctx, instance, token, 0, 0, 0)
+}
--- /dev/null
+++ b/guard/host/metrics.go
@@ -0,0 +1,42 @@
+package host
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"almondstand.dev/guard/runs"
+)
+
+// Metrics count the orders to the runner.
+type Metrics struct {
+	starts, startErrors, stops, stopErrors, looks, lookErrors tally.Counter
+	refusals                                                  map[runs.Refusal]tally.Counter
+}
+
+// NewMetrics returns metrics in the scope.
+func NewMetrics(s tally.Scope) *Metrics {
+	m := &Metrics{
+		starts:      s.Counter("runner_starts_total"),
+		startErrors: s.Counter("runner_start_errors_total"),
+		stops:       s.Counter("runner_stops_total"),
+		stopErrors:  s.Counter("runner_stop_errors_total"),
+		looks:       s.Counter("runner_looks_total"),
+		lookErrors:  s.Counter("runner_look_errors_total"),
+		refusals:    map[runs.Refusal]tally.Counter{},
+	}
+	for _, why := range []runs.Refusal{runs.Full, runs.Late, runs.Closed, runs.Unwell, runs.Unknown} {
+		m.refusals[why] = s.Tagged(map[string]string{"reason": why.String()}).Counter("orders_refused_total")
+	}
+	return m
+}
+
+func count(all, errs tally.Counter, err error) {
+	all.Inc(1)
+	if err != nil {
+		errs.Inc(1)
+	}
+}
+
+func (m *Metrics) start(err error)          { count(m.starts, m.startErrors, err) }
+func (m *Metrics) stop(err error)           { count(m.stops, m.stopErrors, err) }
+func (m *Metrics) look(err error)           { count(m.looks, m.lookErrors, err) }
+func (m *Metrics) refused(why runs.Refusal) { m.refusals[why].Inc(1) }
--- /dev/null
+++ b/guard/runs/runs.go
@@ -0,0 +1,501 @@
+// Package runs is the guard's account of what its runner holds: which runs are
+// there, which may still come, what they take, and until when each may last. It
+// decides; package host carries out. It has no clock, input or output.
+package runs
+
+import (
+	"slices"
+	"time"
+
+	"almondstand.dev/dispatch/work"
+)
+
+// Options of a Book. The zero value of a field takes its default.
+type Options struct {
+	// Silence is how long an entry may be silent before its runs are stopped.
+	Silence time.Duration
+	// EndBound is the time after an entry's last sign of life by which its runs
+	// are over, also when the runner answers no order: the lease isn't extended
+	// beyond it.
+	EndBound time.Duration
+	// Hold is the span that a lease is extended by.
+	Hold time.Duration
+	// Stale is the age above which an order isn't carried out.
+	Stale time.Duration
+}
+
+// Defaults of Options. A caller whose connection broke submits its job again
+// after 1.3 s (the platform's resend_ms): what an entry started before must be
+// over by then.
+const (
+	DefaultSilence  = 520 * time.Millisecond
+	DefaultEndBound = 1150 * time.Millisecond
+	DefaultHold     = 600 * time.Millisecond
+	DefaultStale    = 350 * time.Millisecond
+)
+
+// keepEnded is how long the fate of a run that is over is kept, for an entry
+// that attaches again and asks for it.
+const keepEnded = 10 * time.Second
+
+// Owner is one life of an entry.
+type Owner struct {
+	Entry       string
+	Incarnation uint64
+}
+
+// State of a run, as its owner is told.
+type State int
+
+// States.
+const (
+	Running State = iota + 1
+	Done
+	Failed
+	// Stopped: over before its work was done.
+	Stopped
+	// NotStarted: it never ran and never will.
+	NotStarted
+)
+
+// Refusal says why a run was not started.
+type Refusal int
+
+// Refusals.
+const (
+	NoRefusal Refusal = iota
+	// Full: no room.
+	Full
+	// Late: the order was under way for too long.
+	Late
+	// Closed: no starts are taken.
+	Closed
+	// Unwell: the runner turned it down or didn't answer.
+	Unwell
+	// Unknown: there is no such run.
+	Unknown
+)
+
+// Report tells an owner what became of a run.
+type Report struct {
+	Owner   Owner
+	Run     work.RunID
+	State   State
+	Refusal Refusal
+}
+
+// Order asks for one run.
+type Order struct {
+	Run  work.RunID
+	Spec string
+	Need work.Amounts
+	// Life is the time left until the job's caller stops waiting.
+	Life time.Duration
+}
+
+// run is one start that may be at the runner.
+type run struct {
+	id    work.RunID
+	owner Owner
+	name  work.RunName
+	need  work.Amounts
+	spec  string
+	// expires is when its caller stops waiting, uptime.
+	expires time.Duration
+	// started is true once the runner has said so.
+	started bool
+	// settled is the uptime from which the runner's account decides: its
+	// account asked for later holds the run, its end, or neither, and then the
+	// run is over. Zero while the start or its bar is unanswered.
+	settled time.Duration
+	// stopping is the uptime since which it is to end; zero if it isn't.
+	stopping time.Duration
+	// barred is true once the runner has acknowledged a stop.
+	barred bool
+	// stopSent keeps a second stop from being sent while one is under way.
+	stopSent bool
+	// until is the runner's time up to which the start order was valid.
+	until time.Duration
+	// told is true once its owner has been told that it is over.
+	told bool
+}
+
+// Life is what is known of one life of the runner.
+type Life struct {
+	Instance string
+	Service  string
+	Address  string
+	Labels   []string
+	Total    work.Amounts
+	// Token fences the orders of older guards off.
+	Token int64
+}
+
+// Room is what the runner has and what is taken.
+type Room struct {
+	Life
+	// Open is false while no starts are taken.
+	Open bool
+	Used work.Amounts
+}
+
+// Start is a start to be sent to the runner.
+type Start struct {
+	Run  work.RunID
+	Name work.RunName
+	Spec string
+}
+
+// Stop is a stop to be sent to the runner.
+type Stop struct {
+	Name work.RunName
+}
+
+// fate is the last report on a run that is over.
+type fate struct {
+	report Report
+	at     time.Duration
+}
+
+// Book is the account. It is not safe for concurrent use.
+type Book struct {
+	opt  Options
+	life *Life
+	// draining is set by the runner, leaving by the guard's own end.
+	draining bool
+	leaving  bool
+	// checked is true once an account of this life has been read: what an older
+	// guard left there is known from then on.
+	checked bool
+	used    work.Amounts
+	runs    map[work.TaskID]*run
+	// strays are runs at the runner that this account doesn't hold; true while a
+	// stop of one is under way.
+	strays map[work.RunName]bool
+	// numbers are the highest run numbers used, by task.
+	numbers map[work.TaskID]numbered
+	alive   map[Owner]time.Duration
+	ended   map[work.RunID]fate
+	order   []work.RunID
+	seen    int64
+}
+
+type numbered struct {
+	number int
+	at     time.Duration
+}
+
+// New returns an empty account.
+func New(o Options) *Book {
+	if o.Silence == 0 {
+		o.Silence = DefaultSilence
+	}
+	if o.EndBound == 0 {
+		o.EndBound = DefaultEndBound
+	}
+	if o.Hold == 0 {
+		o.Hold = DefaultHold
+	}
+	if o.Stale == 0 {
+		o.Stale = DefaultStale
+	}
+	return &Book{
+		opt:     o,
+		runs:    map[work.TaskID]*run{},
+		strays:  map[work.RunName]bool{},
+		numbers: map[work.TaskID]numbered{},
+		alive:   map[Owner]time.Duration{},
+		ended:   map[work.RunID]fate{},
+	}
+}
+
+// Life returns the runner's life, nil when there is none.
+func (b *Book) Life() *Life { return b.life }
+
+// Adopt takes a new life of the runner. The runs of the older one are over:
+// a life that answers in its place proves that the older has ended.
+func (b *Book) Adopt(now time.Duration, l Life) []Report {
+	reports := b.Lose(now)
+	b.life = &l
+	b.checked = false
+	b.draining = false
+	b.seen = 0
+	return reports
+}
+
+// Lose ends the runner's life without a successor; its runs are over.
+func (b *Book) Lose(now time.Duration) []Report {
+	var reports []Report
+	for _, r := range b.runs {
+		reports = append(reports, b.over(now, r, Stopped)...)
+	}
+	clear(b.strays)
+	b.used = work.Amounts{}
+	b.life = nil
+	return reports
+}
+
+// Describe takes what the current life says of itself.
+func (b *Book) Describe(total work.Amounts, labels []string, draining bool) {
+	if b.life == nil {
+		return
+	}
+	b.life.Total = total
+	b.life.Labels = labels
+	// A runner that leaves never comes back in the same life, so an older report
+	// that arrives late must not open it again.
+	b.draining = b.draining || draining
+}
+
+// Leave closes the guard for good.
+func (b *Book) Leave() { b.leaving = true }
+
+// Open reports whether starts are taken.
+func (b *Book) Open() bool {
+	return b.life != nil && b.checked && !b.draining && !b.leaving && len(b.strays) == 0
+}
+
+// Room returns what the runner has and what is taken.
+func (b *Book) Room() Room {
+	if b.life == nil {
+		return Room{}
+	}
+	return Room{Life: *b.life, Open: b.Open(), Used: b.used}
+}
+
+// Idle reports whether nothing is at the runner.
+func (b *Book) Idle() bool { return len(b.runs) == 0 && len(b.strays) == 0 }
+
+// Checked reports whether an account of this life has been read.
+func (b *Book) Checked() bool { return b.checked }
+
+// Seen is the highest end taken note of.
+func (b *Book) Seen() int64 { return b.seen }
+
+// Alive takes note that the owner lived at the uptime given.
+func (b *Book) Alive(o Owner, at time.Duration) {
+	if at > b.alive[o] {
+		b.alive[o] = at
+	}
+}
+
+// Ask decides on one ordered run. sent is the earliest uptime at which the
+// owner can have sent the order. The run is refused when the report's state is
+// NotStarted, else it is to be started.
+func (b *Book) Ask(now, sent time.Duration, owner Owner, o Order) (Start, Report) {
+	if why := b.refuse(now, sent, owner, o); why != NoRefusal {
+		return Start{}, Report{Owner: owner, Run: o.Run, State: NotStarted, Refusal: why}
+	}
+	n := max(o.Run.Attempt, b.numbers[o.Run.Task].number+1)
+	r := &run{
+		id:      o.Run,
+		owner:   owner,
+		name:    work.RunName{Task: o.Run.Task, Number: n},
+		need:    o.Need,
+		spec:    o.Spec,
+		expires: sent + o.Life,
+	}
+	b.numbers[o.Run.Task] = numbered{n, now}
+	b.runs[o.Run.Task] = r
+	b.used = b.used.Add(o.Need)
+	return Start{Run: o.Run, Name: r.name, Spec: o.Spec}, Report{Owner: owner, Run: o.Run}
+}
+
+func (b *Book) refuse(now, sent time.Duration, owner Owner, o Order) Refusal {
+	if now-sent > b.opt.Stale || o.Life <= now-sent {
+		return Late
+	}
+	if !b.Open() {
+		return Closed
+	}
+	if other, here := b.runs[o.Run.Task]; here {
+		// The caller has submitted its job again to another entry, so nobody
+		// waits for the older run any more.
+		if other.owner != owner {
+			b.stop(now, other)
+		}
+		return Closed
+	}
+	if !o.Need.Fits(b.life.Total.Sub(b.used)) {
+		return Full
+	}
+	return NoRefusal
+}
+
+// ValidUntil notes the runner's time up to which a start is valid.
+func (b *Book) ValidUntil(name work.RunName, until time.Duration) {
+	if r := b.find(name); r != nil {
+		r.until = max(r.until, until)
+	}
+}
+
+// Started takes note that the runner has begun the run.
+func (b *Book) Started(now time.Duration, name work.RunName) (Report, bool) {
+	r := b.find(name)
+	if r == nil {
+		return Report{}, false
+	}
+	r.settled = now
+	if r.started || r.told {
+		return Report{}, false
+	}
+	r.started = true
+	return Report{Owner: r.owner, Run: r.id, State: Running}, true
+}
+
+// Declined takes note that the runner has not begun the run and won't.
+func (b *Book) Declined(now time.Duration, name work.RunName, why Refusal) []Report {
+	r := b.find(name)
+	if r == nil || r.started {
+		return nil
+	}
+	return b.close(now, r, NotStarted, why)
+}
+
+// Doubtful takes note that a start got no answer: it may be carried out later,
+// so the run keeps its room until a bar or its lease makes sure.
+func (b *Book) Doubtful(now time.Duration, name work.RunName) {
+	r := b.find(name)
+	if r == nil || r.started {
+		return
+	}
+	b.stop(now, r)
+}
+
+// Barred takes note that the runner has acknowledged a stop at the uptime given.
+func (b *Book) Barred(now time.Duration, name work.RunName) {
+	r := b.find(name)
+	if r == nil {
+		return
+	}
+	r.stopSent = false
+	r.barred = true
+	r.settled = now
+}
+
+// StopFailed takes note that a stop was not acknowledged; it is sent again.
+func (b *Book) StopFailed(name work.RunName) {
+	if r := b.find(name); r != nil {
+		r.stopSent = false
+	}
+	if _, stray := b.strays[name]; stray {
+		b.strays[name] = false
+	}
+}
+
+// Cancel stops a run at its owner's wish.
+func (b *Book) Cancel(now time.Duration, owner Owner, id work.RunID) (Report, bool) {
+	r, here := b.runs[id.Task]
+	if here && r.owner == owner && r.id == id {
+		b.stop(now, r)
+		return Report{}, false
+	}
+	if f, kept := b.ended[id]; kept && f.report.Owner == owner {
+		return f.report, true
+	}
+	return Report{Owner: owner, Run: id, State: NotStarted, Refusal: Unknown}, true
+}
+
+// Resume compares the runs that an owner holds open with those here, after its
+// stream broke: each is reported on, others of the same entry are stopped. The
+// older stream delivers nothing any more, so a run that isn't here never starts.
+func (b *Book) Resume(now time.Duration, owner Owner, open []work.RunID) []Report {
+	for _, r := range b.runs {
+		if r.owner.Entry != owner.Entry {
+			continue
+		}
+		if r.owner != owner || !slices.Contains(open, r.id) {
+			b.stop(now, r)
+		}
+	}
+	var reports []Report
+	for _, id := range open {
+		r, here := b.runs[id.Task]
+		switch {
+		case here && r.owner == owner && r.id == id && r.started:
+			reports = append(reports, Report{Owner: owner, Run: id, State: Running})
+		case here && r.owner == owner && r.id == id:
+			// Its start is under way; the report follows.
+		default:
+			f, kept := b.ended[id]
+			if !kept || f.report.Owner != owner {
+				f.report = Report{Owner: owner, Run: id, State: NotStarted, Refusal: Unknown}
+			}
+			reports = append(reports, f.report)
+		}
+	}
+	return reports
+}
+
+func (b *Book) find(name work.RunName) *run {
+	r, ok := b.runs[name.Task]
+	if !ok || r.name != name {
+		return nil
+	}
+	return r
+}
+
+func (b *Book) stop(now time.Duration, r *run) {
+	if r.stopping == 0 {
+		r.stopping = max(now, 1)
+	}
+}
+
+// Lapse tells the owners of all runs that these are over: the lease of the
+// runner, which answers nothing, has run out. Their room stays taken until the
+// runner itself accounts for them.
+func (b *Book) Lapse(now time.Duration) []Report {
+	var reports []Report
+	for _, r := range b.runs {
+		state := Stopped
+		if !r.started {
+			state = NotStarted
+		}
+		reports = append(reports, b.tell(now, r, state, Unwell)...)
+	}
+	return reports
+}
+
+// over ends a run and gives its room back.
+func (b *Book) over(now time.Duration, r *run, s State) []Report {
+	return b.close(now, r, s, Unwell)
+}
+
+func (b *Book) close(now time.Duration, r *run, s State, why Refusal) []Report {
+	delete(b.runs, r.id.Task)
+	b.used = b.used.Sub(r.need)
+	return b.tell(now, r, s, why)
+}
+
+// tell makes the last report on a run, once.
+func (b *Book) tell(now time.Duration, r *run, s State, why Refusal) []Report {
+	if r.told {
+		return nil
+	}
+	r.told = true
+	report := Report{Owner: r.owner, Run: r.id, State: s}
+	if s == NotStarted {
+		report.Refusal = why
+	}
+	b.ended[r.id] = fate{report, now}
+	b.order = append(b.order, r.id)
+	return []Report{report}
+}
+
+// String names the refusal for logs and metrics.
+func (r Refusal) String() string {
+	switch r {
+	case Full:
+		return "full"
+	case Late:
+		return "stale"
+	case Closed:
+		return "closed"
+	case Unwell:
+		return "unwell"
+	case Unknown:
+		return "unknown"
+	default:
+		return "none"
+	}
+}
--- /dev/null
+++ b/guard/runs/sweep.go
@@ -0,0 +1,200 @@
+package runs
+
+import (
+	"math"
+	"time"
+
+	"almondstand.dev/dispatch/work"
+)
+
+// clockMargin covers the runner's clock being read before it answers, and its
+// granularity of a millisecond.
+const clockMargin = 50 * time.Millisecond
+
+// Read takes the runner's account, asked for at the uptime given, and returns
+// what became of runs. Accounts must be read in the order in which they were asked for, one at a time.
+func (b *Book) Read(now, asked time.Duration, v work.Account) []Report {
+	var reports []Report
+	for _, e := range v.Ends {
+		b.seen = max(b.seen, e.Seq)
+		delete(b.strays, e.Run)
+		if r := b.find(e.Run); r != nil {
+			reports = append(reports, b.over(now, r, stateOf(e.How))...)
+		}
+	}
+	present := make(map[work.RunName]bool, len(v.Running))
+	for _, n := range v.Running {
+		present[n] = true
+		if report, news := b.present(asked, n); news {
+			reports = append(reports, report)
+		}
+	}
+	if v.More {
+		return reports
+	}
+	for n := range b.strays {
+		if !present[n] {
+			delete(b.strays, n)
+		}
+	}
+	for _, r := range b.runs {
+		if present[r.name] || !b.gone(r, asked, v.Clock) {
+			continue
+		}
+		state := Stopped
+		if !r.started {
+			state = NotStarted
+		}
+		reports = append(reports, b.over(now, r, state)...)
+	}
+	b.checked = true
+	return reports
+}
+
+func stateOf(h work.How) State {
+	switch h {
+	case work.Done:
+		return Done
+	case work.Failed:
+		return Failed
+	default:
+		return Stopped
+	}
+}
+
+// present takes note of a run that the runner lists.
+func (b *Book) present(asked time.Duration, n work.RunName) (Report, bool) {
+	r := b.find(n)
+	if r == nil {
+		// Left by an older guard, whose account is lost: what it takes is not
+		// known, so nothing else is started until it is over.
+		if _, known := b.strays[n]; !known {
+			b.strays[n] = false
+		}
+		return Report{}, false
+	}
+	if r.started || r.told {
+		return Report{}, false
+	}
+	r.started = true
+	if r.settled == 0 {
+		r.settled = asked
+	}
+	return Report{Owner: r.owner, Run: r.id, State: Running}, true
+}
+
+// gone reports whether a run that is neither listed nor ended is over. Its
+// start or its bar was answered before the account was asked for, so the
+// account would hold it; or the start is valid no longer, on the runner's own
+// clock, so the runner will turn it down when it comes.
+func (b *Book) gone(r *run, asked, clock time.Duration) bool {
+	if r.settled > 0 && r.settled < asked {
+		return true
+	}
+	return !r.started && r.until > 0 && r.stopping > 0 && clock > r.until+clockMargin
+}
+
+// Stops returns the stops to be sent now: of runs that are to end, whose caller
+// no longer waits, or whose entry is silent, and of strays.
+func (b *Book) Stops(now time.Duration) []Stop {
+	var stops []Stop
+	for _, r := range b.runs {
+		if r.stopping == 0 && now >= b.lastsUntil(r) {
+			b.stop(now, r)
+		}
+		if r.stopping > 0 && !r.barred && !r.stopSent {
+			r.stopSent = true
+			stops = append(stops, Stop{r.name})
+		}
+	}
+	for n, sent := range b.strays {
+		if !sent {
+			b.strays[n] = true
+			stops = append(stops, Stop{n})
+		}
+	}
+	return stops
+}
+
+// lastsUntil is the uptime until which a run is wanted.
+func (b *Book) lastsUntil(r *run) time.Duration {
+	return min(r.expires, b.alive[r.owner]+b.opt.Silence)
+}
+
+// endBound is the uptime by which a run must be over, answered or not.
+func (b *Book) endBound(r *run) time.Duration {
+	grace := b.opt.EndBound - b.opt.Silence
+	bound := b.lastsUntil(r) + grace
+	if r.stopping > 0 {
+		bound = min(bound, r.stopping+grace)
+	}
+	return bound
+}
+
+// HoldUntil is the uptime to which the runner's lease may be extended now. A
+// lease is the runner's as a whole: while a run's end is due and its stop isn't
+// acknowledged, the lease of all ends with it.
+func (b *Book) HoldUntil(now time.Duration) time.Duration {
+	until := now + b.opt.Hold
+	for _, r := range b.runs {
+		if !r.barred {
+			until = min(until, b.endBound(r))
+		}
+	}
+	return until
+}
+
+// Next is the uptime at which Stops has something new to say, the largest value
+// when nothing is due.
+func (b *Book) Next() time.Duration {
+	next := time.Duration(math.MaxInt64)
+	for _, r := range b.runs {
+		if r.stopping == 0 {
+			next = min(next, b.lastsUntil(r))
+		}
+	}
+	return next
+}
+
+// Forget drops what nobody will ask for any more.
+func (b *Book) Forget(now time.Duration) {
+	n := 0
+	for _, id := range b.order {
+		if f, ok := b.ended[id]; ok && now-f.at < keepEnded {
+			break
+		}
+		delete(b.ended, id)
+		n++
+	}
+	b.order = b.order[n:]
+	for task, v := range b.numbers {
+		if _, here := b.runs[task]; !here && now-v.at > 6*keepEnded {
+			delete(b.numbers, task)
+		}
+	}
+	for o, at := range b.alive {
+		if now-at > 6*keepEnded && !b.owns(o) {
+			delete(b.alive, o)
+		}
+	}
+}
+
+func (b *Book) owns(o Owner) bool {
+	for _, r := range b.runs {
+		if r.owner == o {
+			return true
+		}
+	}
+	return false
+}
+
+// Old raises the number that the task's next run takes, after the runner knew
+// a higher one.
+func (b *Book) Old(now time.Duration, task work.TaskID) {
+	n := b.numbers[task]
+	b.numbers[task] = numbered{n.number + oldStep, now}
+}
+
+// oldStep skips the numbers that earlier guards may have used for the task; a
+// task is tried a handful of times.
+const oldStep = 8
--- /dev/null
+++ b/guard/uplink/events.go
@@ -0,0 +1,17 @@
+package uplink
+
+import (
+	"log/slog"
+
+	"almondstand.dev/eventlog"
+)
+
+var (
+	entryLearnt = eventlog.Define(2221, "guard.entry_learnt", slog.LevelInfo,
+		"The guard learnt of an entry and attaches to it.", "None.")
+	entryLost = eventlog.Define(2222, "guard.entry_lost", slog.LevelWarn,
+		"A session with an entry ended; the guard attaches again. Runs of an entry that stays silent are stopped.",
+		"If it goes on, look at that entry and the network between.")
+	entryForgotten = eventlog.Define(2223, "guard.entry_forgotten", slog.LevelInfo,
+		"An entry that could not be reached and that nobody names any more is given up.", "None.")
+)
--- /dev/null
+++ b/guard/uplink/session.go
@@ -0,0 +1,300 @@
+package uplink
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/guard/runs"
+	"almondstand.dev/telemetry/uptime"
+	"almondstand.dev/wire/fleetwire"
+	"almondstand.dev/wire/wirev1"
+	"almondstand.dev/wire/wirev1/wirev1connect"
+)
+
+// Errors of a session.
+var (
+	// ErrSilent means that the entry sent nothing for too long.
+	ErrSilent = errors.New("uplink: entry is silent")
+	// ErrReplaced means that a newer session of the same entry took over.
+	ErrReplaced = errors.New("uplink: session replaced")
+	// ErrGreeting means that the entry's first message was no greeting.
+	ErrGreeting = errors.New("uplink: no greeting")
+)
+
+type stream = connect.BidiStreamForClient[wirev1.AttachRequest, wirev1.AttachResponse]
+
+// session is one stream to one entry.
+type session struct {
+	up    *Uplink
+	link  *link
+	owner runs.Owner
+	// attached is true once the entry has greeted.
+	attached bool
+	cancel   context.CancelCauseFunc
+	wake     chan struct{}
+
+	mu      sync.Mutex
+	reports []runs.Report
+	// stale is true when the room told last has changed.
+	stale bool
+	// waiting is true while the entry's tasks wait for room.
+	waiting bool
+	roomAt  time.Time
+}
+
+func newSession(u *Uplink, l *link) *session {
+	return &session{up: u, link: l, wake: make(chan struct{}, 1), stale: true}
+}
+
+func (s *session) end() { s.cancel(ErrReplaced) }
+
+// run attaches and serves until the stream ends.
+func (s *session) run(ctx context.Context) error {
+	transport := fleetwire.NewTransport()
+	defer transport.CloseIdleConnections()
+	ctx, s.cancel = context.WithCancelCause(ctx)
+	defer s.cancel(nil)
+	silence := time.AfterFunc(listenFor, func() { s.cancel(ErrSilent) })
+	defer silence.Stop()
+	client := wirev1connect.NewFleetServiceClient(&http.Client{Transport: transport}, "http://"+s.link.address)
+	st := client.Attach(ctx)
+	defer func() { _ = st.CloseResponse() }()
+	defer func() { _ = st.CloseRequest() }()
+	if err := s.greet(st); err != nil {
+		return s.cause(ctx, err)
+	}
+	defer s.up.dismiss(s)
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	defer s.cancel(nil)
+	sending.Go(func() { s.send(ctx, st) })
+	for {
+		m, err := st.Receive()
+		if err != nil {
+			return s.cause(ctx, err)
+		}
+		silence.Reset(listenFor)
+		if !s.accept(m) {
+			return ErrReplaced
+		}
+	}
+}
+
+// accept takes a message unless a newer session has taken over.
+func (s *session) accept(m *wirev1.AttachResponse) bool {
+	s.up.turn.Lock()
+	defer s.up.turn.Unlock()
+	if !s.up.isCurrent(s) {
+		return false
+	}
+	s.receive(m)
+	return true
+}
+
+// cause prefers the reason for which the session was ended here.
+func (s *session) cause(ctx context.Context, err error) error {
+	if why := context.Cause(ctx); why != nil && !errors.Is(why, context.Canceled) {
+		return why
+	}
+	return fmt.Errorf("uplink: stream: %w", err)
+}
+
+// greet exchanges the first messages.
+func (s *session) greet(st *stream) error {
+	err := st.Send(&wirev1.AttachRequest{
+		Greeting: &wirev1.GuardGreeting{
+			Guard:       s.up.opt.Guard,
+			Incarnation: s.up.opt.Incarnation,
+			Zone:        s.up.opt.Zone,
+			Entries:     s.up.known(),
+		},
+		ClockUs: uptime.Now().Microseconds(),
+	})
+	if err != nil {
+		return err
+	}
+	m, err := st.Receive()
+	if err != nil {
+		return err
+	}
+	g := m.GetGreeting()
+	if g == nil {
+		return ErrGreeting
+	}
+	s.owner = runs.Owner{Entry: g.GetEntry(), Incarnation: g.GetIncarnation()}
+	s.attached = true
+	s.up.turn.Lock()
+	defer s.up.turn.Unlock()
+	s.up.admit(s)
+	var open []work.RunID
+	for _, o := range g.GetOpen() {
+		open = append(open, fleetwire.FromRun(o.GetTask(), o.GetAttempt()))
+	}
+	for _, r := range s.up.host.Resume(s.owner, open) {
+		s.push(r)
+	}
+	s.up.know(m.GetEntries())
+	return nil
+}
+
+// receive takes one message of the entry.
+func (s *session) receive(m *wirev1.AttachResponse) {
+	sent := time.Duration(m.GetEchoUs()) * time.Microsecond
+	if m.GetEchoUs() > 0 {
+		s.up.host.Alive(s.owner, sent)
+	}
+	s.setWaiting(m.GetWaiting())
+	if len(m.GetEntries()) > 0 {
+		s.up.know(m.GetEntries())
+	}
+	var orders []runs.Order
+	for _, o := range m.GetStarts() {
+		for _, t := range o.GetTasks() {
+			orders = append(orders, runs.Order{
+				Run: work.RunID{
+					Task:    work.TaskID{Job: o.GetJob(), Step: int(o.GetStep()), Index: int(t.GetIndex())},
+					Attempt: int(t.GetAttempt()),
+				},
+				Spec: o.GetSpec(),
+				Need: fleetwire.FromAmounts(o.GetNeed()),
+				Life: time.Duration(o.GetLifeMs()) * time.Millisecond,
+			})
+		}
+	}
+	var cancels []work.RunID
+	for _, c := range m.GetStops() {
+		cancels = append(cancels, fleetwire.FromRun(c.GetTask(), c.GetAttempt()))
+	}
+	if len(orders) > 0 || len(cancels) > 0 {
+		s.up.host.Order(sent, s.owner, orders, cancels)
+	}
+}
+
+func (s *session) setWaiting(w bool) {
+	s.mu.Lock()
+	changed := w && !s.waiting && s.stale
+	s.waiting = w
+	s.mu.Unlock()
+	if changed {
+		signal(s.wake)
+	}
+}
+
+func (s *session) push(r runs.Report) {
+	s.mu.Lock()
+	s.reports = append(s.reports, r)
+	s.mu.Unlock()
+	signal(s.wake)
+}
+
+func (s *session) roomChanged() {
+	s.mu.Lock()
+	s.stale = true
+	s.mu.Unlock()
+	signal(s.wake)
+}
+
+// send writes messages until the stream ends: reports at once, room that
+// changed at a bounded pace, and a beat when there is nothing else.
+func (s *session) send(ctx context.Context, st *stream) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	beat := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.wake:
+		case <-timer.C:
+		}
+		reports, room, wait := s.take(time.Now())
+		if len(reports) == 0 && !room && time.Since(beat) < beatEvery {
+			timer.Reset(min(wait, beatEvery-time.Since(beat)))
+			continue
+		}
+		m := &wirev1.AttachRequest{ClockUs: uptime.Now().Microseconds(), Reports: reports}
+		if room {
+			m.Room = wireRoom(s.up.host.Room())
+		}
+		if err := st.Send(m); err != nil {
+			s.cancel(fmt.Errorf("uplink: send: %w", err))
+			return
+		}
+		beat = time.Now()
+		timer.Reset(beatEvery)
+	}
+}
+
+// take returns what is to be sent now; room is true when the room goes along,
+// and wait is the time until it may.
+func (s *session) take(now time.Time) (reports []*wirev1.RunReport, room bool, wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.reports {
+		reports = append(reports, wireReport(r))
+	}
+	s.reports = nil
+	if !s.stale {
+		return reports, false, beatEvery
+	}
+	pace := roomPaceIdle
+	if s.waiting {
+		pace = roomPaceWaiting
+	}
+	if wait := s.roomAt.Add(pace).Sub(now); wait > 0 && len(reports) == 0 {
+		return nil, false, wait
+	}
+	s.stale = false
+	s.roomAt = now
+	return reports, true, 0
+}
+
+func wireRoom(r runs.Room) *wirev1.Room {
+	return &wirev1.Room{
+		Service: r.Service,
+		Runner:  r.Instance,
+		Open:    r.Open,
+		Total:   fleetwire.Amounts(r.Total),
+		Used:    fleetwire.Amounts(r.Used),
+		Labels:  r.Labels,
+	}
+}
+
+var wireStates = map[runs.State]wirev1.RunState{
+	runs.Running:    wirev1.RunState_RUN_STATE_RUNNING,
+	runs.Done:       wirev1.RunState_RUN_STATE_DONE,
+	runs.Failed:     wirev1.RunState_RUN_STATE_FAILED,
+	runs.Stopped:    wirev1.RunState_RUN_STATE_STOPPED,
+	runs.NotStarted: wirev1.RunState_RUN_STATE_NOT_STARTED,
+}
+
+var wireRefusals = map[runs.Refusal]wirev1.Refusal{
+	runs.Full:    wirev1.Refusal_REFUSAL_ROOM,
+	runs.Late:    wirev1.Refusal_REFUSAL_STALE,
+	runs.Closed:  wirev1.Refusal_REFUSAL_CLOSED,
+	runs.Unwell:  wirev1.Refusal_REFUSAL_RUNNER,
+	runs.Unknown: wirev1.Refusal_REFUSAL_UNKNOWN,
+}
+
+func wireReport(r runs.Report) *wirev1.RunReport {
+	return &wirev1.RunReport{
+		Task:    fleetwire.Task(r.Run.Task),
+		Attempt: uint32(r.Run.Attempt),
+		State:   wireStates[r.State],
+		Refusal: wireRefusals[r.Refusal],
+	}
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/guard/uplink/uplink.go
@@ -0,0 +1,221 @@
+// Package uplink keeps a guard attached to every entry it knows of.
+package uplink
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/guard/runs"
+)
+
+// Timing of attachments.
+const (
+	// firstRetry and lastRetry bound the pause between two attempts. An entry that
+	// restarts is attached to within the pause, so it is short; at the size
+	// designed for, 40 entries gone for good cost a guard 40 attempts a second
+	// until they are forgotten.
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = time.Second
+	// forgetAfter drops an entry that was out of reach for so long, unless the
+	// settings name it or another entry does.
+	forgetAfter = 20 * time.Second
+	// listenFor ends a stream on which the entry was silent for so long: entries
+	// send at least once a second.
+	listenFor = 3 * time.Second
+	// beatEvery is the pause after which a message is sent though there is nothing
+	// to tell: it carries the clock by which orders are dated.
+	beatEvery = time.Second
+	// Room that changed is told to an entry whose tasks wait for room, and to the
+	// others, at most so often. At 30 starts and ends a second each of 12 entries
+	// would otherwise get 60 messages a second from every guard.
+	roomPaceWaiting = 10 * time.Millisecond
+	roomPaceIdle    = 200 * time.Millisecond
+)
+
+// Host is the account of the runner; see guard/host.
+type Host interface {
+	Room() runs.Room
+	Alive(o runs.Owner, at time.Duration)
+	Resume(o runs.Owner, open []work.RunID) []runs.Report
+	Order(sent time.Duration, o runs.Owner, orders []runs.Order, cancels []work.RunID)
+}
+
+// Options of an Uplink.
+type Options struct {
+	Guard       string
+	Incarnation uint64
+	Zone        string
+	// Seeds returns the addresses of entries that the settings name; it is asked
+	// again when no entry can be reached.
+	Seeds  func() []string
+	Logger *slog.Logger
+}
+
+// Uplink is the set of attachments.
+type Uplink struct {
+	opt    Options
+	host   Host
+	logger *slog.Logger
+
+	mu sync.Mutex
+	// links are the entries known, by address.
+	links map[string]*link
+	// current is the newest session of each entry, by the entry's id.
+	current map[string]*session
+	// turn is held while a message is taken, and while a session takes over from
+	// an older one: an order of the older one can't slip in between the check that
+	// it counts and the word to the entry that its order never arrived.
+	turn   sync.Mutex
+	attach sync.WaitGroup
+	ctx    context.Context
+}
+
+// link is one address at which an entry is known.
+type link struct {
+	address string
+	// named is when the settings or an entry last named it.
+	named time.Time
+	// reached is when a session last worked.
+	reached time.Time
+}
+
+// New returns an uplink without attachments.
+func New(o Options, h Host) *Uplink {
+	return &Uplink{opt: o, host: h, logger: o.Logger, links: map[string]*link{}, current: map[string]*session{}}
+}
+
+// Run attaches until the context ends.
+func (u *Uplink) Run(ctx context.Context) error {
+	u.mu.Lock()
+	u.ctx = ctx
+	u.mu.Unlock()
+	u.know(u.opt.Seeds())
+	ticker := time.NewTicker(lastRetry)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+			u.know(u.opt.Seeds())
+		}
+	}
+	u.attach.Wait()
+	return nil
+}
+
+// know takes note of entries and attaches to new ones.
+func (u *Uplink) know(addresses []string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, a := range addresses {
+		if l, known := u.links[a]; known {
+			l.named = time.Now()
+			continue
+		}
+		l := &link{address: a, named: time.Now()}
+		u.links[a] = l
+		entryLearnt.Log(u.ctx, u.logger, slog.String("address", a))
+		u.attach.Go(func() { u.keep(u.ctx, l) })
+	}
+}
+
+// known returns the addresses of the entries that answer.
+func (u *Uplink) known() []string {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	all := make([]string, 0, len(u.links))
+	for a, l := range u.links {
+		if time.Since(l.reached) < forgetAfter {
+			all = append(all, a)
+		}
+	}
+	return all
+}
+
+// keep holds one entry's attachment until the entry is forgotten.
+func (u *Uplink) keep(ctx context.Context, l *link) {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		s := newSession(u, l)
+		err := s.run(ctx)
+		if s.attached {
+			retry = firstRetry
+			entryLost.Log(ctx, u.logger, slog.String("address", l.address), slog.String("entry", s.owner.Entry), slog.Any("error", err))
+		}
+		if u.forgotten(l) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(retry):
+		}
+		retry = min(2*retry, lastRetry)
+	}
+}
+
+func (u *Uplink) forgotten(l *link) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if time.Since(l.named) < forgetAfter || time.Since(l.reached) < forgetAfter {
+		return false
+	}
+	delete(u.links, l.address)
+	entryForgotten.Log(u.ctx, u.logger, slog.String("address", l.address))
+	return true
+}
+
+// admit makes a session the only one of its entry. Nothing that arrives on the
+// older one counts from then on: an order that the network held up there would
+// come after the entry has been told that it never arrived.
+func (u *Uplink) admit(s *session) {
+	u.mu.Lock()
+	older := u.current[s.owner.Entry]
+	u.current[s.owner.Entry] = s
+	if l := u.links[s.link.address]; l != nil {
+		l.reached = time.Now()
+	}
+	u.mu.Unlock()
+	if older != nil && older != s {
+		older.end()
+	}
+}
+
+// isCurrent reports whether a session's messages count, and keeps its entry known.
+func (u *Uplink) isCurrent(s *session) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s.link.reached = time.Now()
+	return u.current[s.owner.Entry] == s
+}
+
+func (u *Uplink) dismiss(s *session) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.current[s.owner.Entry] == s {
+		delete(u.current, s.owner.Entry)
+	}
+}
+
+// Deliver implements host.Sink. Reports to an owner that isn't attached are
+// left out: it asks for them when it attaches again.
+func (u *Uplink) Deliver(reports []runs.Report) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, r := range reports {
+		if s := u.current[r.Owner.Entry]; s != nil && s.owner == r.Owner {
+			s.push(r)
+		}
+	}
+}
+
+// RoomChanged implements host.Sink.
+func (u *Uplink) RoomChanged() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, s := range u.current {
+		s.roomChanged()
+	}
+}
--- a/settings/decode.go
+++ b/settings/decode.go
@@ -37,6 +37,22 @@
 	return Decode(raw, into)
 }
 
+// Has reports whether the settings file, a JSON object, has the field at its root.
+func Has(path, field string) (bool, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return false, fmt.Errorf("%w: %w", ErrUnreadable, err)
+	}
+	var root map[string]json.RawMessage
+	if err := checkSyntax(raw); err != nil {
+		return false, err
+	}
+	// What is no object has no fields; Decode says what is wrong with it.
+	_ = json.Unmarshal(raw, &root)
+	_, has := root[field]
+	return has, nil
+}
+
 // Decode reads JSON into a pointer to a struct. Fields that the JSON leaves
 // out keep their value, so that defaults are set beforehand. Every fault is
 // listed in Errors: unknown and repeated fields, wrong types and units, broken
--- /dev/null
+++ b/wire/fleetwire/fleetwire.go
@@ -0,0 +1,84 @@
+// Package fleetwire turns the messages between entries and guards into the
+// types of the deciding packages and back, and holds the transport of both ends.
+package fleetwire
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/wire/wirev1"
+)
+
+// Bounds of a connection between two processes.
+const (
+	// dialTimeout is many times the way between data centres of one region, some
+	// milliseconds.
+	dialTimeout = 400 * time.Millisecond
+	// unackedTimeout ends a connection whose other end acknowledges nothing:
+	// otherwise the kernel would repeat the bytes for a quarter of an hour.
+	unackedTimeout = 2 * time.Second
+)
+
+// NewTransport returns a transport of HTTP/2 without TLS. Each session takes
+// one of its own, so that a silent connection is given up with its session.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, Control: limitUnacked}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{DialContext: dialer.DialContext, Protocols: protocols, DisableCompression: true}
+}
+
+// NewServer returns a server of HTTP/2 without TLS, and of HTTP/1.
+func NewServer(handler http.Handler) *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: 5 * time.Second}
+}
+
+// Listen opens a listener whose connections end when their other end
+// acknowledges nothing.
+func Listen(ctx context.Context, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: limitUnacked}
+	return config.Listen(ctx, "tcp", address)
+}
+
+func limitUnacked(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+// Amounts for the wire.
+func Amounts(a work.Amounts) *wirev1.Amounts {
+	return &wirev1.Amounts{CpuMilli: a.CPUMilli, MemoryMb: a.MemoryMB, Gpus: a.GPUs}
+}
+
+// FromAmounts reads amounts; nil is none.
+func FromAmounts(a *wirev1.Amounts) work.Amounts {
+	return work.Amounts{CPUMilli: a.GetCpuMilli(), MemoryMB: a.GetMemoryMb(), GPUs: a.GetGpus()}
+}
+
+// Task names a task on the wire.
+func Task(t work.TaskID) *wirev1.TaskName {
+	return &wirev1.TaskName{Job: t.Job, Step: uint32(t.Step), Index: uint32(t.Index)}
+}
+
+// FromRun reads a run's name.
+func FromRun(t *wirev1.TaskName, attempt uint32) work.RunID {
+	return work.RunID{
+		Task:    work.TaskID{Job: t.GetJob(), Step: int(t.GetStep()), Index: int(t.GetIndex())},
+		Attempt: int(attempt),
+	}
+}
