a guard's runs are over only when its successor has cleared the runner

Cause, found by TestFleetGuardKilled (13 tasks ran twice): an entry took a new life of a guard as proof that the older one's runs were over, while its successor had not yet ended them at the runner. Now the room says when the runner is cleared: its account was read with the new fencing token and holds no stray run, or every lease of the older guard has run out. Until then the runs stay open at the entry, and are not asked for. Ruled out: resends (all within one entry), the lease (runs ended done).

--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -14,6 +14,9 @@
 	Total   work.Amounts
 	Used    work.Amounts
 	Labels  []string
+	// Cleared is true once nothing that an older life of the guard ordered runs or
+	// can begin any more.
+	Cleared bool
 }
 
 // endpoint is one guarded runner.
@@ -36,8 +39,10 @@
 
 func (e *endpoint) free() work.Amounts { return e.total.Sub(e.used).Sub(e.ordered) }
 
-// Attach makes an endpoint known. fresh is true when its guard is a new life:
-// every run of the older one is over.
+// Attach makes an endpoint known and returns the runs that its guard is to be
+// asked for. fresh is true when the guard is a new life: it knows nothing of the
+// runs that the older one was given, and these may go on until it has cleared
+// its runner. To start one of their tasks elsewhere before would run it twice.
 func (p *Planner) Attach(id, zone string, fresh bool) []work.RunID {
 	e := p.endpoints[id]
 	if e == nil {
@@ -46,25 +51,30 @@
 	}
 	e.attached = true
 	e.zone = zone
-	if fresh {
-		p.dropRuns(e)
-	}
 	open := make([]work.RunID, 0, len(e.runs))
 	for _, t := range e.runs {
-		open = append(open, t.run())
+		t.orphaned = t.orphaned || fresh
+		if !t.orphaned {
+			open = append(open, t.run())
+		}
+	}
+	if fresh {
+		e.open = false
 	}
 	return open
 }
 
-// dropRuns takes note that every run at an endpoint is over.
-func (p *Planner) dropRuns(e *endpoint) {
+// clear takes note that the runs of an endpoint's older guards are over.
+func (p *Planner) clear(e *endpoint) {
 	for _, t := range e.runs {
+		if !t.orphaned {
+			continue
+		}
 		// Whether it ran is not known: its guard's account is gone.
 		t.job.ran = true
 		p.over(t)
 		p.again(t)
 	}
-	e.ordered = work.Amounts{}
 }
 
 // Detach takes note that an endpoint's guard can't be reached. Its runs stay
@@ -95,6 +105,9 @@
 	if e == nil {
 		return
 	}
+	if r.Cleared {
+		p.clear(e)
+	}
 	if r.Service != "" {
 		p.move(e, p.service(r.Service))
 	}
--- a/dispatch/planner/health.go
+++ b/dispatch/planner/health.go
@@ -101,7 +101,7 @@
 // unanswered reports whether a start has been left without any word for too long.
 func (e *endpoint) unanswered(now time.Duration) bool {
 	for _, t := range e.runs {
-		if t.running == 0 && now-t.ordered > answerIn {
+		if t.running == 0 && !t.orphaned && now-t.ordered > answerIn {
 			return true
 		}
 	}
--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -46,6 +46,9 @@
 	// that it runs; running is zero before.
 	ordered, running time.Duration
 	stopping         bool
+	// orphaned is true when the guard that was given the open run is gone, and its
+	// successor has not cleared the runner.
+	orphaned bool
 	// avoid is where the last run went wrong.
 	avoid *endpoint
 }
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -206,6 +206,7 @@
 	t.ordered = now
 	t.running = 0
 	t.stopping = false
+	t.orphaned = false
 	need := j.work.Steps[t.step].Need
 	e.ordered = e.ordered.Add(need)
 	e.runs[t.id()] = t
--- a/dispatch/planner/planner_test.go
+++ b/dispatch/planner/planner_test.go
@@ -73,3 +73,20 @@
 		}
 	}
 }
+
+// A task runs twice. Its guard dies and a successor attaches at once; the run
+// goes on at the runner until the successor has ended it. Until then the task
+// must not start elsewhere.
+func TestRunsOfAnOlderGuardAreOverOnlyWhenCleared(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	a := f.submit("j", 1, 60*ms)
+	s := a.Starts[0]
+	f.report(s, Running)
+	assert.Equal(t, len(f.Attach(s.Endpoint, "a", true)), 0, "the successor knows nothing of the run")
+	assert.Equal(t, len(f.after(20*ms).Starts), 0)
+	total := work.Amounts{CPUMilli: 2000, MemoryMB: 128}
+	f.Describe(s.Endpoint, Room{Service: "teardown", Runner: "r", Total: total})
+	assert.Equal(t, len(f.after(20*ms).Starts), 0)
+	f.Describe(s.Endpoint, Room{Service: "teardown", Runner: "r", Total: total, Cleared: true})
+	assert.Equal(t, len(f.after(20*ms).Starts), 1)
+}
--- /dev/null
+++ b/e2e/fleet_test.go
@@ -0,0 +1,314 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"almondstand.dev/e2e/fleet"
+	"almondstand.dev/standin/metastore"
+	"almondstand.dev/standin/worker"
+)
+
+// startFleet starts a fleet that is ready, and holds the judge's word at the end.
+func startFleet(t *testing.T, entries, guards int) *fleet.Fleet {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	f, err := fleet.New(t.Context(), fleet.Options{Binaries: binaries, Dir: t.TempDir(), Entries: entries, Guards: guards})
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		f.Close()
+		if faults := f.Judge.Faults(); len(faults) > 0 {
+			t.Errorf("broken promises:\n%s", strings.Join(faults, "\n"))
+		}
+		if t.Failed() {
+			for _, n := range append(f.Entries, f.Guards...) {
+				t.Logf("%s:\n%s", n.ID, lastLines(n.Process().Log(), 60))
+			}
+		}
+	})
+	assert.NilError(t, f.AwaitReady(ctx))
+	// Every entry must have met every guard before faults begin.
+	assert.NilError(t, eventually(ctx, func() error {
+		for i := range f.Entries {
+			if a := f.Submit(ctx, i, fleet.NewJob(1, 10), 1); a.Status != 200 {
+				return fmt.Errorf("entry %d answers %d %s", i, a.Status, a.Text)
+			}
+		}
+		return nil
+	}))
+	return f
+}
+
+func lastLines(text string, n int) string {
+	lines := strings.Split(text, "\n")
+	return strings.Join(lines[max(len(lines)-n, 0):], "\n")
+}
+
+// eventually asks until there is no error, or the context ends.
+func eventually(ctx context.Context, ask func() error) error {
+	for {
+		err := ask()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return err
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// load submits jobs at every entry until stop is called, which returns how many
+// were answered with each status.
+func load(t *testing.T, f *fleet.Fleet, every time.Duration, tasks, ms int) (stop func() map[int]int) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var mu sync.Mutex
+	got := map[int]int{}
+	var open sync.WaitGroup
+	var turn atomic.Int64
+	open.Go(func() {
+		tick := time.NewTicker(every)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			open.Go(func() {
+				a := f.Submit(t.Context(), int(turn.Add(1)), fleet.NewJob(tasks, ms), 3)
+				mu.Lock()
+				got[a.Status]++
+				mu.Unlock()
+			})
+		}
+	})
+	return func() map[int]int {
+		cancel()
+		open.Wait()
+		return got
+	}
+}
+
+// A calm fleet serves every job whole, and each task runs once.
+func TestFleetServes(t *testing.T) {
+	f := startFleet(t, 2, 3)
+	stop := load(t, f, 20*time.Millisecond, 4, 40)
+	time.Sleep(2 * time.Second)
+	got := stop()
+	assert.Equal(t, len(got), 1, "%v", got)
+	assert.Assert(t, got[200] > 60, "%v", got)
+}
+
+// The caller's connection breaks when its entry is killed, and the job comes
+// again to another entry 1.3 s later. The runs that the dead entry ordered must
+// be over by then: their guards have not heard from it, and stop them.
+func TestFleetEntryKilled(t *testing.T) {
+	f := startFleet(t, 2, 2)
+	stop := load(t, f, 25*time.Millisecond, 4, 900)
+	for range 3 {
+		time.Sleep(800 * time.Millisecond)
+		f.Entries[0].Process().Kill()
+		time.Sleep(300 * time.Millisecond)
+		assert.NilError(t, f.Entries[0].Start())
+		time.Sleep(1500 * time.Millisecond)
+	}
+	got := stop()
+	assert.Assert(t, got[200] > 0, "%v", got)
+}
+
+// As above, but the entry stands still for longer than its callers wait, and
+// then goes on with what it believes.
+func TestFleetEntryFrozen(t *testing.T) {
+	f := startFleet(t, 2, 2)
+	stop := load(t, f, 25*time.Millisecond, 4, 900)
+	for range 2 {
+		time.Sleep(700 * time.Millisecond)
+		f.Entries[0].Process().Freeze()
+		time.Sleep(2500 * time.Millisecond)
+		f.Entries[0].Process().Thaw()
+	}
+	time.Sleep(500 * time.Millisecond)
+	got := stop()
+	assert.Assert(t, got[200] > 0, "%v", got)
+}
+
+// A guard is killed with runs at its runner and orders on their way. Its
+// successor doesn't know what they take: it must end them before it starts
+// anything, or the runner would hold more than its capacity.
+func TestFleetGuardKilled(t *testing.T) {
+	f := startFleet(t, 2, 2)
+	f.Runners[0].SetFault(worker.Fault{LateShare: 0.1, LateBy: 1500 * time.Millisecond})
+	stop := load(t, f, 25*time.Millisecond, 4, 300)
+	for range 3 {
+		time.Sleep(600 * time.Millisecond)
+		f.Guards[0].Process().Kill()
+		assert.NilError(t, f.Guards[0].Start())
+		time.Sleep(1200 * time.Millisecond)
+	}
+	got := stop()
+	assert.Assert(t, got[200] > 0, "%v", got)
+}
+
+// Half of the orders get no answer and are carried out 2 s later. A start that
+// got none is barred, so it doesn't run beside the one that took its place.
+func TestFleetLateOrders(t *testing.T) {
+	f := startFleet(t, 2, 3)
+	for _, r := range f.Runners {
+		r.SetFault(worker.Fault{LateShare: 0.3, LateBy: 2 * time.Second})
+	}
+	stop := load(t, f, 30*time.Millisecond, 4, 100)
+	time.Sleep(5 * time.Second)
+	got := stop()
+	time.Sleep(2500 * time.Millisecond)
+	assert.Assert(t, got[200] > 0, "%v", got)
+	assert.Equal(t, f.Judge.Running(), 0)
+}
+
+// A guard stands still with runs at its runner: their lease must run out, since
+// their callers may have gone elsewhere when it wakes.
+func TestFleetGuardFrozen(t *testing.T) {
+	f := startFleet(t, 2, 2)
+	stop := load(t, f, 30*time.Millisecond, 4, 700)
+	time.Sleep(700 * time.Millisecond)
+	f.Guards[0].Process().Freeze()
+	time.Sleep(3 * time.Second)
+	f.Guards[0].Process().Thaw()
+	time.Sleep(500 * time.Millisecond)
+	got := stop()
+	assert.Assert(t, got[200] > 0, "%v", got)
+}
+
+// A runner ends and another life begins at its address. A report of the older
+// life, held up on its way, comes after the newer one's: the guard must go on
+// with the newer life.
+func TestFleetRunnerReborn(t *testing.T) {
+	f := startFleet(t, 1, 1)
+	r := f.Runners[0]
+	held := r.Held(t.Context())
+	r.Crash()
+	time.Sleep(200 * time.Millisecond)
+	r.Reborn()
+	r.Report(t.Context())
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	serves := func() error {
+		if a := f.Submit(ctx, 0, fleet.NewJob(2, 10), 1); a.Status != 200 {
+			return fmt.Errorf("%d %s", a.Status, a.Text)
+		}
+		return nil
+	}
+	assert.NilError(t, eventually(ctx, serves))
+	held()
+	for range 20 {
+		assert.NilError(t, serves())
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// An entry that is stopped as planned answers every request that it has taken,
+// and a hangup ends nothing.
+func TestFleetGracefulEnd(t *testing.T) {
+	f := startFleet(t, 2, 2)
+	for _, n := range append(f.Entries, f.Guards...) {
+		n.Process().Hangup()
+	}
+	var open sync.WaitGroup
+	for range 12 {
+		open.Go(func() {
+			a := f.Try(t.Context(), f.Entries[0], fleet.Prefix, fleet.NewJob(1, 800))
+			assert.Check(t, a.Status == 200, "%d %s", a.Status, a.Text)
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	f.Entries[0].Process().Terminate()
+	time.Sleep(50 * time.Millisecond)
+	assert.Assert(t, !f.IsReady(f.Entries[0]))
+	a := f.Try(t.Context(), f.Entries[0], fleet.Prefix, fleet.NewJob(1, 10))
+	assert.Equal(t, a.Status, 200, "new work is taken until the balancer has noticed: %s", a.Text)
+	open.Wait()
+	<-f.Entries[0].Process().Done()
+	assert.NilError(t, f.Entries[0].Process().Err())
+}
+
+// A change of the configuration is in force within 2 s of the store's word. A
+// value that can't be read changes nothing. While the store turns one entry
+// away, it gets the change from another.
+func TestFleetConfiguration(t *testing.T) {
+	f := startFleet(t, 2, 1)
+	post := func(i int, path string) int {
+		return f.Try(t.Context(), f.Entries[i], path, fleet.NewJob(1, 10)).Status
+	}
+	f.Configure("/new/")
+	time.Sleep(2 * time.Second)
+	for i := range f.Entries {
+		assert.Equal(t, post(i, "/new/"), 200)
+		assert.Equal(t, post(i, fleet.Prefix), 404)
+	}
+	f.Store.Put("op/config", []byte("{"))
+	time.Sleep(2 * time.Second)
+	for i := range f.Entries {
+		assert.Equal(t, post(i, "/new/"), 200)
+	}
+	f.Store.SetFault(metastore.Fault{Down: metastore.Silent, For: []string{f.Entries[0].ID}})
+	time.Sleep(time.Second)
+	f.Configure("/newer/")
+	time.Sleep(2 * time.Second)
+	for i := range f.Entries {
+		assert.Equal(t, post(i, "/newer/"), 200, "entry %d", i)
+	}
+}
+
+// While the store is down, jobs are served, and a path that isn't known may
+// belong to a contract that this entry has not heard of: it must not be denied.
+func TestFleetStoreDown(t *testing.T) {
+	f := startFleet(t, 2, 1)
+	f.Store.SetFault(metastore.Fault{Down: metastore.Silent})
+	time.Sleep(2500 * time.Millisecond)
+	for i := range f.Entries {
+		a := f.Try(t.Context(), f.Entries[i], fleet.Prefix, fleet.NewJob(1, 10))
+		assert.Equal(t, a.Status, 200, a.Text)
+		a = f.Try(t.Context(), f.Entries[i], "/unknown/", fleet.NewJob(1, 10))
+		assert.Equal(t, a.Status, 503, a.Text)
+		assert.Assert(t, a.RetryAfter != "")
+	}
+}
+
+// Bad requests get a clear error at once and start nothing.
+func TestFleetBadInput(t *testing.T) {
+	f := startFleet(t, 1, 1)
+	before := f.Judge.Starts()
+	id := fleet.NewJob(1, 1).ID
+	for _, c := range []struct {
+		name, path, body, deadline string
+		status                     int
+		state                      string
+	}{
+		{"no JSON", fleet.Prefix + id, "{", "1500", 400, ""},
+		{"wrong kind", fleet.Prefix + id, `{"best_effort":true,"steps":[{"count":"four"}]}`, "1500", 400, ""},
+		{"no steps", fleet.Prefix + id, `{"best_effort":true,"steps":[]}`, "1500", 400, ""},
+		{"negative", fleet.Prefix + id, `{"best_effort":true,"steps":[{"count":1,"cpu":-1}]}`, "1500", 400, ""},
+		{"forward reference", fleet.Prefix + id, `{"best_effort":true,"steps":[{"count":1,"after":[0]}]}`, "1500", 400, ""},
+		{"bad id", fleet.Prefix + "xyz", `{}`, "1500", 400, ""},
+		{"too large", fleet.Prefix + id, `{"task_spec":"` + strings.Repeat("x", 70000) + `"}`, "1500", 413, ""},
+		{"no time", fleet.Prefix + id, string(fleet.NewJob(1, 1).Body()), "0", 503, ""},
+		{"to be stored", fleet.Prefix + id, `{"steps":[{"count":1}]}`, "1500", 503, ""},
+		{"no route", "/nowhere/" + id, `{}`, "1500", 404, ""},
+		{"fits no runner", fleet.Prefix + id, `{"best_effort":true,"steps":[{"count":1,"cpu":64000}]}`, "1500", 200, "failed"},
+	} {
+		a := f.Post(t.Context(), f.Entries[0], c.path, []byte(c.body), c.deadline)
+		assert.Equal(t, a.Status, c.status, "%s: %s", c.name, a.Text)
+		assert.Equal(t, a.State, c.state, c.name)
+		assert.Assert(t, a.Took < 300*time.Millisecond, "%s took %v", c.name, a.Took)
+	}
+	assert.Equal(t, f.Judge.Starts(), before)
+}
--- a/e2e/harness/address.go
+++ b/e2e/harness/address.go
@@ -11,15 +11,15 @@
 // nothing else binds on that IP.
 var hosts atomic.Uint32
 
-// newHost returns a loopback IP that no other process of this run uses.
-func newHost() string {
+// NewHost returns a loopback IP that no other process of this run uses.
+func NewHost() string {
 	n := hosts.Add(1)
 	return fmt.Sprintf("127.%d.%d.%d", 20+n/62500, n/250%250+1, n%250+1)
 }
 
-// freeAddresses returns addresses on the host with ports that the kernel chose.
+// FreeAddresses returns addresses on the host with ports that the kernel chose.
 // All are held until the last is chosen: else the kernel may choose one twice.
-func freeAddresses(host string, into ...*string) error {
+func FreeAddresses(host string, into ...*string) error {
 	for _, to := range into {
 		l, err := net.Listen("tcp", host+":0")
 		if err != nil {
--- a/e2e/harness/cluster.go
+++ b/e2e/harness/cluster.go
@@ -187,7 +187,7 @@
 func (c *Cluster) startStore() error {
 	c.Store = store.New(time.Now)
 	go func() { _ = c.Store.Run(c.ctx) }()
-	address, err := c.serve(newHost(), c.Store, nil)
+	address, err := c.serve(NewHost(), c.Store, nil)
 	if err != nil {
 		return err
 	}
@@ -221,7 +221,7 @@
 	if err := r.Set(relay.State{ToTarget: relay.Pass, ToClient: relay.Pass, Delay: c.options.Delay}); err != nil {
 		return nil, "", fmt.Errorf("harness: relay: %w", err)
 	}
-	l, err := net.Listen("tcp", newHost()+":0")
+	l, err := net.Listen("tcp", NewHost()+":0")
 	if err != nil {
 		return nil, "", fmt.Errorf("harness: relay: %w", err)
 	}
@@ -258,7 +258,7 @@
 }
 
 func (e *Entry) chooseAddresses() error {
-	return freeAddresses(newHost(), &e.Callers, &e.Internal, &e.Operators)
+	return FreeAddresses(NewHost(), &e.Callers, &e.Internal, &e.Operators)
 }
 
 func (c *Cluster) writeEntrySettings(e *Entry, i int, advertised []string) error {
@@ -328,7 +328,7 @@
 
 func (c *Cluster) addGuard(i int) error {
 	g := &Guard{ID: fmt.Sprintf("guard-%d", i+1)}
-	if err := freeAddresses(newHost(), &g.Internal, &g.Local); err != nil {
+	if err := FreeAddresses(NewHost(), &g.Internal, &g.Local); err != nil {
 		return err
 	}
 	r, advertised, err := c.relayTo(g.Internal)
@@ -395,7 +395,7 @@
 	if err != nil {
 		return err
 	}
-	address, err := c.serve(newHost(), r.Handler(), r.Listener)
+	address, err := c.serve(NewHost(), r.Handler(), r.Listener)
 	if err != nil {
 		return err
 	}
--- a/e2e/harness/process.go
+++ b/e2e/harness/process.go
@@ -168,3 +168,6 @@
 	defer t.mu.Unlock()
 	return string(t.data)
 }
+
+// Hangup tells the process that its settings file may have changed.
+func (p *Process) Hangup() { p.signal(syscall.SIGHUP) }
--- a/e2e/harness/relay.go
+++ b/e2e/harness/relay.go
@@ -14,7 +14,7 @@
 // this entry alone can be cut off. It changes the settings before the start.
 func StoreRelay(ctx context.Context, s *node.Settings) (*relay.Relay, error) {
 	r := relay.New(s.Platform.Addresses[0].String())
-	l, err := net.Listen("tcp", newHost()+":0")
+	l, err := net.Listen("tcp", NewHost()+":0")
 	if err != nil {
 		return nil, fmt.Errorf("harness: relay: %w", err)
 	}
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -211,15 +211,15 @@
 	transport := fleetwire.NewTransport()
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
+	var last time.Time
 	for ctx.Err() == nil {
-		if a := r.nextPeer(); a != "" {
-			r.meet(ctx, client, a)
+		if time.Since(last) >= meetEvery || !r.config.Fresh() {
+			last = time.Now()
+			if a := r.nextPeer(); a != "" {
+				r.meet(ctx, client, a)
+			}
 		}
-		pause := meetEvery
-		if !r.config.Fresh() {
-			pause = meetSoon
-		}
-		wait(ctx, pause)
+		wait(ctx, meetSoon)
 	}
 }
 
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -348,6 +348,7 @@
 		Total:   fleetwire.FromAmounts(r.GetTotal()),
 		Used:    fleetwire.FromAmounts(r.GetUsed()),
 		Labels:  r.GetLabels(),
+		Cleared: r.GetCleared(),
 	}
 }
 
--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -64,6 +64,8 @@
 // Options of a Host.
 type Options struct {
 	Runs runs.Options
+	// MaxLease is the longest lease that a runner grants.
+	MaxLease time.Duration
 	// Dial returns the runner at an address.
 	Dial    func(address string) Runner
 	Logger  *slog.Logger
@@ -123,6 +125,7 @@
 	h.sink = sink
 	h.ctx = ctx
 	h.mu.Unlock()
+	defer time.AfterFunc(h.clearAfter(), sink.RoomChanged).Stop()
 	var loops sync.WaitGroup
 	loops.Go(func() { h.sweepLoop(ctx) })
 	loops.Go(func() { h.lookLoop(ctx) })
@@ -146,7 +149,15 @@
 func (h *Host) Room() runs.Room {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.book.Room()
+	room := h.book.Room()
+	room.Cleared = room.Cleared || h.steady() > h.clearAfter()
+	return room
+}
+
+// clearAfter is the time after this guard's begin by which every lease that an
+// older guard can have had from the runner is over, on the slowest clock.
+func (h *Host) clearAfter() time.Duration {
+	return time.Duration(float64(h.opt.MaxLease)/slowClock) + lapseMargin
 }
 
 // Useful reports whether there is room for another run like the newest asked for.
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -136,7 +136,9 @@
 	Life
 	// Open is false while no starts are taken.
 	Open bool
-	Used work.Amounts
+	// Cleared is true once nothing that an older guard ordered runs or can begin.
+	Cleared bool
+	Used    work.Amounts
 }
 
 // Start is a start to be sent to the runner.
@@ -262,7 +264,7 @@
 	if b.life == nil {
 		return Room{}
 	}
-	return Room{Life: *b.life, Open: b.Open(), Used: b.used}
+	return Room{Life: *b.life, Open: b.Open(), Cleared: b.checked && len(b.strays) == 0, Used: b.used}
 }
 
 // Useful reports whether there is room for another run like the newest asked for.
--- a/guard/side/side.go
+++ b/guard/side/side.go
@@ -63,9 +63,10 @@
 			EndBound: share(resend, endBoundShare),
 			Hold:     share(s.Bounds.MaxLease.Std(), leaseShare),
 		},
-		Dial:    func(address string) host.Runner { return runner.New(address) },
-		Logger:  o.Logger,
-		Metrics: host.NewMetrics(o.Metrics.Scope),
+		MaxLease: s.Bounds.MaxLease.Std(),
+		Dial:     func(address string) host.Runner { return runner.New(address) },
+		Logger:   o.Logger,
+		Metrics:  host.NewMetrics(o.Metrics.Scope),
 	})
 	g.up = uplink.New(uplink.Options{
 		Guard:       s.ID,
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -46,8 +46,9 @@
 	waiting bool
 	// due is when the room is to be told; zero while it need not be.
 	due time.Time
-	// told is when it was told last.
-	told time.Time
+	// told is when it was told last, and toldRoom what.
+	told     time.Time
+	toldRoom runs.Room
 	// along is true when the room goes along with the next reports.
 	along bool
 }
@@ -260,7 +261,7 @@
 		}
 		m := &wirev1.AttachRequest{ClockUs: uptime.Now().Microseconds(), Reports: reports}
 		if room {
-			m.Room = wireRoom(s.up.host.Room())
+			m.Room = wireRoom(s.room())
 		}
 		if err := st.Send(m); err != nil {
 			s.cancel(fmt.Errorf("uplink: send: %w", err))
@@ -297,6 +298,24 @@
 	return reports, true, 0
 }
 
+// room returns the room that is told now.
+func (s *session) room() runs.Room {
+	r := s.up.host.Room()
+	s.mu.Lock()
+	s.toldRoom = r
+	s.mu.Unlock()
+	return r
+}
+
+// news reports whether more than the amount taken has changed since the entry
+// was told: that can't wait.
+func (s *session) news(r runs.Room) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.toldRoom
+	return t.Open != r.Open || t.Cleared != r.Cleared || t.Instance != r.Instance || t.Total != r.Total
+}
+
 func wireRoom(r runs.Room) *wirev1.Room {
 	return &wirev1.Room{
 		Service: r.Service,
@@ -305,6 +324,7 @@
 		Total:   fleetwire.Amounts(r.Total),
 		Used:    fleetwire.Amounts(r.Used),
 		Labels:  r.Labels,
+		Cleared: r.Cleared,
 	}
 }
 
--- a/guard/uplink/uplink.go
+++ b/guard/uplink/uplink.go
@@ -241,10 +241,13 @@
 		}
 	}
 	for _, s := range u.current {
-		if !s.isWaiting() {
+		if s.news(room) {
+			s.roomAt(now)
+		} else if !s.isWaiting() {
 			s.roomAfter(pace, len(waiting) > 0)
 		}
 	}
+	waiting = slices.DeleteFunc(waiting, func(s *session) bool { return s.news(room) })
 	if !useful {
 		// Nobody can use the news that nothing is free.
 		for _, s := range waiting {
--- /dev/null
+++ b/standin/metastore/metastore.go
@@ -0,0 +1,317 @@
+// Package metastore is a stand-in for the platform's metadata store: keys with
+// revisions, leases and ranges over HTTP, and switches for its faults.
+package metastore
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault is how the store treats calls.
+type Fault struct {
+	// Down answers nothing (silent), 503 (busy) or breaks connections (reset).
+	Down Mode
+	// Delay is added to each answer.
+	Delay time.Duration
+	// LoseShare of the writes are done and not answered.
+	LoseShare float64
+	// Lapse lets leases run out though the store is down.
+	Lapse bool
+	// For names the callers it holds for, see Store.As; nil means all.
+	For []string
+}
+
+// Mode of an outage.
+type Mode string
+
+// Modes.
+const (
+	Up     Mode = ""
+	Silent Mode = "silent"
+	Busy   Mode = "busy"
+	Reset  Mode = "reset"
+)
+
+type item struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Rev     int64  `json:"revision"`
+	Created int64  `json:"created_rev"`
+	Lease   int64  `json:"lease_id"`
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// Store is the stand-in.
+type Store struct {
+	mu     sync.Mutex
+	rev    int64
+	items  map[string]item
+	leases map[int64]*lease
+	fault  Fault
+	calls  int
+	mux    *http.ServeMux
+}
+
+// New returns an empty store.
+func New() *Store {
+	s := &Store{items: map[string]item{}, leases: map[int64]*lease{}, mux: http.NewServeMux()}
+	s.mux.HandleFunc("GET /kv-key", s.get)
+	s.mux.HandleFunc("GET /kv-range", s.list)
+	s.mux.HandleFunc("POST /kv-txn", s.txn)
+	s.mux.HandleFunc("POST /kv-lease", s.grant)
+	s.mux.HandleFunc("POST /kv-keep/{id}", s.keep)
+	s.mux.HandleFunc("DELETE /kv-lease-end/{id}", s.end)
+	return s
+}
+
+// SetFault changes how calls are treated from now on.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	s.fault = f
+	s.mu.Unlock()
+}
+
+// Put writes a key as the operator does; it works during an outage too.
+func (s *Store) Put(key string, value []byte) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(key, value, 0)
+}
+
+// Keys returns the keys under a prefix.
+func (s *Store) Keys(prefix string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+// Calls counts the calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) put(key string, value []byte, lease int64) int64 {
+	s.rev++
+	created := s.rev
+	if old, ok := s.items[key]; ok {
+		created = old.Created
+	}
+	s.items[key] = item{key, value, s.rev, created, lease}
+	return s.rev
+}
+
+// As returns the store as the named caller reaches it.
+func (s *Store) As(caller string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, caller) })
+}
+
+// serve answers a call, or lets the fault have it.
+func (s *Store) serve(w http.ResponseWriter, r *http.Request, caller string) {
+	s.mu.Lock()
+	s.calls++
+	f := s.fault
+	s.mu.Unlock()
+	if f.For != nil && !slices.Contains(f.For, caller) {
+		f = Fault{}
+	}
+	switch f.Down {
+	case Silent:
+		<-r.Context().Done()
+		return
+	case Busy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case Reset:
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(f.Delay)
+	if r.Method != http.MethodGet && rand.Float64() < f.LoseShare {
+		s.mux.ServeHTTP(&lost{header: http.Header{}}, r)
+		<-r.Context().Done()
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// lost takes an answer that nobody gets.
+type lost struct{ header http.Header }
+
+func (l *lost) Header() http.Header         { return l.header }
+func (l *lost) Write(b []byte) (int, error) { return len(b), nil }
+func (l *lost) WriteHeader(int)             {}
+
+// expire ends leases. The lock is held.
+func (s *Store) expire() {
+	if s.fault.Down != Up && !s.fault.Lapse {
+		return
+	}
+	for id, l := range s.leases {
+		if time.Now().After(l.end) {
+			s.drop(id)
+		}
+	}
+}
+
+func (s *Store) drop(id int64) {
+	delete(s.leases, id)
+	for k, i := range s.items {
+		if i.Lease == id {
+			delete(s.items, k)
+			s.rev++
+		}
+	}
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	i, ok := s.items[r.URL.Query().Get("key")]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, struct {
+		item
+		At int64 `json:"at_rev"`
+	}{i, s.rev})
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	q := r.URL.Query()
+	items := []item{}
+	for k, i := range s.items {
+		if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("after") {
+			items = append(items, i)
+		}
+	}
+	sort.Slice(items, func(a, b int) bool { return items[a].Key < items[b].Key })
+	reply(w, struct {
+		Items []item `json:"items"`
+		More  bool   `json:"has_more"`
+		At    int64  `json:"at_rev"`
+	}{items, false, s.rev})
+}
+
+func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Expect []struct {
+			Key string `json:"key"`
+			Rev int64  `json:"revision"`
+		} `json:"expect"`
+		Puts []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+			Lease int64  `json:"lease_id"`
+		} `json:"puts"`
+		Deletes []string `json:"deletes"`
+	}
+	if json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, e := range body.Expect {
+		if s.items[e.Key].Rev != e.Rev {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	for _, p := range body.Puts {
+		if strings.HasPrefix(p.Key, "op/") {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	for _, p := range body.Puts {
+		s.put(p.Key, p.Value, p.Lease)
+	}
+	for _, k := range body.Deletes {
+		delete(s.items, k)
+		s.rev++
+	}
+	reply(w, struct {
+		Rev int64 `json:"revision"`
+	}{s.rev})
+}
+
+type leaseBody struct {
+	ID  int64 `json:"lease_id,omitempty"`
+	TTL int64 `json:"ttl_ms"`
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var body leaseBody
+	if json.NewDecoder(r.Body).Decode(&body) != nil || body.TTL <= 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	body.ID = s.rev
+	ttl := time.Duration(body.TTL) * time.Millisecond
+	s.leases[body.ID] = &lease{ttl, time.Now().Add(ttl)}
+	reply(w, body)
+}
+
+func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	l := s.leases[id]
+	if l == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	l.end = time.Now().Add(l.ttl)
+	reply(w, leaseBody{TTL: l.ttl.Milliseconds()})
+}
+
+func (s *Store) end(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id, _ := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	if s.leases[id] == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.drop(id)
+	reply(w, struct{}{})
+}
+
+func reply(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/standin/worker/worker.go
@@ -0,0 +1,481 @@
+// Package worker is a stand-in for a runner that tasks are started on and end
+// later: it grants leases, bars runs, fences older guards off, reports about
+// itself, and can leave orders unanswered and carry them out late.
+package worker
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// How runs end.
+const (
+	Done    = "done"
+	Failed  = "failed"
+	Stopped = "stopped"
+	Lapsed  = "lapsed"
+)
+
+const (
+	maxHold  = time.Second
+	stopTime = 30 * time.Millisecond
+	tick     = 5 * time.Millisecond
+	beat     = 300 * time.Millisecond
+)
+
+// Spec is what a task's text says, as JSON: how long it runs and what it takes.
+type Spec struct {
+	Ms  int   `json:"ms"`
+	CPU int64 `json:"cpu"`
+	// Fails has each run fail.
+	Fails bool `json:"fails"`
+}
+
+// Fault of a runner.
+type Fault struct {
+	// LateShare of the orders get no answer and are carried out after LateBy.
+	LateShare float64
+	LateBy    time.Duration
+	// Slow times the run times, 0 means 1; Hang lets nothing end; FailShare of the
+	// runs fail.
+	Slow      float64
+	Hang      bool
+	FailShare float64
+	// Mute answers no order and carries out none.
+	Mute bool
+}
+
+type run struct {
+	number int
+	cpu    int64
+	timer  *time.Timer
+	// stopping is true while a stop takes its time.
+	stopping bool
+}
+
+type end struct {
+	seq    int64
+	task   string
+	number int
+	how    string
+}
+
+// Runner is one stand-in; Reborn gives it a new life.
+type Runner struct {
+	Service string
+	Zone    string
+	CPU     int64
+	Judge   *Judge
+	// Control is where reports go.
+	Control string
+
+	mu       sync.Mutex
+	address  string
+	server   *http.Server
+	began    time.Time
+	life     int
+	instance string
+	fault    Fault
+	token    int64
+	lease    time.Duration
+	runs     map[string]*run
+	barred   map[string]int
+	ends     []end
+	lastEnd  int64
+	news     chan struct{}
+	draining bool
+	seq      int64
+	dead     bool
+}
+
+// Listen opens the runner's address on the host.
+func (r *Runner) Listen(host string) error {
+	l, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		return fmt.Errorf("worker stand-in: %w", err)
+	}
+	r.address = l.Addr().String()
+	r.began = time.Now()
+	r.reset()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /run-start", r.order(r.start))
+	mux.HandleFunc("POST /run-stop", r.order(r.stop))
+	mux.HandleFunc("POST /hold", r.order(r.hold))
+	r.server = &http.Server{Handler: mux}
+	go func() { _ = r.server.Serve(l) }()
+	return nil
+}
+
+// Run reports about the runner and ends leases, until the context ends.
+func (r *Runner) Run(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	next := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			_ = r.server.Close()
+			return
+		case <-t.C:
+		}
+		r.lapse()
+		if time.Now().After(next) {
+			next = time.Now().Add(beat)
+			go r.Report(ctx)
+		}
+	}
+}
+
+// reset begins a new life. The lock is held, or nobody else is there yet.
+func (r *Runner) reset() {
+	r.life++
+	r.instance = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(r.address, ":", "-"), r.life)
+	r.token, r.lease, r.lastEnd, r.seq = 0, 0, 0, 0
+	r.runs, r.barred, r.ends = map[string]*run{}, map[string]int{}, nil
+	r.news = make(chan struct{})
+	r.draining, r.dead = false, false
+}
+
+// SetFault changes how orders and runs are treated from now on.
+func (r *Runner) SetFault(f Fault) {
+	r.mu.Lock()
+	r.fault = f
+	r.mu.Unlock()
+}
+
+// Crash ends this life: nothing answers until Reborn.
+func (r *Runner) Crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.dead = true
+	for task, x := range r.runs {
+		x.timer.Stop()
+		r.Judge.ended(task, r.where(x), "lost")
+	}
+	r.runs = map[string]*run{}
+}
+
+// Reborn begins a new life at the same address.
+func (r *Runner) Reborn() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reset()
+}
+
+// Drain announces the runner's end.
+func (r *Runner) Drain() {
+	r.mu.Lock()
+	r.draining = true
+	r.mu.Unlock()
+}
+
+// Instance names the current life.
+func (r *Runner) Instance() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.instance
+}
+
+// Used is what the runs going on take.
+func (r *Runner) Used() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.used()
+}
+
+func (r *Runner) used() int64 {
+	var sum int64
+	for _, x := range r.runs {
+		sum += x.cpu
+	}
+	return sum
+}
+
+// reportBody is the runner's report of a life.
+func (r *Runner) reportBody() (instance string, body []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.dead {
+		return "", nil
+	}
+	r.seq++
+	state := "ready"
+	if r.draining {
+		state = "draining"
+	}
+	body, _ = json.Marshal(map[string]any{
+		"service": r.Service, "address": r.address, "zone": r.Zone, "version": "v1", "slots": 8, "state": state,
+		"capacity": map[string]int64{"cpu": r.CPU, "mem_mb": 1 << 20, "gpu": 0},
+		"labels":   []string{"a", "r1-1"}, "clock_ms": r.clock().Milliseconds(), "seq": r.seq,
+	})
+	return r.instance, body
+}
+
+// Report sends one report.
+func (r *Runner) Report(ctx context.Context) {
+	if instance, body := r.reportBody(); body != nil {
+		r.Send(ctx, instance, body)
+	}
+}
+
+// Held returns a report that is sent only when it is called, also after its
+// life has ended.
+func (r *Runner) Held(ctx context.Context) func() {
+	instance, body := r.reportBody()
+	return func() { r.Send(ctx, instance, body) }
+}
+
+// Send sends a report.
+func (r *Runner) Send(ctx context.Context, instance string, body []byte) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+r.Control+"/instances/"+instance, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	if res, err := http.DefaultClient.Do(req); err == nil {
+		_ = res.Body.Close()
+	}
+}
+
+// clock is the runner's own; the lock needn't be held.
+func (r *Runner) clock() time.Duration { return time.Since(r.began) + time.Hour }
+
+type orderBody struct {
+	Task  string `json:"task"`
+	Run   int    `json:"run_id"`
+	Spec  string `json:"task_spec"`
+	Until int64  `json:"until_ms"`
+	Token int64  `json:"fencing_token"`
+	Seen  int64  `json:"last_seen"`
+	Wait  int64  `json:"wait_ms"`
+}
+
+type answer struct {
+	status  int
+	reason  string
+	view    bool
+	waiting time.Duration
+}
+
+// order wraps an order's handler with the instance check and the faults.
+func (r *Runner) order(do func(orderBody) answer) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		var body orderBody
+		if json.NewDecoder(req.Body).Decode(&body) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		r.mu.Lock()
+		f, dead := r.fault, r.dead
+		expected := req.Header.Get("X-Almondstand-Expected-Instance")
+		other := expected != "" && expected != r.instance
+		r.mu.Unlock()
+		switch {
+		case dead:
+			panic(http.ErrAbortHandler)
+		case f.Mute:
+			<-req.Context().Done()
+			return
+		case other:
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		case rand.Float64() < f.LateShare:
+			instance := r.Instance()
+			time.AfterFunc(f.LateBy, func() {
+				if r.Instance() == instance {
+					do(body)
+				}
+			})
+			<-req.Context().Done()
+			return
+		}
+		r.write(w, req, body, do(body))
+	}
+}
+
+func (r *Runner) write(w http.ResponseWriter, req *http.Request, body orderBody, a answer) {
+	if a.waiting > 0 {
+		r.await(req.Context(), body.Seen, a.waiting)
+	}
+	r.mu.Lock()
+	reply := map[string]any{"clock_ms": r.clock().Milliseconds()}
+	if a.reason != "" {
+		reply["reason"] = a.reason
+	}
+	if a.view {
+		running, ends := [][]any{}, [][]any{}
+		for task, x := range r.runs {
+			running = append(running, []any{task, x.number, "", 100})
+		}
+		for _, e := range r.ends {
+			ends = append(ends, []any{e.seq, e.task, e.number, e.how, ""})
+		}
+		reply["running"], reply["ended_runs"] = running, ends
+	}
+	r.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(a.status)
+	_ = json.NewEncoder(w).Encode(reply)
+}
+
+// await waits for an end that has not been seen.
+func (r *Runner) await(ctx context.Context, seen int64, limit time.Duration) {
+	over := time.After(limit)
+	for {
+		r.mu.Lock()
+		news, last := r.news, r.lastEnd
+		r.mu.Unlock()
+		if last > seen {
+			return
+		}
+		select {
+		case <-news:
+		case <-over:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// fence checks an order's token. The lock is held.
+func (r *Runner) fence(token int64) bool {
+	if token < r.token {
+		return false
+	}
+	r.token = token
+	return true
+}
+
+func (r *Runner) extend(until int64) bool {
+	u := min(time.Duration(until)*time.Millisecond, r.clock()+maxHold)
+	if u <= r.clock() {
+		return false
+	}
+	r.lease = max(r.lease, u)
+	return true
+}
+
+func (r *Runner) start(b orderBody) answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.dead || !r.fence(b.Token) {
+		return answer{status: http.StatusConflict, reason: "fence"}
+	}
+	if !r.extend(b.Until) {
+		return answer{status: http.StatusConflict, reason: "late"}
+	}
+	if x := r.runs[b.Task]; x != nil && x.number == b.Run {
+		return answer{status: http.StatusOK}
+	}
+	if b.Run <= r.barred[b.Task] || r.runs[b.Task] != nil {
+		return answer{status: http.StatusConflict, reason: "old"}
+	}
+	var spec Spec
+	if json.Unmarshal([]byte(b.Spec), &spec) != nil {
+		return answer{status: http.StatusBadRequest}
+	}
+	x := &run{number: b.Run, cpu: spec.CPU}
+	r.runs[b.Task] = x
+	r.Judge.started(b.Task, r.where(x))
+	if used := r.used(); used > r.CPU {
+		r.Judge.Fault("runner %s has %d of %d thousandths of a core taken", r.instance, used, r.CPU)
+	}
+	span := time.Duration(spec.Ms) * time.Millisecond
+	if r.fault.Slow > 0 {
+		span = time.Duration(float64(span) * r.fault.Slow)
+	}
+	if r.fault.Hang {
+		span = time.Hour
+	}
+	how := Done
+	if spec.Fails || rand.Float64() < r.fault.FailShare {
+		how = Failed
+	}
+	x.timer = time.AfterFunc(span, func() { r.finish(b.Task, x, how) })
+	return answer{status: http.StatusOK}
+}
+
+func (r *Runner) where(x *run) Where { return Where{r.address, r.instance, x.number} }
+
+// finish ends a run, unless it has ended or its life is over.
+func (r *Runner) finish(task string, x *run, how string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs[task] != x {
+		return
+	}
+	x.timer.Stop()
+	delete(r.runs, task)
+	r.barred[task] = max(r.barred[task], x.number)
+	r.lastEnd++
+	r.ends = append(r.ends, end{r.lastEnd, task, x.number, how})
+	r.Judge.ended(task, r.where(x), how)
+	close(r.news)
+	r.news = make(chan struct{})
+}
+
+func (r *Runner) stop(b orderBody) answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.dead || !r.fence(b.Token) {
+		return answer{status: http.StatusConflict, reason: "fence"}
+	}
+	r.barred[b.Task] = max(r.barred[b.Task], b.Run)
+	if x := r.runs[b.Task]; x != nil && x.number <= b.Run && !x.stopping {
+		x.stopping = true
+		time.AfterFunc(stopTime, func() { r.finish(b.Task, x, Stopped) })
+	}
+	return answer{status: http.StatusOK}
+}
+
+func (r *Runner) hold(b orderBody) answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.dead || !r.fence(b.Token) {
+		return answer{status: http.StatusConflict, reason: "fence"}
+	}
+	if b.Until > 0 {
+		r.extend(b.Until)
+	}
+	kept := r.ends[:0]
+	for _, e := range r.ends {
+		if e.seq > b.Seen {
+			kept = append(kept, e)
+		}
+	}
+	r.ends = kept
+	return answer{status: http.StatusOK, view: true, waiting: time.Duration(b.Wait) * time.Millisecond}
+}
+
+// lapse kills everything when the lease is over.
+func (r *Runner) lapse() {
+	r.mu.Lock()
+	if r.clock() < r.lease || len(r.runs) == 0 {
+		r.mu.Unlock()
+		return
+	}
+	var lapsed []string
+	for task := range r.runs {
+		lapsed = append(lapsed, task)
+	}
+	runs := r.runs
+	r.mu.Unlock()
+	for _, task := range lapsed {
+		r.mu.Lock()
+		x := runs[task]
+		r.mu.Unlock()
+		if x != nil {
+			r.finish(task, x, Lapsed)
+		}
+	}
+}
