a silent session with an entry is given up; the fault soak

The entry behind it had no runners for good. Each session now closes its connection. TestSilentSessionIsGivenUp fails without it. Ruled out: the entry's admission (its log shows no attempt), the relay.

--- a/e2e/fleet/fleet.go
+++ b/e2e/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 	"almondstand.dev/e2e/harness"
 	"almondstand.dev/standin/metastore"
+	"almondstand.dev/standin/relay"
 	"almondstand.dev/standin/worker"
 )
 
@@ -42,8 +43,6 @@
 	Dir      string
 	Entries  int
 	Guards   int
-	// Build is the build of an entry or guard in place of Binaries, by its id.
-	Env []string
 }
 
 // Fleet is a set of processes and stand-ins.
@@ -55,6 +54,10 @@
 	Entries []*Node
 	Guards  []*Node
 	Runners []*worker.Runner
+	// EntryNets are the networks from the guards and other entries to each entry,
+	// RunnerNets those from each guard to its runner.
+	EntryNets  []*relay.Relay
+	RunnerNets []*relay.Relay
 
 	version int
 	cancel  context.CancelFunc
@@ -65,8 +68,10 @@
 
 // Node is one entry or guard.
 type Node struct {
-	ID      string
-	IP      string
+	ID string
+	IP string
+	// Outside is the IP at which guards reach an entry, through its network.
+	Outside string
 	Front   string
 	Ready   string
 	Control string
@@ -74,6 +79,9 @@
 	path    string
 	args    []string
 
+	// Restarting is held while the node is ended and started.
+	Restarting sync.Mutex
+
 	mu      sync.Mutex
 	process *harness.Process
 }
@@ -102,7 +110,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	f := &Fleet{opt: o, Store: metastore.New(), Judge: worker.NewJudge(), cancel: cancel, client: &http.Client{Timeout: 10 * time.Second}}
 	f.Configure(Prefix)
-	if err := f.plan(); err != nil {
+	if err := f.plan(ctx); err != nil {
 		return nil, err
 	}
 	for _, g := range f.Guards {
@@ -110,6 +118,12 @@
 		if err := r.Listen(g.IP); err != nil {
 			return nil, err
 		}
+		net, address, err := network(ctx, r.Address(), harness.NewHost()+":0")
+		if err != nil {
+			return nil, err
+		}
+		r.Advertise = address
+		f.RunnerNets = append(f.RunnerNets, net)
 		f.Runners = append(f.Runners, r)
 		f.running.Go(func() { r.Run(ctx) })
 	}
@@ -123,12 +137,18 @@
 }
 
 // plan chooses addresses and writes the settings.
-func (f *Fleet) plan() error {
+func (f *Fleet) plan(ctx context.Context) error {
 	for i := range f.opt.Entries {
 		n := &Node{ID: fmt.Sprintf("entry-%d", i+1), IP: harness.NewHost(), path: f.opt.Binaries.Entry}
 		if err := harness.FreeAddresses(n.IP, &n.Front, &n.Ready); err != nil {
 			return err
 		}
+		n.Outside = harness.NewHost()
+		net, _, err := network(ctx, fmt.Sprintf("%s:%d", n.IP, entryPort), fmt.Sprintf("%s:%d", n.Outside, entryPort))
+		if err != nil {
+			return err
+		}
+		f.EntryNets = append(f.EntryNets, net)
 		f.Entries = append(f.Entries, n)
 	}
 	for i := range f.opt.Guards {
@@ -159,6 +179,17 @@
 	return nil
 }
 
+// network puts a relay in front of an address.
+func network(ctx context.Context, target, at string) (*relay.Relay, string, error) {
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		return nil, "", fmt.Errorf("fleet: network: %w", err)
+	}
+	r := relay.New(target)
+	go func() { _ = r.Serve(ctx, l) }()
+	return r, l.Addr().String(), nil
+}
+
 // serveStore serves the store to one caller, at an address of its own.
 func (f *Fleet) serveStore(caller string) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -175,7 +206,7 @@
 	var all []string
 	for i, n := range f.Entries {
 		if i < 3 {
-			all = append(all, n.IP+":1")
+			all = append(all, n.Outside+":1")
 		}
 	}
 	return all
@@ -184,7 +215,7 @@
 func (f *Fleet) entrySettings(n *Node, store string) any {
 	return section(map[string]any{
 		"id": n.ID, "zone": "a",
-		"listen": map[string]string{"callers": n.Front, "ready": n.Ready, "guards": fmt.Sprintf("%s:%d", n.IP, entryPort)},
+		"listen": map[string]string{"callers": n.Front, "ready": n.Ready, "guards": fmt.Sprintf("%s:%d", n.IP, entryPort), "advertise": fmt.Sprintf("%s:%d", n.Outside, entryPort)},
 		"seeds":  f.seeds(),
 		"store":  store,
 	})
--- a/e2e/harness/process.go
+++ b/e2e/harness/process.go
@@ -171,3 +171,9 @@
 
 // Hangup tells the process that its settings file may have changed.
 func (p *Process) Hangup() { p.signal(syscall.SIGHUP) }
+
+// Dump ends the process and has it log what each of its goroutines does.
+func (p *Process) Dump() {
+	p.signal(syscall.SIGQUIT)
+	<-p.done
+}
--- /dev/null
+++ b/e2e/soak/run.go
@@ -0,0 +1,367 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"almondstand.dev/e2e/fleet"
+	"almondstand.dev/e2e/harness"
+	"almondstand.dev/standin/metastore"
+	"almondstand.dev/standin/relay"
+	"almondstand.dev/standin/worker"
+)
+
+// Sizes of a run.
+const (
+	entries = 3
+	guards  = 4
+	// every is the pause between two jobs of 4.5 tasks of 208 ms: 27 tasks at a time
+	// where the runners carry 40.
+	every = 35 * time.Millisecond
+	// recoverIn is the time after the last fault in which every entry must serve.
+	recoverIn = 10 * time.Second
+	readyIn   = 20 * time.Second
+	// settleFor lets late orders come and runs end before the judge is asked.
+	settleFor = 3 * time.Second
+	tailLines = 1500
+)
+
+// ErrBroken means that a promise was broken; the report tells which.
+var ErrBroken = errors.New("soak: a promise was broken")
+
+// Options of a run.
+type Options struct {
+	Binaries harness.Binaries
+	Dir      string
+	Seed     uint64
+	Length   time.Duration
+}
+
+// Report of a run.
+type Report struct {
+	Seed     uint64
+	Faults   []Fault
+	Broken   []string
+	Answers  map[int]int
+	Starts   int
+	logs     map[string]string
+	duration time.Duration
+}
+
+// Text tells the run; with the logs if a promise was broken.
+func (r Report) Text() string {
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "seed %d: %d faults, %d runs, answers %v, %d broken, %.1f s\n", r.Seed, len(r.Faults), r.Starts, r.Answers, len(r.Broken), r.duration.Seconds())
+	if len(r.Broken) == 0 {
+		return b.String()
+	}
+	for _, f := range r.Faults {
+		_, _ = fmt.Fprintln(&b, "  fault", f)
+	}
+	for _, x := range r.Broken {
+		_, _ = fmt.Fprintln(&b, "  broken", x)
+	}
+	for id, log := range r.logs {
+		_, _ = fmt.Fprintf(&b, "== %s\n%s\n", id, log)
+	}
+	return b.String()
+}
+
+// run is one seed's run.
+type run struct {
+	opt    Options
+	fleet  *fleet.Fleet
+	began  time.Time
+	burst  atomic.Bool
+	undo   sync.WaitGroup
+	mu     sync.Mutex
+	routes int
+	counts map[int]int
+}
+
+// Run plays a seed.
+func Run(ctx context.Context, o Options) (Report, error) {
+	f, err := fleet.New(ctx, fleet.Options{Binaries: o.Binaries, Dir: o.Dir, Entries: entries, Guards: guards})
+	if err != nil {
+		return Report{}, err
+	}
+	defer f.Close()
+	r := &run{opt: o, fleet: f, counts: map[int]int{}}
+	if err := r.ready(ctx, readyIn); err != nil {
+		return Report{}, err
+	}
+	r.began = time.Now()
+	report := Report{Seed: o.Seed, Faults: Schedule(o.Seed, o.Length)}
+	stop := r.load(ctx)
+	r.play(ctx, report.Faults)
+	r.undo.Wait()
+	if err := r.ready(ctx, recoverIn); err != nil {
+		f.Judge.Fault("no recovery: %v", err)
+	}
+	stop()
+	time.Sleep(settleFor)
+	if n := f.Judge.Running(); n > 0 {
+		f.Judge.Fault("%d tasks run on with no job open", n)
+	}
+	report.Broken = f.Judge.Faults()
+	report.Answers = r.counts
+	report.Starts = f.Judge.Starts()
+	report.duration = time.Since(r.began)
+	report.logs = map[string]string{}
+	for _, n := range append(append([]*fleet.Node{}, f.Entries...), f.Guards...) {
+		if len(report.Broken) > 0 {
+			n.Process().Dump()
+		}
+		report.logs[n.ID] = tail(n.Process().Log())
+	}
+	if len(report.Broken) > 0 {
+		return report, ErrBroken
+	}
+	return report, nil
+}
+
+// tail returns a log's last lines, and before them the last of those that don't
+// come with every task.
+func tail(text string) string {
+	lines := strings.Split(text, "\n")
+	var rare []string
+	for _, l := range lines {
+		if !strings.Contains(l, "guard.run_") && !strings.Contains(l, `"msg":"job.`) {
+			rare = append(rare, l)
+		}
+	}
+	rare = rare[max(len(rare)-tailLines, 0):]
+	return strings.Join(rare, "\n") + "\n...\n" + strings.Join(lines[max(len(lines)-tailLines, 0):], "\n")
+}
+
+// ready waits until every entry has served three jobs in a row.
+func (r *run) ready(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for i := range r.fleet.Entries {
+		for served := 0; served < 3; {
+			a := r.fleet.Submit(ctx, i, fleet.NewJob(4, 20), 1)
+			if a.Status == http.StatusOK {
+				served++
+				continue
+			}
+			served = 0
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("%w: entry %d answers %d %s", fleet.ErrNotReady, i+1, a.Status, a.Text)
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+// load submits jobs until stop is called. Callers keep their connections.
+func (r *run) load(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	var open sync.WaitGroup
+	open.Go(func() {
+		for turn := 0; ctx.Err() == nil; turn++ {
+			pause := every
+			if r.burst.Load() {
+				pause = every / 4
+			}
+			time.Sleep(pause)
+			open.Go(func() { r.submit(turn) })
+		}
+	})
+	return func() {
+		cancel()
+		open.Wait()
+	}
+}
+
+// submit is one caller.
+func (r *run) submit(turn int) {
+	job := fleet.NewJob(1+turn%8, []int{40, 40, 150, 600}[turn%4])
+	a := r.fleet.Submit(context.Background(), turn%entries, job, 3)
+	r.mu.Lock()
+	r.counts[a.Status]++
+	r.mu.Unlock()
+	if Planned(r.opt.Seed) && a.Status == 0 && a.Took < job.Deadline-100*time.Millisecond && !strings.Contains(a.Text, "refused") {
+		r.fleet.Judge.Fault("planned work cut job %s after %v: %s", job.ID, a.Took, a.Text)
+	}
+}
+
+// play carries the faults out at their times.
+func (r *run) play(ctx context.Context, faults []Fault) {
+	for _, f := range faults {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(r.began.Add(f.At))):
+		}
+		r.undo.Go(func() { r.inject(ctx, f) })
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// inject carries one fault out and takes it back.
+func (r *run) inject(ctx context.Context, f Fault) {
+	entry := r.fleet.Entries[f.Which%entries]
+	guard := r.fleet.Guards[f.Which%guards]
+	runner := r.fleet.Runners[f.Which%guards]
+	switch f.Kind {
+	case EntryKill, EntryTerm:
+		r.restart(ctx, entry, f, f.Kind == EntryTerm)
+	case GuardKill, GuardTerm:
+		r.restart(ctx, guard, f, f.Kind == GuardTerm)
+	case EntryFreeze:
+		freeze(ctx, entry, f.For)
+	case GuardFreeze:
+		freeze(ctx, guard, f.For)
+	case EntryHangup:
+		entry.Process().Hangup()
+	case GuardHangup:
+		guard.Process().Hangup()
+	case RunnerCrash:
+		runner.Crash()
+		pause(ctx, f.For)
+		runner.Reborn()
+	case RunnerLate, RunnerSlow, RunnerHang, RunnerFails:
+		runner.SetFault(runnerFaults[f.Kind])
+		pause(ctx, f.For)
+		runner.SetFault(worker.Fault{})
+	case StoreDown, StoreAway, StoreSlow, StoreLoses:
+		r.fleet.Store.SetFault(storeFault(f, entry.ID))
+		pause(ctx, f.For)
+		r.fleet.Store.SetFault(metastore.Fault{})
+	case Configure:
+		r.configure(ctx)
+	case Burst:
+		r.burst.Store(true)
+		pause(ctx, f.For)
+		r.burst.Store(false)
+	default:
+		r.network(ctx, f)
+	}
+}
+
+var runnerFaults = map[Kind]worker.Fault{
+	RunnerLate:  {LateShare: 0.3, LateBy: 1800 * time.Millisecond},
+	RunnerSlow:  {Slow: 4},
+	RunnerHang:  {Hang: true},
+	RunnerFails: {FailShare: 0.7},
+}
+
+func storeFault(f Fault, entry string) metastore.Fault {
+	modes := []metastore.Mode{metastore.Silent, metastore.Busy, metastore.Reset}
+	switch f.Kind {
+	case StoreDown:
+		return metastore.Fault{Down: modes[f.Which%3], Lapse: f.Which%2 == 0}
+	case StoreAway:
+		return metastore.Fault{Down: modes[f.Which%3], For: []string{entry}, Lapse: true}
+	case StoreSlow:
+		return metastore.Fault{Delay: 250 * time.Millisecond}
+	default:
+		return metastore.Fault{LoseShare: 0.5}
+	}
+}
+
+// network harms the network to an entry or a runner.
+func (r *run) network(ctx context.Context, f Fault) {
+	net := r.fleet.EntryNets[f.Which%entries]
+	runner := r.fleet.RunnerNets[f.Which%guards]
+	through := relay.State{ToTarget: relay.Pass, ToClient: relay.Pass}
+	set := func(s relay.State) {
+		_ = net.Set(s)
+		pause(ctx, f.For)
+		_ = net.Set(through)
+	}
+	switch f.Kind {
+	case EntryCut:
+		set(relay.State{ToTarget: relay.Drop, ToClient: relay.Drop, Refuse: true})
+	case EntryOneWay:
+		set(relay.State{ToTarget: relay.Pass, ToClient: relay.Drop})
+	case EntryStalls:
+		set(relay.State{ToTarget: relay.Stall, ToClient: relay.Stall})
+	case EntryDelay:
+		set(relay.State{ToTarget: relay.Pass, ToClient: relay.Pass, Delay: 40 * time.Millisecond})
+	case EntryReset:
+		net.Reset()
+	case EntrySilent:
+		net.Forget(true, true)
+	case RunnerReset:
+		runner.Reset()
+	case RunnerSilent:
+		runner.Forget(true, true)
+	}
+}
+
+// restart ends a process, as planned or not, and starts it after a while. Two
+// restarts of one process may overlap: each waits for its end.
+func (r *run) restart(ctx context.Context, n *fleet.Node, f Fault, graceful bool) {
+	n.Restarting.Lock()
+	defer n.Restarting.Unlock()
+	p := n.Process()
+	if graceful {
+		p.Terminate()
+		select {
+		case <-p.Done():
+		case <-time.After(8 * time.Second):
+			r.fleet.Judge.Fault("%s did not end within 8 s of SIGTERM", n.ID)
+		}
+	}
+	p.Thaw()
+	p.Kill()
+	pause(ctx, f.For/4)
+	if err := n.Start(); err != nil {
+		r.fleet.Judge.Fault("%s: %v", n.ID, err)
+	}
+}
+
+func freeze(ctx context.Context, n *fleet.Node, d time.Duration) {
+	p := n.Process()
+	p.Freeze()
+	pause(ctx, d)
+	p.Thaw()
+}
+
+// applyIn is the time after which a change of the configuration is in force.
+const applyIn = 2 * time.Second
+
+// configure adds a route and, in planned runs, checks when it is in force and
+// that no entry goes back.
+func (r *run) configure(ctx context.Context) {
+	r.mu.Lock()
+	r.routes++
+	prefix := fmt.Sprintf("/added-%d/", r.routes)
+	r.fleet.Configure(fleet.Prefix, prefix)
+	r.mu.Unlock()
+	if !Planned(r.opt.Seed) {
+		return
+	}
+	pause(ctx, applyIn+time.Duration(rand.Int64N(int64(100*time.Millisecond))))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	newest := fmt.Sprintf("/added-%d/", r.routes)
+	if newest != prefix {
+		return
+	}
+	for _, n := range r.fleet.Entries {
+		if !r.fleet.IsReady(n) {
+			continue
+		}
+		if a := r.fleet.Get(ctx, n, prefix); a.Status == http.StatusNotFound {
+			r.fleet.Judge.Fault("%s does not know %s %v after the store took it", n.ID, prefix, applyIn)
+		}
+	}
+}
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -67,7 +67,7 @@
 	e.config = follower.New(client, o.Logger)
 	e.members = registry.New(registry.Options{
 		Entry:   s.ID,
-		Address: s.Listen.Guards.String(),
+		Address: s.advertised().String(),
 		Seeds:   func() []string { return e.settings.Load().peers() },
 		Logger:  o.Logger,
 	}, client, e.config)
--- a/entry/edge/settings.go
+++ b/entry/edge/settings.go
@@ -37,6 +37,9 @@
 	Ready settings.Address `json:"ready" validate:"required"`
 	// Guards serves guards and other entries; every entry uses the same port.
 	Guards settings.Address `json:"guards" validate:"required"`
+	// Advertise is the address told to guards and other entries; left out, it is
+	// that of guards.
+	Advertise settings.Address `json:"advertise"`
 	// Metrics serves metrics and health; left out, none are served.
 	Metrics settings.Address `json:"metrics"`
 }
@@ -92,6 +95,14 @@
 	return out
 }
 
+// advertised returns the address told to guards and other entries.
+func (s Settings) advertised() settings.Address {
+	if s.Listen.Advertise.IsValid() {
+		return s.Listen.Advertise
+	}
+	return s.Listen.Guards
+}
+
 // peers returns the addresses at which the seeds serve other entries.
 func (s Settings) peers() []string {
 	var all []string
--- a/entry/registry/events.go
+++ b/entry/registry/events.go
@@ -11,6 +11,10 @@
 		"This entry's key is in the store, under a lease.", "None.")
 	leaseLost = eventlog.Define(1582, "registry.lease_lost", slog.LevelWarn,
 		"The lease had ended; the entry registers anew.", "None, after an outage of the store.")
+	registerFailed = eventlog.Define(1584, "registry.register_failed", slog.LevelWarn,
+		"The store did not take this entry's key or renew its lease; it is tried again each second. Guards and other entries learn of "+
+			"this entry from those that it has met.",
+		"If it goes on, look at the store and the network to it.")
 	meetFailed = eventlog.Define(1583, "registry.meet_failed", slog.LevelDebug,
 		"Another entry did not answer.", "None.")
 )
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -142,6 +142,7 @@
 // keep holds this entry's key.
 func (r *Registry) keep(ctx context.Context) {
 	var lease int64
+	failing := false
 	for ctx.Err() == nil {
 		pause := keepEvery
 		var err error
@@ -157,7 +158,11 @@
 			leaseLost.Log(ctx, r.logger)
 		case err != nil:
 			pause = retryEvery
+			if !failing {
+				registerFailed.Log(ctx, r.logger, slog.String("error", err.Error()), slog.Int64("lease", lease))
+			}
 		}
+		failing = err != nil
 		wait(ctx, pause)
 	}
 	if lease != 0 {
@@ -209,7 +214,7 @@
 // exchange meets the other entries in turn.
 func (r *Registry) exchange(ctx context.Context) {
 	transport := fleetwire.NewTransport()
-	defer transport.CloseIdleConnections()
+	defer transport.Close()
 	client := &http.Client{Transport: transport}
 	var last time.Time
 	for ctx.Err() == nil {
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -62,9 +62,10 @@
 // run attaches and serves until the stream ends.
 func (s *session) run(ctx context.Context) error {
 	transport := fleetwire.NewTransport()
-	defer transport.CloseIdleConnections()
+	defer transport.Close()
 	ctx, s.cancel = context.WithCancelCause(ctx)
 	defer s.cancel(nil)
+	defer context.AfterFunc(ctx, transport.Close)()
 	silence := time.AfterFunc(listenFor, func() { s.cancel(ErrSilent) })
 	defer silence.Stop()
 	client := wirev1connect.NewFleetServiceClient(&http.Client{Transport: transport}, "http://"+s.link.address)
--- /dev/null
+++ b/guard/uplink/uplink_test.go
@@ -0,0 +1,75 @@
+package uplink
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/guard/runs"
+	"almondstand.dev/wire/fleetwire"
+	"almondstand.dev/wire/wirev1"
+	"almondstand.dev/wire/wirev1/wirev1connect"
+)
+
+// silentEntry greets a guard and then says nothing more.
+type silentEntry struct {
+	wirev1connect.UnimplementedFleetServiceHandler
+	attached atomic.Int64
+}
+
+func (e *silentEntry) Attach(ctx context.Context, st *connect.BidiStream[wirev1.AttachRequest, wirev1.AttachResponse]) error {
+	if _, err := st.Receive(); err != nil {
+		return err
+	}
+	e.attached.Add(1)
+	if err := st.Send(&wirev1.AttachResponse{Greeting: &wirev1.EntryGreeting{Entry: "e", Incarnation: 1}}); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
+
+type noHost struct{}
+
+func (noHost) Room() runs.Room                                             { return runs.Room{} }
+func (noHost) Useful() bool                                                { return false }
+func (noHost) Alive(runs.Owner, time.Duration)                             {}
+func (noHost) Resume(runs.Owner, []work.RunID) []runs.Report               { return nil }
+func (noHost) Order(time.Duration, runs.Owner, []runs.Order, []work.RunID) {}
+
+// An entry gets no runners for good after its connection went silent. The guard
+// gives the silent session up after 3 s and must attach anew; the end of the
+// stream's context alone leaves it waiting for a message that never comes.
+func TestSilentSessionIsGivenUp(t *testing.T) {
+	entry := &silentEntry{}
+	mux := http.NewServeMux()
+	mux.Handle(wirev1connect.NewFleetServiceHandler(entry))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := fleetwire.NewServer(mux)
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	up := New(Options{Guard: "g", Seeds: func() []string { return []string{listener.Addr().String()} }, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))}, noHost{})
+	ctx, cancel := context.WithTimeout(t.Context(), listenFor+2*time.Second)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- up.Run(ctx) }()
+	<-ctx.Done()
+	assert.Assert(t, errors.Is(ctx.Err(), context.DeadlineExceeded))
+	assert.Equal(t, entry.attached.Load(), int64(2))
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Fatal("the uplink did not end with its context")
+	}
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -76,6 +77,8 @@
 	Judge   *Judge
 	// Control is where reports go.
 	Control string
+	// Advertise is the address that reports name; empty for the runner's own.
+	Advertise string
 
 	mu       sync.Mutex
 	address  string
@@ -114,6 +117,9 @@
 	return nil
 }
 
+// Address takes orders.
+func (r *Runner) Address() string { return r.address }
+
 // Run reports about the runner and ends leases, until the context ends.
 func (r *Runner) Run(ctx context.Context) {
 	t := time.NewTicker(tick)
@@ -155,6 +161,10 @@
 func (r *Runner) Crash() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.crash()
+}
+
+func (r *Runner) crash() {
 	r.dead = true
 	for task, x := range r.runs {
 		x.timer.Stop()
@@ -167,6 +177,7 @@
 func (r *Runner) Reborn() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.crash()
 	r.reset()
 }
 
@@ -212,7 +223,7 @@
 		state = "draining"
 	}
 	body, _ = json.Marshal(map[string]any{
-		"service": r.Service, "address": r.address, "zone": r.Zone, "version": "v1", "slots": 8, "state": state,
+		"service": r.Service, "address": cmp.Or(r.Advertise, r.address), "zone": r.Zone, "version": "v1", "slots": 8, "state": state,
 		"capacity": map[string]int64{"cpu": r.CPU, "mem_mb": 1 << 20, "gpu": 0},
 		"labels":   []string{"a", "r1-1"}, "clock_ms": r.clock().Milliseconds(), "seq": r.seq,
 	})
--- a/wire/fleetwire/fleetwire.go
+++ b/wire/fleetwire/fleetwire.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -25,13 +26,58 @@
 	unackedTimeout = 2 * time.Second
 )
 
-// NewTransport returns a transport of HTTP/2 without TLS. Each session takes
-// one of its own, so that a silent connection is given up with its session.
-func NewTransport() *http.Transport {
+// Transport is a transport of HTTP/2 without TLS. Each session takes one of its
+// own, so that a silent connection is given up with its session.
+type Transport struct {
+	*http.Transport
+
+	mu     sync.Mutex
+	conns  []net.Conn
+	closed bool
+}
+
+// NewTransport returns a transport without connections.
+func NewTransport() *Transport {
+	t := &Transport{}
 	dialer := &net.Dialer{Timeout: dialTimeout, Control: limitUnacked}
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{DialContext: dialer.DialContext, Protocols: protocols, DisableCompression: true}
+	t.Transport = &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return conn, t.keep(conn)
+		},
+		Protocols:          protocols,
+		DisableCompression: true,
+	}
+	return t
+}
+
+func (t *Transport) keep(conn net.Conn) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		_ = conn.Close()
+		return net.ErrClosed
+	}
+	t.conns = append(t.conns, conn)
+	return nil
+}
+
+// Close breaks every connection, and with them every call. The end of a stream's
+// context alone does not end a Receive: the library notices it only between two
+// writes of the request's body, and a silent stream has none.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	conns := t.conns
+	t.conns, t.closed = nil, true
+	t.mu.Unlock()
+	for _, c := range conns {
+		_ = c.Close()
+	}
 }
 
 // NewServer returns a server of HTTP/2 without TLS, and of HTTP/1.
