--- a/dispatch/planner/planner_test.go
+++ b/dispatch/planner/planner_test.go
@@ -90,3 +90,155 @@
 	f.Describe(f.now, s.Endpoint, Room{Service: "teardown", Runner: "r", Total: total, Cleared: true})
 	assert.Equal(t, len(f.after(20*ms).Starts), 1)
 }
+
+// Overload: a caller whose answer can't come in the time that its contract wants
+// learns so while others can still be served, and is told when to come back.
+func TestLateJobIsRefusedWhileOthersWait(t *testing.T) {
+	f := newFleet(t, 1)
+	first := f.submit("first", 1, 60*ms)
+	f.report(first.Starts[0], Running)
+	f.submit("late", 1, 60*ms)
+	f.now += 60 * ms
+	f.submit("young", 1, 60*ms)
+	a := f.after(45 * ms)
+	assert.Equal(t, len(a.Ended), 1)
+	assert.Equal(t, a.Ended[0].Job, "late")
+	assert.Equal(t, a.Ended[0].Outcome, Refused)
+	assert.Equal(t, a.Ended[0].Why, WhyOverload)
+	assert.Assert(t, a.Ended[0].RetryAfter >= time.Second)
+}
+
+// Nobody else waits: a job that would be late is still served, for as long as a
+// late answer is of use.
+func TestLateJobIsServedWhenAlone(t *testing.T) {
+	f := newFleet(t, 1)
+	first := f.submit("first", 1, 60*ms)
+	f.report(first.Starts[0], Running)
+	f.submit("late", 1, 60*ms)
+	f.now += 120 * ms
+	f.report(first.Starts[0], Done)
+	a := f.act()
+	assert.Equal(t, len(a.Ended), 1, "the first is completed: %v", a.Ended)
+	assert.Equal(t, len(a.Starts), 1)
+}
+
+// A job that no runner can ever hold is failed at once; while no runner is known
+// it waits for one, and is refused.
+func TestJobThatFitsNoRunner(t *testing.T) {
+	f := newFleet(t, 2)
+	w := work.Job{ID: "huge", Steps: []work.Step{{Count: 1, Need: work.Amounts{CPUMilli: 64000}}}}
+	assert.Equal(t, f.Submit(f.now, f.now+time.Second, w, terms), Taken)
+	a := f.act()
+	assert.Equal(t, a.Ended[0].Why, WhyTooLarge)
+	empty := newFleet(t)
+	assert.Equal(t, len(empty.submit("j", 1, 60*ms).Ended), 0)
+	a = empty.after(200 * ms)
+	assert.Equal(t, a.Ended[0].Outcome, Refused)
+	assert.Equal(t, a.Ended[0].Why, WhyNoRunner)
+}
+
+// A runner fails all that it starts, and looks free all the time: it would draw
+// most of the work. It gets nothing for a while, then one task.
+func TestFailingRunnerIsSetAside(t *testing.T) {
+	f := newFleet(t, 4, 4)
+	failed := 0
+	for i := range 40 {
+		for _, s := range f.submit(fmt.Sprintf("j%d", i), 1, 60*ms).Starts {
+			f.report(s, Running)
+			f.now += 5 * ms
+			if s.Endpoint == "g0" {
+				failed++
+				f.report(s, TaskFailed)
+			} else {
+				f.report(s, Done)
+			}
+		}
+		for _, s := range f.act().Starts {
+			f.report(s, Running)
+			f.report(s, Done)
+		}
+	}
+	assert.Assert(t, failed <= badStreak+1, "%d runs failed there", failed)
+}
+
+// Tasks at one runner stand still, though it accepts orders. A run that takes
+// far longer than it should is stopped, and started elsewhere only once it is
+// known to be over.
+func TestHangingRunIsMoved(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	s := f.submit("j", 1, 60*ms).Starts[0]
+	f.report(s, Running)
+	var stops []Stop
+	for range 20 {
+		a := f.after(20 * ms)
+		assert.Equal(t, len(a.Starts), 0)
+		stops = append(stops, a.Stops...)
+	}
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Why, WhyTooLong)
+	f.report(s, Stopped)
+	again := f.after(ms).Starts
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, again[0].Endpoint != s.Endpoint)
+	assert.Equal(t, again[0].Run.Attempt, 2)
+}
+
+// A guard can't be reached. Its run may go on, so the task starts nowhere else;
+// when the caller's time is over the answer says that it may have run.
+func TestRunOfAnUnreachableGuardStaysOpen(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	s := f.submit("j", 1, 60*ms).Starts[0]
+	f.report(s, Running)
+	f.Detach(s.Endpoint)
+	for range 80 {
+		a := f.after(20 * ms)
+		assert.Equal(t, len(a.Starts), 0)
+		for _, e := range a.Ended {
+			assert.Equal(t, e.Outcome, Expired)
+			assert.Equal(t, e.Why, WhyUnreachable)
+			return
+		}
+	}
+	t.Fatal("the caller got no answer")
+}
+
+// A job is submitted again while a run of its cancelled predecessor may go on:
+// it must wait for that run's end.
+func TestSameJobWaitsForItsPredecessor(t *testing.T) {
+	f := newFleet(t, 4)
+	s := f.submit("j", 1, 60*ms).Starts[0]
+	f.report(s, Running)
+	f.Cancel(f.now, "j")
+	a := f.act()
+	assert.Equal(t, len(a.Stops), 1)
+	assert.Equal(t, f.Submit(f.now, f.now+time.Second, work.Job{ID: "j", Steps: []work.Step{{Count: 1, Need: core}}}, terms), Ending)
+	f.report(s, Stopped)
+	assert.DeepEqual(t, f.act().Settled, []string{"j"})
+	assert.Equal(t, f.Submit(f.now, f.now+time.Second, work.Job{ID: "j", Steps: []work.Step{{Count: 1, Need: core}}}, terms), Taken)
+}
+
+// Steps come one after the other, with the label and the number for each runner
+// that they ask for.
+func TestStepsInOrder(t *testing.T) {
+	f := newFleet(t, 4, 4)
+	total := work.Amounts{CPUMilli: 4000, MemoryMB: 256}
+	f.Describe(f.now, "g1", Room{Service: "teardown", Runner: "r", Open: true, Total: total, Labels: []string{"b"}})
+	w := work.Job{ID: "j", Steps: []work.Step{
+		{Count: 2, Need: core, MaxPerRunner: 1, Declared: 60 * ms},
+		{Count: 1, Need: core, After: []int{0}, Label: "b", Declared: 60 * ms},
+	}}
+	assert.Equal(t, f.Submit(f.now, f.now+1500*ms, w, terms), Taken)
+	first := f.act().Starts
+	assert.Equal(t, len(first), 2)
+	assert.Assert(t, first[0].Endpoint != first[1].Endpoint)
+	for _, s := range first {
+		f.report(s, Running)
+		assert.Equal(t, len(f.after(ms).Starts), 0)
+	}
+	f.report(first[0], Done)
+	assert.Equal(t, len(f.after(ms).Starts), 0)
+	f.report(first[1], Done)
+	second := f.after(ms).Starts
+	assert.Equal(t, len(second), 1)
+	assert.Equal(t, second[0].Endpoint, "g1")
+}
