--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: build, test, demo, spec, fuzz, bench, capacity, lint, cover, clean.
+# Targets: build, test, demo, demo-contracts, soak, spec, fuzz, bench, capacity, lint, cover, clean.
 
 GO          ?= go
 BIN         := bin
@@ -19,7 +19,7 @@
 FUZZ_TIMEOUT ?= 20m
 FUZZ_TIME    ?= 30s
 
-.PHONY: build test unit alone lint spec demo fuzz bench capacity capacity-tables known-red cover clean
+.PHONY: build test unit alone lint spec demo demo-contracts soak fuzz bench capacity capacity-tables known-red cover clean
 
 build:
 	@mkdir -p $(BIN)
@@ -48,9 +48,20 @@
 spec:
 	$(MAKE) -C spec check
 
+# Entries and guards on the operators' platform: a job of 100 tasks and its story.
 demo: build
+	$(GO) run almondstand.dev/e2e/cmd/almonddemo
+
+# The product's own interface for callers and operators, with contracts in a store.
+demo-contracts: build
 	$(BIN)/demo -bin $(BIN)
 
+# Random faults on real processes; the report of a seed that fails is in out/soak.
+# For example: make soak SOAK="--seeds 50 --jobs 4", or SOAK="--seed 17 --length 20s".
+SOAK ?= --minutes 3 --jobs 3
+soak: build
+	$(GO) run almondstand.dev/e2e/cmd/almondsoak --bin $(BIN) $(SOAK)
+
 # Properties are tried with many more cases, from a new seed each time.
 fuzz:
 	@for p in $$(grep -rl 'pgregory.net/rapid' --include='*_test.go' $(MODULES) | xargs -n1 dirname | sort -u); do \
--- a/entry/cmd/almondstand/docs_test.go
+++ b/entry/cmd/almondstand/docs_test.go
@@ -6,6 +6,7 @@
 	"flag"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -13,6 +14,7 @@
 
 	"almondstand.dev/contract"
 	"almondstand.dev/entry/command"
+	"almondstand.dev/entry/edge"
 	"almondstand.dev/entry/node"
 	"almondstand.dev/eventlog"
 	"almondstand.dev/settings"
@@ -95,3 +97,28 @@
 	text = faulty(func(s map[string]any) { s["listen"].(map[string]any)["operators"] = "127.0.0.1:7001" })
 	assert.Assert(t, strings.Contains(text, "listen.operators") && strings.Contains(text, "listen.callers listens on 127.0.0.1:7001"), text)
 }
+
+func TestCapacitySettingsReference(t *testing.T) {
+	raw, err := os.ReadFile(filepath.Join(docs, "SETTINGS.md"))
+	assert.NilError(t, err)
+	assert.NilError(t, settings.CheckReference(string(raw), "Entry on the operators' platform", edge.Default()))
+}
+
+// The deployment's template renders settings that start.
+func TestDeployedSettings(t *testing.T) {
+	raw, err := os.ReadFile("../../../deploy/entry.json.tmpl")
+	assert.NilError(t, err)
+	text := regexp.MustCompile(`\{\{#seeds\}\}.*?\{\{/seeds\}\}`).ReplaceAllString(string(raw), `"10.0.0.1:1","10.0.0.2:1"`)
+	for from, to := range map[string]string{
+		"{{node_name|json}}": `"n"`, "{{zone|json}}": `"z"`, "{{ip}}": "10.0.0.9", "{{port_range.0}}": "7720",
+		"{{listen_addrs.front|json}}": `"10.0.0.9:1"`, "{{listen_addrs.ready|json}}": `"10.0.0.9:2"`, "{{listen_addrs.control|json}}": `"10.0.0.9:3"`,
+		"{{platform.address|json}}": `"10.0.0.1:9"`, "{{bounds.grace_s}}": "6", "{{bounds.resend_ms}}": "1300", "{{bounds.max_hold_ms}}": "1000",
+	} {
+		text = strings.ReplaceAll(text, from, to)
+	}
+	path := filepath.Join(t.TempDir(), "s.json")
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	s, err := edge.Load(path)
+	assert.NilError(t, err, text)
+	assert.Equal(t, len(s.Seeds), 2)
+}
