entry/sessions: news of other entries are not taken as told before they are sent

A session took the newer list of entries into a message, found that no ping was due, and dropped the message. Ruled out: the registration (all registered within 2 s), the exchange between entries (each knew all ten within 1.1 s), the seeds.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -312,3 +312,30 @@
 	}
 	assert.Equal(t, f.Judge.Starts(), before)
 }
+
+// Everything loses power while the store is down, and comes back before it. An
+// entry that the settings don't name as a seed has to be found by the guards
+// again: its callers would read "no runner" for good.
+func TestFleetAllRestart(t *testing.T) {
+	f := startFleet(t, 5, 2)
+	f.Store.SetFault(metastore.Fault{Down: metastore.Busy, Lapse: true})
+	nodes := append(append([]*fleet.Node{}, f.Entries...), f.Guards...)
+	for _, n := range nodes {
+		n.Process().Kill()
+	}
+	for _, n := range nodes {
+		assert.NilError(t, n.Start())
+	}
+	time.Sleep(1500 * time.Millisecond)
+	f.Store.SetFault(metastore.Fault{})
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	for i := range f.Entries {
+		assert.NilError(t, eventually(ctx, func() error {
+			if a := f.Submit(ctx, i, fleet.NewJob(1, 10), 1); a.Status != 200 {
+				return fmt.Errorf("entry %d answers %d %s", i+1, a.Status, a.Text)
+			}
+			return nil
+		}))
+	}
+}
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -126,6 +126,7 @@
 	if !slices.Equal(list, r.list) {
 		r.list = list
 		r.version++
+		members.Log(context.Background(), r.logger, slog.Any("entries", list))
 	}
 }
 
@@ -192,6 +193,7 @@
 
 // follow reads the list of entries.
 func (r *Registry) follow(ctx context.Context) {
+	failing := false
 	for ctx.Err() == nil {
 		var items []store.Item
 		err := r.call(ctx, func(c context.Context) (err error) {
@@ -202,6 +204,10 @@
 		if err != nil {
 			pause = retryEvery
 		}
+		if err != nil && !failing {
+			listFailed.Log(ctx, r.logger, slog.String("error", err.Error()))
+		}
+		failing = err != nil
 		var addresses []string
 		for _, i := range items {
 			addresses = append(addresses, string(i.Value))
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -271,15 +271,15 @@
 		case <-timer.C:
 		}
 		now := uptime.Now()
-		m, silent, pause := s.take(now)
-		if silent > listenFor {
+		if s.silentFor(now) > listenFor {
 			return context.DeadlineExceeded
 		}
+		m, pause := s.take(now, now-lastSent)
 		if !s.server.jobs.Current(s.guard, s) {
 			return errOlder
 		}
-		if len(m.Starts) == 0 && len(m.Stops) == 0 && now-lastSent < pause {
-			timer.Reset(min(pause-(now-lastSent), pingBusy))
+		if m == nil {
+			timer.Reset(pause)
 			continue
 		}
 		m.Waiting = s.server.jobs.Waiting(s.guard)
@@ -291,29 +291,37 @@
 	}
 }
 
-// take builds the next message. pause is how long the guard may go without one.
-func (s *session) take(now time.Duration) (m *wirev1.AttachResponse, silent, pause time.Duration) {
+func (s *session) silentFor(now time.Duration) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now - s.lastHeard
+}
+
+// take builds the next message. It is nil when there is nothing to tell and the
+// last was sent a short while ago; nothing is taken as told then, and pause is
+// the time until a ping is due.
+func (s *session) take(now, since time.Duration) (m *wirev1.AttachResponse, pause time.Duration) {
 	entries, version := s.server.members.Known()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	every := pingIdle
+	if s.open > 0 {
+		every = pingBusy
+	}
+	news := len(s.starts) > 0 || len(s.stops) > 0 || s.prompt || version != s.membersVersion
+	if !news && since < every {
+		return nil, min(every-since, pingBusy)
+	}
 	m = &wirev1.AttachResponse{EchoUs: (s.clock + now - s.clockAt).Microseconds(), Starts: group(s.starts)}
 	for _, x := range s.stops {
 		m.Stops = append(m.Stops, &wirev1.StopOrder{Task: fleetwire.Task(x.Run.Task), Attempt: uint32(x.Run.Attempt)})
 	}
-	s.starts, s.stops = nil, nil
+	s.starts, s.stops, s.prompt = nil, nil, false
 	if version != s.membersVersion {
 		s.membersVersion = version
 		m.Entries = entries
 	}
-	pause = pingIdle
-	if s.open > 0 {
-		pause = pingBusy
-	}
-	if s.prompt {
-		s.prompt = false
-		pause = 0
-	}
-	return m, now - s.lastHeard, pause
+	return m, 0
 }
 
 // group puts the tasks of one step into one order.
--- /dev/null
+++ b/spec/run.pml
@@ -0,0 +1,317 @@
+/*
+ * The protocol of runs that start and end by separate orders: two entries, two
+ * guards, a runner beside each with room for one run, and one task. Orders to a
+ * runner and messages to a guard are held up for any time; entries die, guards
+ * restart, and the caller of a dead entry submits its job again elsewhere after
+ * RESEND. It checks that the task never runs twice at a time and that a runner
+ * never holds two runs. README.md in this directory says what is left out.
+ *
+ * Build with -DNO_BAR and the like to leave one safeguard out.
+ */
+
+/* ---- bounds, in ticks --------------------------------------------------- */
+
+#ifndef MAX
+#define MAX 5                   /* ticks in all */
+#endif
+#define HOLD 1                  /* a lease is extended to now + HOLD */
+#define END_BOUND 2             /* no lease reaches beyond an entry's last sign + END_BOUND */
+#define RESEND 3                /* the caller of a dead entry comes again */
+#define STALE 1                 /* an order of this age is refused */
+#ifndef TRIES
+#define TRIES 2                 /* orders of one entry */
+#endif
+#ifndef RESTARTS
+#define RESTARTS 1              /* of guards, in all */
+#endif
+
+/* ---- properties --------------------------------------------------------- */
+
+#define ONE_RUN 1               /* the task runs at one runner at a time */
+#define ROOM 2                  /* a runner holds one run at a time */
+#ifndef ONLY
+#define ONLY 0
+#endif
+#define HOLDS(property, condition) assert((ONLY != 0 && ONLY != property) || (condition))
+
+/* ---- situations that must be reachable ---------------------------------- */
+
+#define LATE_START_BARRED 1     /* a start came after its bar */
+#define FENCED 2                /* a start of an older guard came after its successor's look */
+#define RAN_ELSEWHERE 3         /* the task ran through the second entry */
+#define LAPSED 4                /* a run ended with its lease */
+#define STRAY 5                 /* a new guard found a run */
+#ifndef SEE
+#define SEE 0
+#endif
+#define REACHED(situation) assert(SEE != situation)
+
+#define NONE 0
+#define SENT 1                  /* the start is sent */
+#define KNOWN 2                 /* the runner has said that it runs */
+#define ENDING 3                /* it is to end */
+
+byte now;
+
+/* runners */
+byte holds[2];                    /* number of the run that goes on, 0 for none */
+byte barred[2];                 /* highest number that is stopped or ended */
+byte token[2];                  /* highest fencing token seen */
+byte lease[2];
+
+/* the start that is under way to a runner */
+bool s_on[2];
+byte s_number[2], s_token[2], s_until[2];
+
+/* guards; all but the token is lost with a restart */
+byte g_token[2];
+byte g_state[2];
+byte g_number[2];
+byte g_next[2];
+byte g_owner[2];
+byte g_until[2];                /* the start is valid before */
+bool g_barred[2];
+bool g_open[2];
+byte heard[4];                  /* last sign of life, by guard and entry */
+byte restarts;
+
+/* entries */
+bool up[2];
+bool wants[2];
+byte at[2];                     /* 1 + guard of the open run, 0 for none */
+bool orphan[2];                 /* the guard of the open run has restarted */
+byte tries[2];
+bool broke;                     /* the first entry is dead */
+byte broke_at;
+
+/* the order that is under way to a guard */
+bool m_on[2];
+byte m_from[2], m_sent[2], m_try[2];
+
+#ifdef NO_STALE
+#define FRESH(g) true
+#else
+#define FRESH(g) (now - m_sent[g] < STALE)
+#endif
+#define HEARD(g, e) heard[(g) * 2 + (e)]
+#define FREE_OF(e) at[e] = 0; orphan[e] = false
+#define TELL(g) if :: up[g_owner[g]] && at[g_owner[g]] == 1 + g && !orphan[g_owner[g]] -> FREE_OF(g_owner[g]) :: else fi
+
+inline hold_until(g, until)
+{
+	until = now + HOLD;
+#ifndef NO_END_BOUND
+	if
+	:: until > HEARD(g, g_owner[g]) + END_BOUND -> until = HEARD(g, g_owner[g]) + END_BOUND
+	:: else
+	fi
+#endif
+}
+
+inline begin_run(i)
+{
+	HOLDS(ROOM, holds[i] == 0);
+	HOLDS(ONE_RUN, holds[1 - i] == 0);
+	holds[i] = s_number[i];
+	if
+	:: s_until[i] > lease[i] -> lease[i] = s_until[i]
+	:: else
+	fi;
+	if
+	:: g_owner[i] == 1 && g_token[i] == s_token[i] -> REACHED(RAN_ELSEWHERE)
+	:: else
+	fi
+}
+
+/* Time passes; leases that are over end their runs. */
+active proctype time()
+{
+	byte i;
+
+	do
+	:: atomic { now < MAX ->
+		now++;
+		for (i : 0 .. 1) {
+			if
+			:: holds[i] != 0 && now >= lease[i] ->
+				barred[i] = (holds[i] > barred[i] -> holds[i] : barred[i]);
+				holds[i] = 0;
+				REACHED(LAPSED)
+			:: else
+			fi
+		};
+		i = 0
+	}
+	od
+}
+
+inline send_order(e, g)
+{
+	tries[e]++;
+	at[e] = 1 + g;
+	m_on[g] = true; m_from[g] = e; m_sent[g] = now; m_try[g] = tries[e]
+}
+
+#define MAY_ORDER(e, g) (up[e] && wants[e] && at[e] == 0 && tries[e] < TRIES && !m_on[g])
+
+proctype entry(byte e)
+{
+	do
+	/* a sign of life to both guards */
+	:: atomic { up[e] && wants[e] && (HEARD(0, e) < now || HEARD(1, e) < now) -> HEARD(0, e) = now; HEARD(1, e) = now }
+	:: atomic { MAY_ORDER(e, 0) -> send_order(e, 0) }
+	:: atomic { MAY_ORDER(e, 1) -> send_order(e, 1) }
+	/* the first entry dies, and its caller notices */
+	:: atomic { e == 0 && up[0] -> up[0] = false; broke = true; broke_at = now }
+	/* the caller submits the job again, to the other entry */
+	:: atomic { e == 1 && broke && !wants[1] && now >= broke_at + RESEND -> wants[1] = true }
+	od
+}
+
+/* A runner carries a start out, now or late; its guard may hear of it. */
+proctype runner(byte i)
+{
+	do
+	:: atomic { s_on[i] ->
+		s_on[i] = false;
+		if
+		:: s_token[i] < token[i] -> REACHED(FENCED)
+		:: s_token[i] >= token[i] && s_number[i] <= barred[i] -> REACHED(LATE_START_BARRED)
+		:: s_token[i] >= token[i] && s_number[i] > barred[i] && now >= s_until[i]
+		:: else ->
+			token[i] = s_token[i];
+			begin_run(i);
+			if
+			:: g_token[i] == s_token[i] && g_state[i] == SENT && g_number[i] == s_number[i] -> g_state[i] = KNOWN
+			:: true
+			fi
+		fi;
+		s_number[i] = 0; s_token[i] = 0; s_until[i] = 0
+	}
+	od
+}
+
+proctype guard(byte i)
+{
+	byte e, until;
+
+	do
+	/* an order comes: refused, or its start is sent */
+	:: atomic { m_on[i] && !s_on[i] ->
+		m_on[i] = false;
+		if
+		:: HEARD(i, m_from[i]) < m_sent[i] -> HEARD(i, m_from[i]) = m_sent[i]
+		:: else
+		fi;
+		if
+		:: g_open[i] && g_state[i] == NONE && FRESH(i) ->
+			g_state[i] = SENT;
+			g_owner[i] = m_from[i];
+			g_barred[i] = false;
+			g_number[i] = (m_try[i] > g_next[i] -> m_try[i] : g_next[i] + 1);
+			g_next[i] = g_number[i];
+			hold_until(i, until);
+			g_until[i] = until;
+			s_on[i] = true; s_number[i] = g_number[i]; s_token[i] = g_token[i]; s_until[i] = until;
+			until = 0
+		:: else ->
+			if
+			:: up[m_from[i]] && at[m_from[i]] == 1 + i && !orphan[m_from[i]] -> FREE_OF(m_from[i])
+			:: else
+			fi
+		fi;
+		m_from[i] = 0; m_sent[i] = 0; m_try[i] = 0
+	}
+	/* the start's answer was waited for long enough, or its entry is silent */
+	:: atomic { g_state[i] == SENT || g_state[i] == KNOWN ->
+#ifdef NO_BAR
+		if
+		:: g_state[i] == SENT -> g_state[i] = NONE; TELL(i)
+		:: else -> g_state[i] = ENDING
+		fi
+#else
+		g_state[i] = ENDING
+#endif
+	}
+	/* the runner takes a stop, and the guard hears of it */
+	:: atomic { g_state[i] == ENDING && !g_barred[i] && g_token[i] >= token[i] ->
+		token[i] = g_token[i];
+		barred[i] = (g_number[i] > barred[i] -> g_number[i] : barred[i]);
+		if
+		:: holds[i] == g_number[i] -> holds[i] = 0
+		:: else
+		fi;
+		g_barred[i] = true
+	}
+	/* an account asked for after the bar, or after the start's time, holds no run */
+	:: atomic { g_state[i] == ENDING && holds[i] != g_number[i] && (g_barred[i] || now >= g_until[i]) ->
+		g_state[i] = NONE;
+		TELL(i);
+		g_number[i] = 0; g_owner[i] = 0; g_until[i] = 0; g_barred[i] = false
+	}
+	/* the lease is extended */
+	:: atomic { holds[i] != 0 && g_state[i] != NONE && !g_barred[i] && g_open[i] && g_token[i] >= token[i] && lease[i] < now + HOLD ->
+		token[i] = g_token[i];
+		hold_until(i, until);
+		if
+		:: until > lease[i] -> lease[i] = until
+		:: else
+		fi;
+		until = 0
+	}
+	/* the guard is killed; its successor attaches at once */
+	:: atomic { restarts < RESTARTS ->
+		restarts++;
+		g_token[i]++;
+		g_state[i] = NONE; g_next[i] = 0; g_barred[i] = false; g_open[i] = false; m_on[i] = false;
+		g_number[i] = 0; g_owner[i] = 0; g_until[i] = 0; m_from[i] = 0; m_sent[i] = 0; m_try[i] = 0;
+		for (e : 0 .. 1) {
+			if
+			:: at[e] == 1 + i ->
+#ifdef NO_CLEAR
+				FREE_OF(e)
+#else
+				orphan[e] = true
+#endif
+			:: else
+			fi
+		};
+		e = 0
+	}
+	/* the successor reads its runner's account, ends what that holds, and opens */
+	:: atomic { !g_open[i] ->
+#ifndef NO_FENCE
+		token[i] = (g_token[i] > token[i] -> g_token[i] : token[i]);
+#endif
+		if
+		:: holds[i] != 0 ->
+			REACHED(STRAY);
+#ifndef NO_STRAYS
+			barred[i] = (holds[i] > barred[i] -> holds[i] : barred[i]);
+			holds[i] = 0
+#endif
+		:: else
+		fi;
+		g_open[i] = true;
+		for (e : 0 .. 1) {
+			if
+			:: at[e] == 1 + i && orphan[e] -> FREE_OF(e)
+			:: else
+			fi
+		};
+		e = 0
+	}
+	od
+}
+
+init {
+	atomic {
+		g_token[0] = 1; g_token[1] = 1;
+		g_open[0] = true; g_open[1] = true;
+		up[0] = true; up[1] = true;
+		wants[0] = true;
+		run entry(0); run entry(1);
+		run guard(0); run guard(1);
+		run runner(0); run runner(1)
+	}
+}
