--- a/e2e/soak/run.go
+++ b/e2e/soak/run.go
@@ -22,9 +22,9 @@
 const (
 	entries = 3
 	guards  = 4
-	// every is the pause between two jobs of 4.5 tasks of 208 ms: 27 tasks at a time
+	// every is the pause between two jobs of 4.5 tasks of 358 ms: 27 tasks at a time
 	// where the runners carry 40.
-	every = 35 * time.Millisecond
+	every = 60 * time.Millisecond
 	// recoverIn is the time after the last fault in which every entry must serve.
 	recoverIn = 10 * time.Second
 	readyIn   = 20 * time.Second
@@ -185,7 +185,7 @@
 
 // submit is one caller.
 func (r *run) submit(turn int) {
-	job := fleet.NewJob(1+turn%8, []int{40, 40, 150, 600}[turn%4])
+	job := fleet.NewJob(1+turn%8, []int{40, 40, 150, 1200}[turn%4])
 	a := r.fleet.Submit(context.Background(), turn%entries, job, 3)
 	r.mu.Lock()
 	r.counts[a.Status]++
--- a/spec/run.pml
+++ b/spec/run.pml
@@ -14,7 +14,7 @@
 #ifndef MAX
 #define MAX 5                   /* ticks in all */
 #endif
-#define HOLD 1                  /* a lease is extended to now + HOLD */
+#define HOLD 2                  /* a lease is extended to now + HOLD */
 #define END_BOUND 2             /* no lease reaches beyond an entry's last sign + END_BOUND */
 #define RESEND 3                /* the caller of a dead entry comes again */
 #define STALE 1                 /* an order of this age is refused */
@@ -128,7 +128,7 @@
 {
 	byte i;
 
-	do
+end1:	do
 	:: atomic { now < MAX ->
 		now++;
 		for (i : 0 .. 1) {
@@ -156,7 +156,7 @@
 
 proctype entry(byte e)
 {
-	do
+end2:	do
 	/* a sign of life to both guards */
 	:: atomic { up[e] && wants[e] && (HEARD(0, e) < now || HEARD(1, e) < now) -> HEARD(0, e) = now; HEARD(1, e) = now }
 	:: atomic { MAY_ORDER(e, 0) -> send_order(e, 0) }
@@ -171,7 +171,7 @@
 /* A runner carries a start out, now or late; its guard may hear of it. */
 proctype runner(byte i)
 {
-	do
+end3:	do
 	:: atomic { s_on[i] ->
 		s_on[i] = false;
 		if
@@ -195,7 +195,7 @@
 {
 	byte e, until;
 
-	do
+end4:	do
 	/* an order comes: refused, or its start is sent */
 	:: atomic { m_on[i] && !s_on[i] ->
 		m_on[i] = false;
