--- a/e2e/cmd/almonddemo/main.go
+++ b/e2e/cmd/almonddemo/main.go
@@ -18,10 +18,10 @@
 )
 
 const (
-	tasks    = 100
-	taskMs   = 60
-	taskCPU  = 1000 // thousandths of a core; the four runners have 128 cores
-	limit    = 30 * time.Second
+	tasks     = 100
+	taskMs    = 60
+	taskCPU   = 1000 // thousandths of a core; the four runners have 128 cores
+	limit     = 30 * time.Second
 	firstRows = 12
 )
 
--- a/e2e/fleet/caller.go
+++ b/e2e/fleet/caller.go
@@ -11,7 +11,7 @@
 	"strconv"
 	"time"
 
-	"almondstand.dev/standin/worker"
+	"almondstand.dev/standin/caller"
 )
 
 // resend is the pause after which a caller submits a job again that got no
@@ -20,27 +20,18 @@
 
 // Job is what a caller submits.
 type Job struct {
+	caller.Job
 	ID       string
-	Tasks    int
-	Ms       int
-	CPU      int64
-	Fails    bool
 	Deadline time.Duration
 }
 
 // NewJob returns a job with an id of its own.
 func NewJob(tasks, ms int) Job {
-	return Job{ID: fmt.Sprintf("%016x", rand.Uint64()), Tasks: tasks, Ms: ms, CPU: 3100, Deadline: 1500 * time.Millisecond}
-}
-
-// Body is the job as it is sent.
-func (j Job) Body() []byte {
-	spec, _ := json.Marshal(worker.Spec{Ms: j.Ms, CPU: j.CPU, Fails: j.Fails})
-	body, _ := json.Marshal(map[string]any{
-		"task_spec": string(spec), "best_effort": true,
-		"steps": []map[string]any{{"count": j.Tasks, "cpu": j.CPU, "mem_mb": 64, "est_runtime_ms": j.Ms}},
-	})
-	return body
+	return Job{
+		Job:      caller.Job{Tasks: tasks, Ms: ms, CPU: 3100},
+		ID:       fmt.Sprintf("%016x", rand.Uint64()),
+		Deadline: 1500 * time.Millisecond,
+	}
 }
 
 // Answer of one attempt. Status is 0 when there was no whole answer.
@@ -70,7 +61,7 @@
 	req.Host = Host
 	req.Header.Set("Content-Type", "application/json")
 	if deadlineMs != "" {
-		req.Header.Set("X-Almondstand-Deadline-Ms", deadlineMs)
+		req.Header.Set(caller.DeadlineHeader, deadlineMs)
 	}
 	return f.do(req, began)
 }
--- a/e2e/fleet/fleet.go
+++ b/e2e/fleet/fleet.go
@@ -243,15 +243,7 @@
 // Configure writes a configuration with one route for each prefix.
 func (f *Fleet) Configure(prefixes ...string) {
 	f.version += 3
-	var routes []map[string]any
-	for i, p := range prefixes {
-		routes = append(routes, map[string]any{
-			"name": fmt.Sprintf("r%d", i), "host": Host, "prefix": p, "type": "non_idempotent", "timeout_ms": 1500,
-			"target_latency_ms": 60, "priority": 0, "service": Service, "max_attempts": 2, "stretch": 1.6,
-		})
-	}
-	text, _ := json.Marshal(map[string]any{"version": f.version, "routes": routes, "services": []any{}, "limits": map[string]int{"max_body_bytes": 65536}})
-	f.Store.Put("op/config", text)
+	f.Store.Put(metastore.ConfigKey, metastore.Config(f.version, Host, Service, prefixes...))
 }
 
 // AwaitReady waits until every entry says that it is ready.
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"almondstand.dev/e2e/fleet"
+	"almondstand.dev/standin/caller"
 	"almondstand.dev/standin/metastore"
 	"almondstand.dev/standin/worker"
 )
@@ -254,7 +255,7 @@
 		assert.Equal(t, post(i, "/new/"), 200)
 		assert.Equal(t, post(i, fleet.Prefix), 404)
 	}
-	f.Store.Put("op/config", []byte("{"))
+	f.Store.Put(metastore.ConfigKey, []byte("{"))
 	time.Sleep(2 * time.Second)
 	for i := range f.Entries {
 		assert.Equal(t, post(i, "/new/"), 200)
@@ -288,28 +289,18 @@
 	f := startFleet(t, 1, 1)
 	before := f.Judge.Starts()
 	id := fleet.NewJob(1, 1).ID
-	for _, c := range []struct {
-		name, path, body, deadline string
-		status                     int
-		state                      string
-	}{
-		{"no JSON", fleet.Prefix + id, "{", "1500", 400, ""},
-		{"wrong kind", fleet.Prefix + id, `{"best_effort":true,"steps":[{"count":"four"}]}`, "1500", 400, ""},
-		{"no steps", fleet.Prefix + id, `{"best_effort":true,"steps":[]}`, "1500", 400, ""},
-		{"negative", fleet.Prefix + id, `{"best_effort":true,"steps":[{"count":1,"cpu":-1}]}`, "1500", 400, ""},
-		{"forward reference", fleet.Prefix + id, `{"best_effort":true,"steps":[{"count":1,"after":[0]}]}`, "1500", 400, ""},
-		{"bad id", fleet.Prefix + "xyz", `{}`, "1500", 400, ""},
-		{"too large", fleet.Prefix + id, `{"task_spec":"` + strings.Repeat("x", 70000) + `"}`, "1500", 413, ""},
-		{"no time", fleet.Prefix + id, string(fleet.NewJob(1, 1).Body()), "0", 503, ""},
-		{"to be stored", fleet.Prefix + id, `{"steps":[{"count":1}]}`, "1500", 503, ""},
-		{"no route", "/nowhere/" + id, `{}`, "1500", 404, ""},
-		{"fits no runner", fleet.Prefix + id, `{"best_effort":true,"steps":[{"count":1,"cpu":64000}]}`, "1500", 200, "failed"},
-	} {
-		a := f.Post(t.Context(), f.Entries[0], c.path, []byte(c.body), c.deadline)
-		assert.Equal(t, a.Status, c.status, "%s: %s", c.name, a.Text)
-		assert.Equal(t, a.State, c.state, c.name)
-		assert.Assert(t, a.Took < 300*time.Millisecond, "%s took %v", c.name, a.Took)
+	post := func(name, path, body, deadline string, status int, state string) {
+		a := f.Post(t.Context(), f.Entries[0], path, []byte(body), deadline)
+		assert.Equal(t, a.Status, status, "%s: %s", name, a.Text)
+		assert.Equal(t, a.State, state, name)
+		assert.Assert(t, a.Took < 300*time.Millisecond, "%s took %v", name, a.Took)
 	}
+	for _, c := range caller.FaultyBodies() {
+		post(c.Name, fleet.Prefix+id, c.Body, "1500", c.Status, c.State)
+	}
+	post("bad id", fleet.Prefix+"xyz", "{}", "1500", 400, "")
+	post("no route", "/nowhere/"+id, "{}", "1500", 404, "")
+	post("no time", fleet.Prefix+id, string(fleet.NewJob(1, 1).Body()), "0", 503, "")
 	assert.Equal(t, f.Judge.Starts(), before)
 }
 
--- a/e2e/harness/address.go
+++ b/e2e/harness/address.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"sync/atomic"
 )
 
@@ -14,7 +15,9 @@
 // NewHost returns a loopback IP that no other process of this run uses.
 func NewHost() string {
 	n := hosts.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 20+n/62500, n/250%250+1, n%250+1)
+	// Two runs beside each other must not choose the same: some ports are fixed.
+	net := 20 + (uint32(os.Getpid())+n/62500)%200
+	return fmt.Sprintf("127.%d.%d.%d", net, n/250%250+1, n%250+1)
 }
 
 // FreeAddresses returns addresses on the host with ports that the kernel chose.
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -38,61 +38,6 @@
 // that attaches again and asks for it.
 const keepEnded = 10 * time.Second
 
-// Owner is one life of an entry.
-type Owner struct {
-	Entry       string
-	Incarnation uint64
-}
-
-// State of a run, as its owner is told.
-type State int
-
-// States.
-const (
-	Running State = iota + 1
-	Done
-	Failed
-	// Stopped: over before its work was done.
-	Stopped
-	// NotStarted: it never ran and never will.
-	NotStarted
-)
-
-// Refusal says why a run was not started.
-type Refusal int
-
-// Refusals.
-const (
-	NoRefusal Refusal = iota
-	// Full: no room.
-	Full
-	// Late: the order was under way for too long.
-	Late
-	// Closed: no starts are taken.
-	Closed
-	// Unwell: the runner turned it down or didn't answer.
-	Unwell
-	// Unknown: there is no such run.
-	Unknown
-)
-
-// Report tells an owner what became of a run.
-type Report struct {
-	Owner   Owner
-	Run     work.RunID
-	State   State
-	Refusal Refusal
-}
-
-// Order asks for one run.
-type Order struct {
-	Run  work.RunID
-	Spec string
-	Need work.Amounts
-	// Life is the time left until the job's caller stops waiting.
-	Life time.Duration
-}
-
 // run is one start that may be at the runner.
 type run struct {
 	id    work.RunID
@@ -120,39 +65,6 @@
 	told bool
 }
 
-// Life is what is known of one life of the runner.
-type Life struct {
-	Instance string
-	Service  string
-	Address  string
-	Labels   []string
-	Total    work.Amounts
-	// Token fences the orders of older guards off.
-	Token int64
-}
-
-// Room is what the runner has and what is taken.
-type Room struct {
-	Life
-	// Open is false while no starts are taken.
-	Open bool
-	// Cleared is true once nothing that an older guard ordered runs or can begin.
-	Cleared bool
-	Used    work.Amounts
-}
-
-// Start is a start to be sent to the runner.
-type Start struct {
-	Run  work.RunID
-	Name work.RunName
-	Spec string
-}
-
-// Stop is a stop to be sent to the runner.
-type Stop struct {
-	Name work.RunName
-}
-
 // fate is the last report on a run that is over.
 type fate struct {
 	report Report
@@ -495,26 +407,3 @@
 	b.order = append(b.order, r.id)
 	return []Report{report}
 }
-
-// String names the refusal for logs and metrics.
-func (r Refusal) String() string {
-	switch r {
-	case Full:
-		return "full"
-	case Late:
-		return "stale"
-	case Closed:
-		return "closed"
-	case Unwell:
-		return "unwell"
-	case Unknown:
-		return "unknown"
-	default:
-		return "none"
-	}
-}
-
-// String names the state for logs.
-func (s State) String() string {
-	return [...]string{"none", "running", "done", "failed", "stopped", "not_started"}[s]
-}
