--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -118,6 +118,7 @@
 	actor(e.members.Run)
 	actor(e.jobs.Run)
 	actor(e.sessions.Run)
+	actor(e.gauges)
 	actor(func(c context.Context) error {
 		mux := http.NewServeMux()
 		mux.Handle(wirev1connect.NewFleetServiceHandler(fleet{e.sessions, e.members}))
--- /dev/null
+++ b/entry/edge/gauges.go
@@ -0,0 +1,38 @@
+package edge
+
+import (
+	"context"
+	"time"
+)
+
+// gaugeEvery paces the gauges; they are scraped every 5 s.
+const gaugeEvery = 2 * time.Second
+
+// gauges publishes what the entry believes, until the context ends.
+func (e *Entry) gauges(ctx context.Context) error {
+	scope := e.opt.Metrics.Scope
+	version := scope.Gauge("config_version")
+	age := scope.Gauge("config_age_seconds")
+	open := scope.Gauge("endpoints_open")
+	waiting := scope.Gauge("jobs_waiting")
+	running := scope.Gauge("jobs_running")
+	lines := scope.Gauge("log_lines_left_out")
+	tick := time.NewTicker(gaugeEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		if t := e.config.Table(); t != nil {
+			version.Update(float64(t.Version))
+		}
+		age.Update(e.config.Age().Seconds())
+		open.Update(float64(e.jobs.Reachable()))
+		count := e.jobs.Count("")
+		waiting.Update(float64(count.Waiting))
+		running.Update(float64(count.Running))
+		lines.Update(float64(e.opt.Metrics.LinesLeftOut()))
+	}
+}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -63,8 +63,11 @@
 func (f *Follower) Table() *route.Table { return f.table.Load() }
 
 // Fresh reports whether the store has lately shown that there is no newer one.
-func (f *Follower) Fresh() bool {
-	return time.Since(f.began)-time.Duration(f.checked.Load()) < FreshFor
+func (f *Follower) Fresh() bool { return f.Age() < FreshFor }
+
+// Age is the time since the store has last shown that there is no newer one.
+func (f *Follower) Age() time.Duration {
+	return time.Since(f.began) - time.Duration(f.checked.Load())
 }
 
 // Run follows until the context ends.
