--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -107,4 +107,3 @@
 	// Wake names endpoints whose guards are to learn that tasks wait.
 	Wake []string
 }
-
