entry/jobs: a job submitted again beside its predecessor's run is not said not to have run

Cause, found reading the diff: when the predecessor's last run had not ended in 0.8 s, the answer was 503 'nothing has run'; the predecessor may have run. It is 504 now (TestResubmittedJobIsNotDenied fails on the old answer). A job whose callers had all left had no channel to wait for its end, so that wait was always the longest; it has one.

--- a/e2e/soak/run.go
+++ b/e2e/soak/run.go
@@ -237,7 +237,7 @@
 		pause(ctx, f.For)
 		runner.Reborn()
 	case RunnerLate, RunnerSlow, RunnerHang, RunnerFails:
-		runner.SetFault(runnerFaults[f.Kind])
+		runner.SetFault(runnerFault(f))
 		pause(ctx, f.For)
 		runner.SetFault(worker.Fault{})
 	case StoreDown, StoreAway, StoreSlow, StoreLoses:
@@ -262,6 +262,16 @@
 	RunnerFails: {FailShare: 0.7},
 }
 
+// runnerFault makes late orders come within the validity of a start half the
+// time, and after it the other half.
+func runnerFault(f Fault) worker.Fault {
+	fault := runnerFaults[f.Kind]
+	if f.Kind == RunnerLate && f.Which%2 == 1 {
+		fault.LateBy = 300 * time.Millisecond
+	}
+	return fault
+}
+
 func storeFault(f Fault, entry string) metastore.Fault {
 	modes := []metastore.Mode{metastore.Silent, metastore.Busy, metastore.Reset}
 	switch f.Kind {
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -23,9 +23,6 @@
 // of its predecessor to end; a stop takes some 60 ms, a lease's end 700 ms.
 const endingWait = 800 * time.Millisecond
 
-// endingRetry is told to a caller whose job's predecessor has not ended.
-const endingRetry = time.Second
-
 // Guard takes orders for one endpoint. Its methods must not block.
 type Guard interface {
 	Order(starts []planner.Start, stops []planner.Stop)
@@ -109,10 +106,12 @@
 	}
 	verdict := e.plan.Submit(now, deadline, job, terms)
 	for verdict == planner.Ending {
-		ending := e.endings[job.ID]
+		ending := e.ending(job.ID)
 		e.mu.Unlock()
 		if !awaitEnding(ctx, ending) {
-			return planner.Answer{Outcome: planner.Refused, Why: planner.WhyOverload, RetryAfter: endingRetry}
+			// What was submitted under this id before may have run, or still run, so
+			// the answer must not say that nothing has.
+			return planner.Answer{Outcome: planner.Expired, Why: planner.WhyUnreachable}
 		}
 		e.mu.Lock()
 		now = uptime.Now()
@@ -139,6 +138,14 @@
 	return w.answer
 }
 
+// ending is closed when the last run of an ended job is over. The lock is held.
+func (e *Engine) ending(id string) chan struct{} {
+	if e.endings[id] == nil {
+		e.endings[id] = make(chan struct{})
+	}
+	return e.endings[id]
+}
+
 // awaitEnding reports whether a job's predecessor ended in time.
 func awaitEnding(ctx context.Context, ending chan struct{}) bool {
 	select {
@@ -334,9 +341,7 @@
 	if d.Outcome == planner.Completed || d.Outcome == planner.Failed {
 		e.answers[d.Job] = kept{w.answer, now}
 	}
-	if e.endings[d.Job] == nil {
-		e.endings[d.Job] = make(chan struct{})
-	}
+	e.ending(d.Job)
 	e.metrics.ended(w.terms.Contract, d)
 	logEnded(e.logger, d, w.terms, now-w.arrived)
 }
