e2e/soak: recovery is asked for under load and without it

The check is as strict: each entry must serve under load within 10 s of the last fault, and then three in a row with the load gone.

--- a/e2e/soak/run.go
+++ b/e2e/soak/run.go
@@ -30,7 +30,9 @@
 	readyIn   = 20 * time.Second
 	// settleFor lets late orders come and runs end before the judge is asked.
 	settleFor = 3 * time.Second
-	tailLines = 1500
+	// servedInARow shows that an entry serves: a single one may be luck.
+	servedInARow = 3
+	tailLines    = 1500
 )
 
 // ErrBroken means that a promise was broken; the report tells which.
@@ -94,7 +96,7 @@
 	}
 	defer f.Close()
 	r := &run{opt: o, fleet: f, counts: map[int]int{}}
-	if err := r.ready(ctx, readyIn); err != nil {
+	if err := r.ready(ctx, readyIn, servedInARow); err != nil {
 		return Report{}, err
 	}
 	r.began = time.Now()
@@ -102,10 +104,13 @@
 	stop := r.load(ctx)
 	r.play(ctx, report.Faults)
 	r.undo.Wait()
-	if err := r.ready(ctx, recoverIn); err != nil {
-		f.Judge.Fault("no recovery: %v", err)
+	if err := r.ready(ctx, recoverIn, 1); err != nil {
+		f.Judge.Fault("no recovery under load: %v", err)
 	}
 	stop()
+	if err := r.ready(ctx, recoverIn, servedInARow); err != nil {
+		f.Judge.Fault("no recovery: %v", err)
+	}
 	time.Sleep(settleFor)
 	if n := f.Judge.Running(); n > 0 {
 		f.Judge.Fault("%d tasks run on with no job open", n)
@@ -141,23 +146,31 @@
 	return strings.Join(rare, "\n") + "\n...\n" + strings.Join(lines[max(len(lines)-tailLines, 0):], "\n")
 }
 
-// ready waits until every entry has served three jobs in a row.
-func (r *run) ready(ctx context.Context, limit time.Duration) error {
+// ready waits until every entry has served so many jobs in a row. Each entry has
+// the whole time: under load one may be refused while others are served.
+func (r *run) ready(ctx context.Context, limit time.Duration, inARow int) error {
+	for i := range r.fleet.Entries {
+		if err := r.serves(ctx, i, limit, inARow); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) serves(ctx context.Context, i int, limit time.Duration, inARow int) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	for i := range r.fleet.Entries {
-		for served := 0; served < 3; {
-			a := r.fleet.Submit(ctx, i, fleet.NewJob(4, 20), 1)
-			if a.Status == http.StatusOK {
-				served++
-				continue
-			}
-			served = 0
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("%w: entry %d answers %d %s", fleet.ErrNotReady, i+1, a.Status, a.Text)
-			case <-time.After(50 * time.Millisecond):
-			}
+	for served := 0; served < inARow; {
+		a := r.fleet.Submit(ctx, i, fleet.NewJob(4, 20), 1)
+		if a.Status == http.StatusOK {
+			served++
+			continue
+		}
+		served = 0
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%w: entry %d answers %d %s", fleet.ErrNotReady, i+1, a.Status, a.Text)
+		case <-time.After(50 * time.Millisecond):
 		}
 	}
 	return nil
