guard/runner: a wave of closed connections is no absent runner

Cause of TestOneOfTwoRunnersFailsEverything: one runner fails everything, so jobs that run at both are cancelled in waves. At the runner that is well several connections are closed for writing just before the transport hands them on; the next call broke on three of them in a row before a byte was sent, and the guard reported its runner as absent. Entries then had only the runner that fails, and every job failed. Seen in the logs of 5 failed runs of 21 at a load average of 15: each has guard.runner_gone at the runner that is well, 'server closed idle connection'. Ruled out: the health monitor's evidence, the guards' streaks, refused answers. Now the idle connections are closed before another try, and a call that found only closed ones is given back as not run, the runner kept.

--- a/guard/runner/runner.go
+++ b/guard/runner/runner.go
@@ -64,7 +64,8 @@
 	Absent
 	// Withdrawn: cancelled before a byte of the call was sent.
 	Withdrawn
-	// Busy: the run limit passed before a connection was free; no byte was sent.
+	// Busy: no connection carried the call, or none was free within the run limit;
+	// no byte was sent.
 	Busy
 	// Failed: the runner answered with an error; it ran.
 	Failed
@@ -81,7 +82,9 @@
 )
 
 // maxTries bounds the connections tried for one call. Another one is taken
-// only when nothing was written to the one before.
+// only when nothing was written to the one before. Two are enough where the idle
+// ones are closed between them; the third is for one that another call of a wave
+// gives back broken meanwhile.
 const maxTries = 3
 
 // Request is one call.
@@ -171,10 +174,15 @@
 	defer context.AfterFunc(ctx, func() { k.stop(Cancelled) })()
 	out := c.exchange(k, r)
 	for tries := 1; out.Verdict == unsent && tries < maxTries; tries++ {
+		// A wave of stops leaves several closed connections among the idle ones.
+		// Tried one by one they use up the tries of a call to a runner that is well.
+		c.transport.CloseIdleConnections()
 		out = c.exchange(k, r)
 	}
 	if out.Verdict == unsent {
-		out.Verdict = Absent
+		// Every try had a connection, so the runner is there. Reported as absent it
+		// would get no work from any entry until it registers again.
+		out.Verdict = Busy
 	}
 	out.Elapsed = c.opts.Now().Sub(began)
 	return out
