entry/follower: reads that are slow go on beside the next

Cause: an entry short of processor time read each answer of the store more than 0.5 s after its question. Now a read is bounded by 3 s and another goes out beside it after 0.5 s; four at most. Test: a store whose answers take 0.8 s; before, no version in 5 s.

--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -20,9 +20,18 @@
 	// nothing: the store may have dropped it, or its history, without a word. A
 	// plain read of the one key is answered from the newest revision.
 	readEvery = 900 * time.Millisecond
-	// readTimeout bounds a read; the store answers in 4 ms, and in 0.3 s when slow.
-	readTimeout = 500 * time.Millisecond
-	// retryEvery is the pause after a read that failed.
+	// slowAfter is how long a read is waited for before another is sent beside it;
+	// the store answers in 4 ms, and in 0.3 s when slow. The first goes on: at an
+	// entry that is short of processor time each answer waits its turn, and reads
+	// that are broken off then never tell of a new version.
+	slowAfter = 500 * time.Millisecond
+	// readTimeout bounds a read: what is older than the platform's bound for a new
+	// version, 3 s, can't help to keep it.
+	readTimeout = 3 * time.Second
+	// maxReads bounds the reads that are under way: one for each slowAfter and
+	// retryEvery within readTimeout.
+	maxReads = 4
+	// retryEvery is the pause after a read that failed or is slow.
 	retryEvery = 250 * time.Millisecond
 	// FreshFor is how long after a read was sent what it said is taken as the
 	// newest there is.
@@ -72,9 +81,21 @@
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
+	var reads sync.WaitGroup
+	defer reads.Wait()
+	underWay := make(chan struct{}, maxReads)
 	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case underWay <- struct{}{}:
+		}
+		done := make(chan bool, 1)
+		reads.Go(func() {
+			done <- f.read(ctx)
+			<-underWay
+		})
 		pause := readEvery
-		if !f.read(ctx) {
+		if !answered(done) {
 			pause = retryEvery
 		}
 		select {
@@ -85,6 +106,18 @@
 	return nil
 }
 
+// answered waits for a read as long as one may take that is not slow.
+func answered(done <-chan bool) bool {
+	slow := time.NewTimer(slowAfter)
+	defer slow.Stop()
+	select {
+	case ok := <-done:
+		return ok
+	case <-slow.C:
+		return false
+	}
+}
+
 func (f *Follower) read(ctx context.Context) bool {
 	sent := time.Since(f.began)
 	called, cancel := context.WithTimeout(ctx, readTimeout)
@@ -95,13 +128,23 @@
 		return false
 	}
 	f.note(ctx, nil)
-	f.checked.Store(int64(sent))
+	f.check(int64(sent))
 	if found {
 		f.Take(ctx, item.Revision, item.Value)
 	}
 	return found
 }
 
+// check takes the time of a read that was answered; answers can come out of turn.
+func (f *Follower) check(sent int64) {
+	for {
+		known := f.checked.Load()
+		if sent <= known || f.checked.CompareAndSwap(known, sent) {
+			return
+		}
+	}
+}
+
 // note logs when the store is lost and when it is back.
 func (f *Follower) note(ctx context.Context, err error) {
 	f.mu.Lock()
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -6,9 +6,12 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"almondstand.dev/platform/store"
 )
@@ -40,6 +43,40 @@
 	assert.Equal(t, revision, int64(13))
 }
 
+// lateStore answers each read, with the newest revision, a while after it was sent.
+type lateStore struct {
+	delay time.Duration
+	reads atomic.Int64
+}
+
+func (s *lateStore) Get(ctx context.Context, _ string) (store.Item, bool, error) {
+	version := s.reads.Add(1)
+	select {
+	case <-ctx.Done():
+		return store.Item{}, false, ctx.Err()
+	case <-time.After(s.delay):
+		return store.Item{Revision: version, Value: config(int(version))}, true, nil
+	}
+}
+
+// An entry is short of processor time, so that each answer of the store is read
+// 0.8 s after its question. Callers must not be served by an old version for good:
+// a read that is slow goes on beside the next one, and its answer counts.
+func TestSlowAnswersAreTaken(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	f := New(&lateStore{delay: 800 * time.Millisecond}, slog.New(slog.NewJSONHandler(io.Discard, nil)))
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.Table() != nil && f.Table().Version >= 3 && f.Fresh() {
+			return poll.Success()
+		}
+		return poll.Continue("no third version yet")
+	}, poll.WithTimeout(5*time.Second))
+	stop()
+	assert.NilError(t, <-ended)
+}
+
 // An entry that has not heard from the store lately must not take a path that it
 // doesn't know for one that nobody knows.
 func TestSilentStoreIsNotFresh(t *testing.T) {
