wire/fleetwire: messages between entries and guards go uncompressed

Cause: connect offers gzip on both ends by itself. Messages have some 100 bytes; the entry compressed each, and the small entries of the grown deployments ran out of processor time in bursts. Trial: 1.24 to 1.45 ms a job before, 1.04 to 1.15 without.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -22,7 +22,6 @@
 	"almondstand.dev/telemetry"
 	"almondstand.dev/wire/fleetwire"
 	"almondstand.dev/wire/wirev1"
-	"almondstand.dev/wire/wirev1/wirev1connect"
 )
 
 // Bounds of callers' connections.
@@ -121,7 +120,7 @@
 	actor(e.gauges)
 	actor(func(c context.Context) error {
 		mux := http.NewServeMux()
-		mux.Handle(wirev1connect.NewFleetServiceHandler(fleet{e.sessions, e.members}))
+		mux.Handle(fleetwire.NewHandler(fleet{e.sessions, e.members}))
 		return serve(c, s.Listen.Guards.String(), fleetwire.NewServer(mux))
 	})
 	actor(func(c context.Context) error {
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -18,7 +18,6 @@
 	"almondstand.dev/platform/store"
 	"almondstand.dev/wire/fleetwire"
 	"almondstand.dev/wire/wirev1"
-	"almondstand.dev/wire/wirev1/wirev1connect"
 )
 
 // prefix of the keys that name the live entries.
@@ -251,7 +250,7 @@
 	revision, _ := r.config.Held()
 	called, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	res, err := wirev1connect.NewFleetServiceClient(client, "http://"+address).Meet(called, connect.NewRequest(&wirev1.MeetRequest{
+	res, err := fleetwire.NewClient(client, address).Meet(called, connect.NewRequest(&wirev1.MeetRequest{
 		Entry:          r.opt.Entry,
 		Address:        r.opt.Address,
 		ConfigRevision: revision,
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -15,7 +15,6 @@
 	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/fleetwire"
 	"almondstand.dev/wire/wirev1"
-	"almondstand.dev/wire/wirev1/wirev1connect"
 )
 
 // Errors of a session.
@@ -68,7 +67,7 @@
 	defer context.AfterFunc(ctx, transport.Close)()
 	silence := time.AfterFunc(listenFor, func() { s.cancel(ErrSilent) })
 	defer silence.Stop()
-	client := wirev1connect.NewFleetServiceClient(&http.Client{Transport: transport}, "http://"+s.link.address)
+	client := fleetwire.NewClient(&http.Client{Transport: transport}, s.link.address)
 	st := client.Attach(ctx)
 	defer func() { _ = st.CloseResponse() }()
 	defer func() { _ = st.CloseRequest() }()
--- a/wire/fleetwire/fleetwire.go
+++ b/wire/fleetwire/fleetwire.go
@@ -10,10 +10,12 @@
 	"syscall"
 	"time"
 
+	"connectrpc.com/connect"
 	"golang.org/x/sys/unix"
 
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/wire/wirev1"
+	"almondstand.dev/wire/wirev1/wirev1connect"
 )
 
 // Bounds of a connection between two processes.
@@ -95,6 +97,22 @@
 	return config.Listen(ctx, "tcp", address)
 }
 
+// gzipName is the compression that connect offers by itself.
+const gzipName = "gzip"
+
+// NewHandler serves the fleet's calls. Messages go as they are: most have some 100
+// bytes, which gzip makes longer, and its writers took a fifth of an entry's
+// processor time and 0.8 MB each (six entries, 40 guards, 500 jobs a second: 1.24
+// to 1.45 ms a job before, 1.04 to 1.15 without).
+func NewHandler(service wirev1connect.FleetServiceHandler) (path string, handler http.Handler) {
+	return wirev1connect.NewFleetServiceHandler(service, connect.WithCompression(gzipName, nil, nil))
+}
+
+// NewClient calls the entry at an address.
+func NewClient(client *http.Client, address string) wirev1connect.FleetServiceClient {
+	return wirev1connect.NewFleetServiceClient(client, "http://"+address, connect.WithAcceptCompression(gzipName, nil, nil))
+}
+
 func limitUnacked(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
