metrics: store calls by outcome, runners by state, queue age, late leases

An on-call engineer could not see from metrics whether the store answers, why runners take no work, how old the oldest waiting job is, or whether a runner's lease was extended in time. Now: store_calls_total{call,outcome} and store_call_seconds, endpoints{state} in place of endpoints_open, queue_oldest_seconds; at the guard runner_leases_late_total and runner_lease_left_seconds. Names of the store's calls stay in platform/store.

--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -150,6 +150,53 @@
 	return n
 }
 
+// State of an endpoint, for metrics.
+type State string
+
+// States.
+const (
+	// Taking: it gets starts.
+	Taking State = "taking"
+	// Closed: its guard takes no starts.
+	Closed State = "closed"
+	// SetAside: its runs go wrong; it gets a single task now and then.
+	SetAside State = "set_aside"
+	// Silent: a start there has been left without a word.
+	Silent State = "silent"
+	// Detached: its guard can't be reached.
+	Detached State = "detached"
+)
+
+// States returns every state.
+func States() []State { return []State{Taking, Closed, SetAside, Silent, Detached} }
+
+// Endpoints counts the endpoints by state; every state is there.
+func (p *Planner) Endpoints(now time.Duration) map[State]int {
+	n := map[State]int{}
+	for _, s := range States() {
+		n[s] = 0
+	}
+	for _, e := range p.endpoints {
+		n[e.state(now)]++
+	}
+	return n
+}
+
+func (e *endpoint) state(now time.Duration) State {
+	switch {
+	case !e.attached:
+		return Detached
+	case !e.open:
+		return Closed
+	case e.unanswered(now):
+		return Silent
+	case e.health.aside:
+		return SetAside
+	default:
+		return Taking
+	}
+}
+
 // fit of a job to a service's endpoints.
 type fit int
 
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -171,10 +171,12 @@
 	// Waiting jobs have started nothing.
 	Waiting int
 	Running int
+	// Oldest is how long the oldest of the waiting jobs has waited; zero for none.
+	Oldest time.Duration
 }
 
 // Count returns the open jobs of a contract, or of all for "".
-func (p *Planner) Count(contract string) Counts {
+func (p *Planner) Count(now time.Duration, contract string) Counts {
 	var c Counts
 	for _, j := range p.jobs {
 		if j.outcome != 0 || contract != "" && j.terms.Contract != contract {
@@ -184,6 +186,7 @@
 			c.Running++
 		} else {
 			c.Waiting++
+			c.Oldest = max(c.Oldest, now-j.arrived)
 		}
 	}
 	return c
--- a/dispatch/planner/planner_test.go
+++ b/dispatch/planner/planner_test.go
@@ -263,3 +263,29 @@
 	f.now += 20 * ms
 	assert.Equal(t, f.Report(f.now, start.Endpoint, start.Run, Done, 0), 90*ms)
 }
+
+// An operator sees how many runners take work, and why the others don't.
+func TestEndpointsAreCountedByState(t *testing.T) {
+	f := newFleet(t, 1, 1, 1)
+	f.Describe(f.now, f.id(0), Room{Service: "teardown", Runner: "r"})
+	f.Detach(f.id(1))
+	assert.DeepEqual(t, f.Endpoints(f.now), map[State]int{Taking: 1, Closed: 1, SetAside: 0, Silent: 0, Detached: 1})
+	start := f.submit("j", 1, 60*ms).Starts[0]
+	assert.Equal(t, start.Endpoint, f.id(2))
+	f.now += answerIn + ms
+	assert.Equal(t, f.Endpoints(f.now)[Silent], 1)
+	for range badStreak {
+		f.endpoints[f.id(2)].health.bad(f.now, 0)
+	}
+	f.report(start, Running)
+	assert.Equal(t, f.Endpoints(f.now)[SetAside], 1)
+}
+
+// The oldest job that waits tells how long the queue is.
+func TestOldestWaitingJob(t *testing.T) {
+	f := newFleet(t, 1)
+	f.submit("runs", 1, 900*ms)
+	f.submit("waits", 1, 900*ms)
+	f.now += 30 * ms
+	assert.DeepEqual(t, f.Count(f.now, ""), Counts{Waiting: 1, Running: 1, Oldest: 30 * ms})
+}
--- a/e2e/fleet/fleet.go
+++ b/e2e/fleet/fleet.go
@@ -75,6 +75,7 @@
 	Front   string
 	Ready   string
 	Control string
+	Metrics string
 	file    string
 	path    string
 	args    []string
@@ -140,7 +141,7 @@
 func (f *Fleet) plan(ctx context.Context) error {
 	for i := range f.opt.Entries {
 		n := &Node{ID: fmt.Sprintf("entry-%d", i+1), IP: harness.NewHost(), path: f.opt.Binaries.Entry}
-		if err := harness.FreeAddresses(n.IP, &n.Front, &n.Ready); err != nil {
+		if err := harness.FreeAddresses(n.IP, &n.Front, &n.Ready, &n.Metrics); err != nil {
 			return err
 		}
 		n.Outside = harness.NewHost()
@@ -153,7 +154,7 @@
 	}
 	for i := range f.opt.Guards {
 		n := &Node{ID: fmt.Sprintf("guard-%d", i+1), IP: harness.NewHost(), path: f.opt.Binaries.Guard}
-		if err := harness.FreeAddresses(n.IP, &n.Control); err != nil {
+		if err := harness.FreeAddresses(n.IP, &n.Control, &n.Metrics); err != nil {
 			return err
 		}
 		f.Guards = append(f.Guards, n)
@@ -215,7 +216,7 @@
 func (f *Fleet) entrySettings(n *Node, store string) any {
 	return section(map[string]any{
 		"id": n.ID, "zone": "a",
-		"listen": map[string]string{"callers": n.Front, "ready": n.Ready, "guards": fmt.Sprintf("%s:%d", n.IP, entryPort), "advertise": fmt.Sprintf("%s:%d", n.Outside, entryPort)},
+		"listen": map[string]string{"callers": n.Front, "ready": n.Ready, "guards": fmt.Sprintf("%s:%d", n.IP, entryPort), "advertise": fmt.Sprintf("%s:%d", n.Outside, entryPort), "metrics": n.Metrics},
 		"seeds":  f.seeds(),
 		"store":  store,
 	})
@@ -224,7 +225,7 @@
 func (f *Fleet) guardSettings(n *Node) any {
 	return section(map[string]any{
 		"id": n.ID, "zone": "a",
-		"listen":     map[string]string{"reports": n.Control},
+		"listen":     map[string]string{"reports": n.Control, "metrics": n.Metrics},
 		"seeds":      f.seeds(),
 		"entry_port": entryPort,
 	})
--- /dev/null
+++ b/e2e/fleet_metrics_test.go
@@ -0,0 +1,82 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"almondstand.dev/e2e/fleet"
+	"almondstand.dev/standin/metastore"
+)
+
+// scrape reads a node's metrics.
+func scrape(n *fleet.Node) (string, error) {
+	res, err := http.Get("http://" + n.Metrics + "/metrics")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = res.Body.Close() }()
+	text, err := io.ReadAll(res.Body)
+	return string(text), err
+}
+
+// wantMetrics waits until a node shows series that begin so.
+func wantMetrics(t *testing.T, n *fleet.Node, series ...string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	err := eventually(ctx, func() error {
+		text, err := scrape(n)
+		if err != nil {
+			return err
+		}
+		for _, s := range series {
+			if !strings.Contains(text, "\n"+s) {
+				return fmt.Errorf("%s shows no %s", n.ID, s)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		text, _ := scrape(n)
+		t.Fatalf("%v\n%s", err, text)
+	}
+}
+
+// An operator looks at the metrics of a fleet that has served, whose store then goes
+// silent: jobs by outcome and reason, waiting, runners by state, the store's answers,
+// and at the guard runs, orders turned down, and whether leases are extended in time.
+func TestFleetMetrics(t *testing.T) {
+	parallel(t)
+	f := startFleet(t, 1, 2)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	assert.Equal(t, f.Submit(ctx, 0, fleet.NewJob(4, 400), 1).Status, http.StatusOK)
+	tooLate := fleet.NewJob(40, 300)
+	tooLate.Deadline = 400 * time.Millisecond
+	assert.Assert(t, f.Submit(ctx, 0, tooLate, 1).Status != http.StatusOK)
+	f.Store.SetFault(metastore.Fault{Down: metastore.Silent})
+	wantMetrics(t, f.Entries[0],
+		`almondstand_jobs_ended_total{contract="`,
+		`almondstand_job_wait_seconds_bucket{`,
+		`almondstand_queue_oldest_seconds`,
+		`almondstand_endpoints{state="taking"} 2`,
+		`almondstand_endpoints{state="detached"} 0`,
+		`almondstand_store_calls_total{call="read",outcome="answered"}`,
+		`almondstand_store_calls_total{call="read",outcome="unanswered"}`,
+		`almondstand_store_call_seconds_bucket{`,
+		`almondstand_config_version`,
+		`almondstand_log_lines_left_out`,
+	)
+	wantMetrics(t, f.Guards[0],
+		`almondguard_runner_starts_total`,
+		`almondguard_runner_lease_left_seconds_bucket{`,
+		`almondguard_runner_leases_late_total 0`,
+	)
+}
--- a/entry/edge/gauges.go
+++ b/entry/edge/gauges.go
@@ -3,8 +3,22 @@
 import (
 	"context"
 	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"almondstand.dev/dispatch/planner"
+	"almondstand.dev/platform/store"
 )
 
+// storeMetrics counts and times the calls to the store.
+func storeMetrics(scope tally.Scope) store.Observer {
+	return func(call string, o store.Outcome, took time.Duration) {
+		tagged := scope.Tagged(map[string]string{"call": call, "outcome": string(o)})
+		tagged.Counter("store_calls_total").Inc(1)
+		tagged.Timer("store_call_seconds").Record(took)
+	}
+}
+
 // gaugeEvery paces the gauges; they are scraped every 5 s.
 const gaugeEvery = 2 * time.Second
 
@@ -13,7 +27,11 @@
 	scope := e.opt.Metrics.Scope
 	version := scope.Gauge("config_version")
 	age := scope.Gauge("config_age_seconds")
-	open := scope.Gauge("endpoints_open")
+	oldest := scope.Gauge("queue_oldest_seconds")
+	states := map[planner.State]tally.Gauge{}
+	for _, state := range planner.States() {
+		states[state] = scope.Tagged(map[string]string{"state": string(state)}).Gauge("endpoints")
+	}
 	waiting := scope.Gauge("jobs_waiting")
 	running := scope.Gauge("jobs_running")
 	lines := scope.Gauge("log_lines_left_out")
@@ -29,9 +47,12 @@
 			version.Update(float64(t.Version))
 		}
 		age.Update(e.config.Age().Seconds())
-		open.Update(float64(e.jobs.Reachable()))
+		for state, n := range e.jobs.Endpoints() {
+			states[state].Update(float64(n))
+		}
 		count := e.jobs.Count("")
 		waiting.Update(float64(count.Waiting))
+		oldest.Update(count.Oldest.Seconds())
 		running.Update(float64(count.Running))
 		lines.Update(float64(e.opt.Metrics.LinesLeftOut()))
 	}
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -200,7 +200,14 @@
 func (e *Engine) Count(contract string) planner.Counts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.plan.Count(contract)
+	return e.plan.Count(uptime.Now(), contract)
+}
+
+// Endpoints counts the endpoints by state; every state is there.
+func (e *Engine) Endpoints() map[planner.State]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.plan.Endpoints(uptime.Now())
 }
 
 // Reachable counts the endpoints that take starts.
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -105,6 +105,7 @@
 	h.mu.Lock()
 	life := *h.book.Life()
 	api := h.api
+	left, leases := h.leased-h.steady(), h.book.Holds()
 	until := h.lease(asked)
 	seen := h.book.Seen()
 	wait := lookWait
@@ -141,6 +142,9 @@
 	h.sendStops(now)
 	h.mu.Unlock()
 	h.opt.Metrics.look(err)
+	if err == nil && leases {
+		h.opt.Metrics.extended(left)
+	}
 	if err != nil {
 		lookFailed.Log(ctx, h.logger, slog.String("runner", life.Instance), slog.String("error", err.Error()))
 		pause(ctx, again)
--- a/guard/host/metrics.go
+++ b/guard/host/metrics.go
@@ -1,6 +1,8 @@
 package host
 
 import (
+	"time"
+
 	"github.com/uber-go/tally/v4"
 
 	"almondstand.dev/guard/runs"
@@ -9,7 +11,11 @@
 // Metrics count the orders to the runner.
 type Metrics struct {
 	starts, startErrors, stops, stopErrors, looks, lookErrors tally.Counter
-	refusals                                                  map[runs.Refusal]tally.Counter
+	// leasesLate counts extensions that came after the lease had run out, and
+	// leaseLeft is what was left of it at each extension.
+	leasesLate tally.Counter
+	leaseLeft  tally.Timer
+	refusals   map[runs.Refusal]tally.Counter
 }
 
 // NewMetrics returns metrics in the scope.
@@ -21,6 +27,8 @@
 		stopErrors:  s.Counter("runner_stop_errors_total"),
 		looks:       s.Counter("runner_looks_total"),
 		lookErrors:  s.Counter("runner_look_errors_total"),
+		leasesLate:  s.Counter("runner_leases_late_total"),
+		leaseLeft:   s.Timer("runner_lease_left_seconds"),
 		refusals:    map[runs.Refusal]tally.Counter{},
 	}
 	for _, why := range []runs.Refusal{runs.Full, runs.Late, runs.Closed, runs.Unwell, runs.Unknown} {
@@ -36,7 +44,17 @@
 	}
 }
 
-func (m *Metrics) start(err error)          { count(m.starts, m.startErrors, err) }
-func (m *Metrics) stop(err error)           { count(m.stops, m.stopErrors, err) }
-func (m *Metrics) look(err error)           { count(m.looks, m.lookErrors, err) }
+func (m *Metrics) start(err error) { count(m.starts, m.startErrors, err) }
+func (m *Metrics) stop(err error)  { count(m.stops, m.stopErrors, err) }
+func (m *Metrics) look(err error)  { count(m.looks, m.lookErrors, err) }
+
+// extended takes note that the runner's lease was extended with so much left of it;
+// negative when it had run out.
+func (m *Metrics) extended(left time.Duration) {
+	if left < 0 {
+		m.leasesLate.Inc(1)
+	}
+	m.leaseLeft.Record(max(left, 0))
+}
+
 func (m *Metrics) refused(why runs.Refusal) { m.refusals[why].Inc(1) }
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -187,6 +187,9 @@
 // Idle reports whether nothing is at the runner.
 func (b *Book) Idle() bool { return len(b.runs) == 0 && len(b.strays) == 0 }
 
+// Holds reports whether runs of this account are at the runner.
+func (b *Book) Holds() bool { return len(b.runs) > 0 }
+
 // Checked reports whether an account of this life has been read.
 func (b *Book) Checked() bool { return b.checked }
 
