dispatch/planner: a task that takes long is not stopped again and again

Now the limit doubles with each such stop of the task, and only the first runner is blamed. TestLongTaskIsNotStoppedAgainAndAgain fails without it.

--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -39,6 +39,8 @@
 	step, index int
 	attempt     int
 	failures    int
+	// tooLong counts the runs that were stopped because they took too long.
+	tooLong int
 	done        bool
 	// endpoint holds the open run, nil when there is none.
 	endpoint *endpoint
--- a/dispatch/planner/planner_test.go
+++ b/dispatch/planner/planner_test.go
@@ -304,3 +304,32 @@
 	}
 	assert.Equal(t, len(f.after(8*ms).Ended), 0)
 }
+
+// A task simply takes four times what was expected. Stopped and started again
+// elsewhere with the same patience it would never end, at one runner after the other,
+// and each of these would be taken for bad. The next run gets twice the time, and only
+// the first runner is blamed.
+func TestLongTaskIsNotStoppedAgainAndAgain(t *testing.T) {
+	f := newFleet(t, 1, 1, 1)
+	limit := time.Duration(hangFactor*60)*ms + hangMargin
+	var took time.Duration
+	start := f.submit("long", 1, 60*ms).Starts[0]
+	f.report(start, Running)
+	for stops := 0; ; stops++ {
+		a := f.after(limit + 10*ms)
+		took += limit + 10*ms
+		if len(a.Stops) == 0 {
+			assert.Equal(t, stops, 1, "the second run is left alone for twice the time")
+			break
+		}
+		assert.Equal(t, a.Stops[0].Why, WhyTooLong)
+		f.report(start, Stopped)
+		start = f.act().Starts[0]
+		f.report(start, Running)
+	}
+	blamed := 0
+	for _, e := range f.endpoints {
+		blamed += e.health.streak
+	}
+	assert.Equal(t, blamed, 1)
+}
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -177,6 +177,9 @@
 	// strayFactor times the mean of the job's tasks that are done: tasks of one
 	// job differ by some 15 %.
 	strayFactor = 2
+	// mostDoublings keeps the doubled limit within its type; a caller waits some
+	// seconds.
+	mostDoublings = 8
 )
 
 // watchRuns stops runs that take far too long, if a run elsewhere would still
@@ -200,7 +203,11 @@
 			continue
 		}
 		t.stopping = true
-		t.endpoint.health.bad(now, j.service.failRate)
+		if t.tooLong == 0 {
+			// Too long a second time, at another endpoint, it is the task.
+			t.endpoint.health.bad(now, j.service.failRate)
+		}
+		t.tooLong++
 		p.out.Stops = append(p.out.Stops, Stop{t.endpoint.id, t.run(), WhyTooLong})
 	}
 	return next
@@ -209,13 +216,15 @@
 // mostDone reports whether the job's own tasks tell how long one runs.
 func (j *job) mostDone() bool { return len(j.work.Steps) == 1 && 2*j.done >= len(j.tasks) }
 
-// limit is the run time above which a run is taken to hang.
+// limit is the run time above which a run is taken to hang. It doubles with each run
+// of the task that was stopped for it: a task that simply takes long would be stopped
+// at one endpoint after the other and never end.
 func (t *task) limit() time.Duration {
 	limit := time.Duration(hangFactor*float64(t.job.expected[t.step])) + hangMargin
 	if t.job.mostDone() {
 		limit = min(limit, time.Duration(strayFactor*float64(t.job.typical))+hangMargin)
 	}
-	return limit
+	return limit << min(t.tooLong, mostDoublings)
 }
 
 // stopTime is how long a stop takes at a runner, with the messages.
