entry/jobs: a thawed entry orders nothing for a moment; spec: starts sent twice

A frozen entry whose guard has ended its run could, at the thaw, read that end before the news that its caller has left, and order the task anew while it runs through another entry. After 500 ms without a beat nothing is placed for 100 ms (planner.Pause; event 1258).

--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -41,7 +41,7 @@
 	failures    int
 	// tooLong counts the runs that were stopped because they took too long.
 	tooLong int
-	done        bool
+	done    bool
 	// endpoint holds the open run, nil when there is none.
 	endpoint *endpoint
 	// ordered and running are when the start was sent and when the guard said
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -64,6 +64,8 @@
 	out       Actions
 	// watchAt is when open jobs must be looked through next.
 	watchAt time.Duration
+	// pausedUntil is until when nothing is started.
+	pausedUntil time.Duration
 }
 
 // service is one service's endpoints and the jobs that wait for them.
@@ -284,12 +286,19 @@
 	return min(drain, mostRetryAfter)
 }
 
+// Pause has nothing started until the time given; everything else goes on.
+func (p *Planner) Pause(until time.Duration) { p.pausedUntil = until }
+
 // Act returns what is to be done, and when to be asked again at the latest.
 func (p *Planner) Act(now time.Duration) (Actions, time.Duration) {
 	next := now + time.Second
 	for _, s := range p.services {
 		p.weed(now, s)
-		p.place(now, s)
+		if now >= p.pausedUntil {
+			p.place(now, s)
+		} else {
+			next = min(next, p.pausedUntil)
+		}
 		p.noteWaiting(now, s)
 		next = min(next, s.nextDue(now))
 	}
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -28,4 +28,7 @@
 			"how long it waited for its first start, and how long it took.",
 		"fits_no_runner: the caller asks for more than any runner has; no_runner: look at the guards' sessions; "+
 			"no_room_in_time: load is above what the runners carry; guard_unreachable: look at the network to the guards.")
+	stoodStillFor = eventlog.Define(1258, "entry.stood_still", slog.LevelWarn,
+		"The process did not run for a while; it orders nothing for a moment, until it has read what came meanwhile.",
+		"If it repeats, look at the host: processor time, memory, suspension.")
 )
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -23,6 +23,21 @@
 // of its predecessor to end; a stop takes some 60 ms, a lease's end 700 ms.
 const endingWait = 800 * time.Millisecond
 
+// Limits on a process that stood still.
+const (
+	// beatEvery paces the look at the clock.
+	beatEvery = 100 * time.Millisecond
+	// stoodStill is the time without a beat after which the process counts as one
+	// that was frozen. Guards stop the runs of an entry that is silent for 520 ms.
+	stoodStill = 500 * time.Millisecond
+	// settle is how long nothing is ordered after that. What came meanwhile is read
+	// in any order: the end of a run before the news that its caller has left, and
+	// the task would be ordered anew though its job runs elsewhere by now. Each
+	// piece of news takes microseconds; a processor that is held back gets its share
+	// within a tenth of a second.
+	settle = 100 * time.Millisecond
+)
+
 // Guard takes orders for one endpoint. Its methods must not block.
 type Guard interface {
 	Order(starts []planner.Start, stops []planner.Stop)
@@ -51,6 +66,8 @@
 	endings map[string]chan struct{}
 	wake    *time.Timer
 	pruned  time.Duration
+	// beat is when the process last looked at the clock, zero before it runs.
+	beat time.Duration
 }
 
 // waiters are the callers of one job.
@@ -84,9 +101,32 @@
 
 // Run keeps the engine until the context ends.
 func (e *Engine) Run(ctx context.Context) error {
-	<-ctx.Done()
-	e.wake.Stop()
-	return nil
+	defer e.wake.Stop()
+	tick := time.NewTicker(beatEvery)
+	defer tick.Stop()
+	for {
+		e.mu.Lock()
+		e.look(uptime.Now(), true)
+		e.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// look notes the time, and whether the process stood still since the last look.
+// starts is true for the look that begins the count. The lock is held.
+func (e *Engine) look(now time.Duration, starts bool) {
+	if e.beat == 0 && !starts {
+		return
+	}
+	if e.beat > 0 && now-e.beat > stoodStill {
+		e.plan.Pause(now + settle)
+		stoodStillFor.Log(context.Background(), e.logger, millis("for_ms", now-e.beat))
+	}
+	e.beat = now
 }
 
 func (e *Engine) tick() {
@@ -297,6 +337,7 @@
 
 // act carries out what the planner decides. The lock is held.
 func (e *Engine) act(now time.Duration) {
+	e.look(now, false)
 	actions, next := e.plan.Act(now)
 	type orders struct {
 		starts []planner.Start
--- a/entry/jobs/jobs_test.go
+++ b/entry/jobs/jobs_test.go
@@ -89,3 +89,47 @@
 	assert.Equal(t, (<-answers).Outcome, planner.Completed)
 	assert.Equal(t, len(g.starts), 0)
 }
+
+// An entry is frozen with a task running. Its guard ends the run, and the caller goes
+// to another entry. At the thaw the end is read before the news that the caller has
+// left: the task must not be ordered anew, it runs through the other entry by now.
+func TestThawedEntryOrdersNothingAtOnce(t *testing.T) {
+	e, g := newEngine()
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	caller, leave := context.WithCancel(t.Context())
+	answer := make(chan planner.Answer, 1)
+	go func() { answer <- submit(caller, e) }()
+	s := <-g.starts
+	e.mu.Lock()
+	e.beat = uptime.Now() - 2*time.Second
+	e.mu.Unlock()
+	e.Tell("g", g, News{Reports: []Report{{Run: s.Run, Change: planner.Stopped}}})
+	leave()
+	assert.Equal(t, (<-answer).Outcome, planner.Cancelled)
+	time.Sleep(2 * settle)
+	assert.Equal(t, len(g.starts), 0)
+	stop()
+	assert.NilError(t, <-ended)
+}
+
+// A thawed entry whose caller still waits serves it.
+func TestThawedEntryGoesOn(t *testing.T) {
+	e, g := newEngine()
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	answer := make(chan planner.Answer, 1)
+	go func() { answer <- submit(t.Context(), e) }()
+	s := <-g.starts
+	e.mu.Lock()
+	e.beat = uptime.Now() - 2*time.Second
+	e.mu.Unlock()
+	e.Tell("g", g, News{Reports: []Report{{Run: s.Run, Change: planner.Stopped}}})
+	again := <-g.starts
+	e.Tell("g", g, News{Reports: []Report{{Run: again.Run, Change: planner.Done}}})
+	assert.Equal(t, (<-answer).Outcome, planner.Completed)
+	stop()
+	assert.NilError(t, <-ended)
+}
--- a/spec/run.pml
+++ b/spec/run.pml
@@ -41,6 +41,8 @@
 #define RAN_ELSEWHERE 3         /* the task ran through the second entry */
 #define LAPSED 4                /* a run ended with its lease */
 #define STRAY 5                 /* a new guard found a run */
+#define TWIN_MET 6              /* the second copy of a start found the run there */
+#define TWIN_REFUSED 7          /* one copy was turned down with the other under way */
 #ifndef SEE
 #define SEE 0
 #endif
@@ -62,6 +64,8 @@
 /* the start that is under way to a runner */
 bool s_on[2];
 byte s_number[2], s_token[2], s_until[2];
+bool s_twin[2];                 /* a second copy is under way: the first went unanswered */
+bool s_again[2];                /* the start was sent twice */
 
 /* guards; all but the token is lost with a restart */
 byte g_token[2];
@@ -168,16 +172,32 @@
 	od
 }
 
+inline copy_done(i)
+{
+	if
+	:: s_twin[i] -> s_twin[i] = false
+	:: else ->
+		s_on[i] = false; s_again[i] = false;
+		s_number[i] = 0; s_token[i] = 0; s_until[i] = 0
+	fi
+}
+
 /* A runner carries a start out, now or late; its guard may hear of it. */
 proctype runner(byte i)
 {
 end3:	do
 	:: atomic { s_on[i] ->
-		s_on[i] = false;
 		if
 		:: s_token[i] < token[i] -> REACHED(FENCED)
 		:: s_token[i] >= token[i] && s_number[i] <= barred[i] -> REACHED(LATE_START_BARRED)
-		:: s_token[i] >= token[i] && s_number[i] > barred[i] && now >= s_until[i]
+		:: s_token[i] >= token[i] && s_number[i] > barred[i] && holds[i] == s_number[i] ->
+			/* the other copy has begun the run */
+			REACHED(TWIN_MET);
+			if
+			:: g_token[i] == s_token[i] && g_state[i] == SENT && g_number[i] == s_number[i] -> g_state[i] = KNOWN
+			:: true
+			fi
+		:: s_token[i] >= token[i] && s_number[i] > barred[i] && holds[i] != s_number[i] && now >= s_until[i]
 		:: else ->
 			token[i] = s_token[i];
 			begin_run(i);
@@ -186,7 +206,26 @@
 			:: true
 			fi
 		fi;
-		s_number[i] = 0; s_token[i] = 0; s_until[i] = 0
+		copy_done(i)
+	}
+	/* the runner is unwell and turns one copy down; the other may come later */
+	:: atomic { s_on[i] && s_again[i] && s_token[i] >= token[i] ->
+		if
+		:: s_twin[i] -> REACHED(TWIN_REFUSED)
+		:: else
+		fi;
+		if
+		:: g_token[i] == s_token[i] && g_state[i] == SENT && g_number[i] == s_number[i] ->
+#ifdef NO_DOUBT
+			g_state[i] = NONE;
+			TELL(i);
+			g_number[i] = 0; g_owner[i] = 0; g_until[i] = 0; g_barred[i] = false
+#else
+			g_state[i] = ENDING
+#endif
+		:: else
+		fi;
+		copy_done(i)
 	}
 	od
 }
@@ -222,6 +261,11 @@
 		fi;
 		m_from[i] = 0; m_sent[i] = 0; m_try[i] = 0
 	}
+	/* the start goes unanswered and is sent again beside the first */
+	:: atomic { g_state[i] == SENT && s_on[i] && !s_again[i] && s_token[i] == g_token[i] && s_number[i] == g_number[i] ->
+		s_twin[i] = true;
+		s_again[i] = true
+	}
 	/* the start's answer was waited for long enough, or its entry is silent */
 	:: atomic { g_state[i] == SENT || g_state[i] == KNOWN ->
 #ifdef NO_BAR
