--- a/entry/command/contract_apply.go
+++ b/entry/command/contract_apply.go
@@ -17,6 +17,7 @@
 	"almondstand.dev/entry/contracts"
 	"almondstand.dev/entry/operator"
 	"almondstand.dev/entry/operator/client"
+	"almondstand.dev/telemetry/uptime"
 )
 
 const (
@@ -191,7 +192,7 @@
 			return err
 		}
 		// A round cut short by the end would report entries that it hardly asked.
-		if !sleep(ctx, waitPause) || time.Since(began)+each > limit {
+		if !uptime.Sleep(ctx, waitPause) || time.Since(began)+each > limit {
 			break
 		}
 	}
@@ -236,15 +237,3 @@
 	}
 	return true, nil
 }
-
-// sleep pauses; false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/fleet/follow.go
+++ b/entry/fleet/follow.go
@@ -9,6 +9,7 @@
 
 	"almondstand.dev/entry/fleet/link"
 	"almondstand.dev/entry/task"
+	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/wirev1"
 )
 
@@ -53,7 +54,7 @@
 func (t *start) pause(ctx context.Context, pauses *backoff) {
 	d := min(pauses.pause(), time.Until(t.lateAt))
 	if d > 0 {
-		sleep(ctx, d)
+		uptime.Sleep(ctx, d)
 	}
 }
 
@@ -131,7 +132,7 @@
 			break
 		}
 		l = t.g.rescueLink()
-		sleep(ctx, pauses.pause())
+		uptime.Sleep(ctx, pauses.pause())
 	}
 	return t.unheard(code)
 }
--- a/entry/fleet/keeper.go
+++ b/entry/fleet/keeper.go
@@ -11,6 +11,7 @@
 
 	"almondstand.dev/entry/fleet/attach"
 	"almondstand.dev/entry/fleet/link"
+	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/wirev1"
 )
 
@@ -135,7 +136,7 @@
 		if g.superseded.Load() || g.namedInVain(err) || monotonic()-began > g.f.o.Timing.Lost {
 			return false
 		}
-		if !sleep(ctx, pauses.pause()) {
+		if !uptime.Sleep(ctx, pauses.pause()) {
 			return false
 		}
 	}
@@ -386,15 +387,3 @@
 // refusesConnections reports whether nothing listens at the address: the process
 // is gone, and its ledger with it.
 func refusesConnections(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
-// sleep pauses; false when ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/entry/fleet/rest.go
+++ b/entry/fleet/rest.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"almondstand.dev/telemetry/uptime"
 )
 
 // An idle session that the budget for pings doesn't keep is let lapse. Its guard
@@ -80,7 +82,7 @@
 		until = deadline
 	}
 	g.alarm()
-	for !g.suspect.Load() && time.Now().Before(until) && sleep(ctx, refreshTick) {
+	for !g.suspect.Load() && time.Now().Before(until) && uptime.Sleep(ctx, refreshTick) {
 		if s := g.session.Load(); s != nil && s.fresh() {
 			return s
 		}
--- a/entry/fleet/start.go
+++ b/entry/fleet/start.go
@@ -11,6 +11,7 @@
 
 	"almondstand.dev/entry/fleet/link"
 	"almondstand.dev/entry/task"
+	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/wirev1"
 )
 
@@ -82,7 +83,7 @@
 	if deadline.Before(until) {
 		until = deadline
 	}
-	for g.session.Load() == s && time.Now().Before(until) && sleep(ctx, refreshTick) {
+	for g.session.Load() == s && time.Now().Before(until) && uptime.Sleep(ctx, refreshTick) {
 		if s.fresh() {
 			return true
 		}
--- /dev/null
+++ b/entry/member/known.go
@@ -0,0 +1,117 @@
+package member
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"almondstand.dev/wire/wirev1"
+)
+
+// Live returns the live entries with this one, by id. Draining ones are marked.
+func (t *Table) Live() []*wirev1.EntryInfo {
+	v := t.view.Load()
+	now := t.opts.Now()
+	var all []*wirev1.EntryInfo
+	if !v.self.Left {
+		all = append(all, v.self.Wire())
+	}
+	for _, r := range v.entries {
+		if t.standing(v, r, now) == Live {
+			all = append(all, r.info.Wire())
+		}
+	}
+	slices.SortFunc(all, func(a, b *wirev1.EntryInfo) int { return cmp.Compare(a.Id, b.Id) })
+	return all
+}
+
+// Peer is another entry that may be alive.
+type Peer struct {
+	Info     Info
+	Standing Standing
+	// Counted is since when, without a break, this entry has counted the peer
+	// among those that may hold a share of the limits.
+	Counted time.Time
+}
+
+// Peers returns the other entries that are not gone, by id. All of them may hold
+// a share of the limits.
+func (t *Table) Peers() []Peer {
+	v := t.view.Load()
+	now := t.opts.Now()
+	all := make([]Peer, 0, len(v.entries))
+	for _, r := range v.entries {
+		if r.gone.IsZero() {
+			all = append(all, Peer{Info: r.info, Standing: t.standing(v, r, now), Counted: r.counted})
+		}
+	}
+	slices.SortFunc(all, func(a, b Peer) int { return cmp.Compare(a.Info.ID, b.Info.ID) })
+	return all
+}
+
+// Peer returns one entry that is not gone.
+func (t *Table) Peer(id string) (Peer, bool) {
+	v := t.view.Load()
+	r, known := v.entries[id]
+	if !known || !r.gone.IsZero() {
+		return Peer{}, false
+	}
+	return Peer{Info: r.info, Standing: t.standing(v, r, t.opts.Now()), Counted: r.counted}, true
+}
+
+// Known returns what is passed on in an exchange: when all is set every entry
+// that is not gone, else only those whose state others may not know: absent from
+// the store while counted, or left.
+func (t *Table) Known(all bool) []*wirev1.EntryInfo {
+	v := t.view.Load()
+	now := t.opts.Now()
+	var known []*wirev1.EntryInfo
+	for _, r := range v.entries {
+		if !r.passedOn(all, now, t.opts.Grace) {
+			continue
+		}
+		e := r.info.Wire()
+		if !r.evidence.IsZero() {
+			e.HeardMs = uint64(max(now.Sub(r.evidence), 0)/time.Millisecond) + 1
+		}
+		known = append(known, e)
+	}
+	slices.SortFunc(known, func(a, b *wirev1.EntryInfo) int { return cmp.Compare(a.Id, b.Id) })
+	return known
+}
+
+func (r record) passedOn(all bool, now time.Time, grace time.Duration) bool {
+	if r.info.Left {
+		return now.Sub(r.gone) < grace
+	}
+	if !r.gone.IsZero() {
+		return false
+	}
+	return all || !r.absentSince.IsZero()
+}
+
+// Digest is equal at two entries that count the same incarnations.
+func (t *Table) Digest() uint64 {
+	v := t.view.Load()
+	var sum uint64
+	if !v.self.Left {
+		sum = v.self.digest()
+	}
+	for _, r := range v.entries {
+		if r.gone.IsZero() {
+			sum ^= r.info.digest()
+		}
+	}
+	return sum
+}
+
+func (i Info) digest() uint64 {
+	b := binary.LittleEndian.AppendUint64(nil, i.Incarnation)
+	if i.Draining {
+		b = append(b, 'd')
+	}
+	return xxhash.Sum64(append(b, i.ID...))
+}
--- a/entry/member/watch.go
+++ b/entry/member/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondstand.dev/platform"
+	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/wirev1"
 )
 
@@ -38,7 +39,7 @@
 		if err != nil {
 			eventStoreFailed.Log(ctx, r.opts.Logger, slog.String("error", err.Error()))
 		}
-		if !pauseFor(ctx, retry.next()) {
+		if !uptime.Sleep(ctx, retry.next()) {
 			break
 		}
 	}
@@ -104,7 +105,7 @@
 	resync := r.resyncPause()
 	last := r.opts.Now()
 	for {
-		if !pauseFor(ctx, listPoll) {
+		if !uptime.Sleep(ctx, listPoll) {
 			return ctx.Err()
 		}
 		now := r.opts.Now()
@@ -113,7 +114,7 @@
 		if !settle && now.Sub(last) < resync {
 			continue
 		}
-		if !pauseFor(ctx, time.Duration(r.opts.Jitter()*float64(listJitter))) {
+		if !uptime.Sleep(ctx, time.Duration(r.opts.Jitter()*float64(listJitter))) {
 			return ctx.Err()
 		}
 		last = r.opts.Now()
@@ -127,15 +128,3 @@
 func (r *Registrar) resyncPause() time.Duration {
 	return r.opts.Resync/2 + time.Duration(r.opts.Jitter()*float64(r.opts.Resync))
 }
-
-// pauseFor returns false when ctx ended first.
-func pauseFor(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/entry/node/run.go
+++ b/entry/node/run.go
@@ -15,6 +15,7 @@
 
 	"almondstand.dev/entry/api"
 	"almondstand.dev/telemetry"
+	"almondstand.dev/telemetry/uptime"
 )
 
 // ErrCut means that the shutdown's limit passed before every job had ended and
@@ -208,7 +209,7 @@
 	n.ready.Set(false)
 	n.peers.Drain()
 	// The balancer sends new work until its next check has seen /readyz.
-	wait(ctx, n.settings.DrainNotice.Std())
+	uptime.Sleep(ctx, n.settings.DrainNotice.Std())
 	if err := n.engine.Drain(ctx); err != nil {
 		return ErrCut
 	}
@@ -220,15 +221,6 @@
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (n *Node) logStarted(ctx context.Context) {
 	a := n.Addresses()
 	eventStarted.Log(ctx, n.logger,
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -16,6 +16,7 @@
 	"connectrpc.com/connect"
 
 	"almondstand.dev/platform/store"
+	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/fleetwire"
 	"almondstand.dev/wire/wirev1"
 )
@@ -163,7 +164,7 @@
 			}
 		}
 		failing = err != nil
-		wait(ctx, pause)
+		uptime.Sleep(ctx, pause)
 	}
 	if lease != 0 {
 		_ = r.call(context.WithoutCancel(ctx), func(c context.Context) error { return r.store.End(c, lease) })
@@ -212,7 +213,7 @@
 			addresses = append(addresses, string(i.Value))
 		}
 		r.Hint(addresses)
-		wait(ctx, pause)
+		uptime.Sleep(ctx, pause)
 	}
 }
 
@@ -229,7 +230,7 @@
 				r.meet(ctx, client, a)
 			}
 		}
-		wait(ctx, meetSoon)
+		uptime.Sleep(ctx, meetSoon)
 	}
 }
 
@@ -282,13 +283,3 @@
 	defer cancel()
 	return f(called)
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -52,7 +52,7 @@
 				return api.Stop(ctx, life.Instance, life.Token, s.Name)
 			})
 			if answer.err != nil {
-				pause(h.ctx, stopPause)
+				uptime.Sleep(h.ctx, stopPause)
 			}
 			h.stopped(s, answer.clock, answer.err)
 		})
@@ -121,7 +121,7 @@
 	defer slow.Stop()
 	select {
 	case again := <-done:
-		pause(ctx, again)
+		uptime.Sleep(ctx, again)
 	case <-slow.C:
 	}
 }
@@ -183,16 +183,6 @@
 	return again
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // Heard takes a runner's report about itself.
 func (h *Host) Heard(r runner.Report) bool {
 	h.mu.Lock()
@@ -256,7 +246,7 @@
 		if h.greet(*c) {
 			return
 		}
-		pause(h.ctx, adoptPause)
+		uptime.Sleep(h.ctx, adoptPause)
 	}
 }
 
