dispatch/planner: what can't be done in the caller's time is not started

By half of the expected time it is now refused at once, and a job that has begun ends at once when a task that still waits can't be done any more; its other tasks give their room back.

--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -18,8 +18,10 @@
 	// startBy is the latest start for an answer in the time wanted, keepUntil the
 	// latest for one that is of any use.
 	startBy, keepUntil time.Duration
-	// expected is the run time of a task, by step.
+	// expected is the run time of a task, by step, and chain that of the longest
+	// chain of steps.
 	expected []time.Duration
+	chain    time.Duration
 	// begun is true once a start was ordered, ran once one has begun.
 	begun, ran bool
 	firstStart time.Duration
@@ -87,6 +89,7 @@
 		ends[s] += run
 		chain = max(chain, ends[s])
 	}
+	j.chain = chain
 	longest := time.Duration(float64(chain) * unevenFactor)
 	wanted := time.Duration(float64(chain)*j.terms.Stretch) + j.terms.Allowance
 	end := j.deadline - answerMargin
@@ -98,6 +101,23 @@
 	j.keepUntil = max(j.keepUntil, j.startBy)
 }
 
+// lastStart is the latest start of work of an expected time that can still be done
+// while the caller waits.
+func (j *job) lastStart(expected time.Duration) time.Duration {
+	return j.deadline - answerMargin - time.Duration(leastPart*float64(expected))
+}
+
+// lastUseful is the latest start of what waits that can still make the job complete.
+func (j *job) lastUseful() time.Duration {
+	last := j.deadline
+	for _, t := range j.tasks {
+		if t.waits() {
+			last = min(last, j.lastStart(j.expected[t.step]))
+		}
+	}
+	return last
+}
+
 // eligible reports whether the step's predecessors are done.
 func (j *job) eligible(step int) bool {
 	for _, a := range j.work.Steps[step].After {
@@ -181,7 +201,10 @@
 		if now > j.startBy {
 			due = j.keepUntil
 		}
-		next = min(next, due)
+		next = min(next, due, max(j.lastStart(j.chain), now)+time.Millisecond)
+	}
+	for _, j := range s.begun {
+		next = min(next, max(j.lastUseful(), now)+time.Millisecond)
 	}
 	return next
 }
--- a/dispatch/planner/planner_test.go
+++ b/dispatch/planner/planner_test.go
@@ -333,3 +333,34 @@
 	}
 	assert.Equal(t, blamed, 1)
 }
+
+// A caller has 100 ms left for work that takes 300: it is refused at once, not started
+// and told at the end of its time that tasks may have run.
+func TestTooLittleTimeIsRefusedAtOnce(t *testing.T) {
+	f := newFleet(t, 4)
+	w := work.Job{ID: "j", Steps: []work.Step{{Count: 1, Need: core, Declared: 300 * ms}}}
+	assert.Equal(t, f.Submit(f.now, f.now+100*ms, w, terms), Taken)
+	a := f.act()
+	assert.Equal(t, len(a.Starts), 0)
+	assert.Equal(t, len(a.Ended), 1)
+	assert.Equal(t, a.Ended[0].Outcome, Refused)
+	assert.Equal(t, a.Ended[0].Why, WhyTooLittleTime)
+	assert.Assert(t, a.Ended[0].RetryAfter > 0)
+}
+
+// A run has gone wrong and the time left is too short for another. The caller is told
+// at once, and the job's other tasks give their room back.
+func TestJobThatCannotMakeItEndsAtOnce(t *testing.T) {
+	f := newFleet(t, 2)
+	a := f.submit("j", 2, 600*ms)
+	assert.Equal(t, len(a.Starts), 2)
+	f.report(a.Starts[0], Running)
+	f.report(a.Starts[1], Running)
+	f.now += 1300 * ms
+	f.report(a.Starts[0], Stopped)
+	a = f.act()
+	assert.Equal(t, len(a.Starts), 0)
+	assert.Equal(t, len(a.Ended), 1)
+	assert.Equal(t, a.Ended[0].Outcome, Expired)
+	assert.Equal(t, len(a.Stops), 1)
+}
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -46,14 +46,16 @@
 
 // Reasons.
 const (
-	WhyDone        Why = "done"
-	WhyTaskFailed  Why = "task_failed"
-	WhyTooLarge    Why = "fits_no_runner"
-	WhyNoRunner    Why = "no_runner"
-	WhyOverload    Why = "no_room_in_time"
-	WhyDeadline    Why = "caller_time_over"
-	WhyCallerGone  Why = "caller_gone"
-	WhyUnreachable Why = "guard_unreachable"
+	WhyDone       Why = "done"
+	WhyTaskFailed Why = "task_failed"
+	WhyTooLarge   Why = "fits_no_runner"
+	WhyNoRunner   Why = "no_runner"
+	WhyOverload   Why = "no_room_in_time"
+	WhyDeadline   Why = "caller_time_over"
+	// WhyTooLittleTime: the caller would have left before the work could be done.
+	WhyTooLittleTime Why = "too_little_time"
+	WhyCallerGone    Why = "caller_gone"
+	WhyUnreachable   Why = "guard_unreachable"
 	// WhyTooLong: a run takes far longer than it should.
 	WhyTooLong Why = "runs_too_long"
 )
--- a/entry/explain/cause.go
+++ b/entry/explain/cause.go
@@ -48,6 +48,7 @@
 	"fits_no_runner":    "it asks for more than any runner has",
 	"task_failed":       "a task failed as often as its contract allows",
 	"caller_time_over":  "its caller's time was over with tasks still open",
+	"too_little_time":   "its caller would have left before the work could be done",
 	"caller_gone":       "its caller broke the connection off",
 	"guard_unreachable": "its caller's time was over while a guard with its tasks could not be reached",
 }
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -27,6 +27,7 @@
 		"A job has ended otherwise: failed, refused (no task has started), expired (some has) or cancelled, with the reason, "+
 			"how long it waited for its first start, and how long it took.",
 		"fits_no_runner: the caller asks for more than any runner has; no_runner: look at the guards' sessions; "+
+			"too_little_time: the caller allows less than half of the expected time, or a run went wrong too late for another; "+
 			"no_room_in_time: load is above what the runners carry; guard_unreachable: look at the network to the guards.")
 	stoodStillFor = eventlog.Define(1258, "entry.stood_still", slog.LevelWarn,
 		"The process did not run for a while; it orders nothing for a moment, until it has read what came meanwhile.",
