--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -330,3 +330,35 @@
 		}))
 	}
 }
+
+// The store answers few calls a second and turns the others away. A configuration must
+// still be in force everywhere within 3 s, an entry that starts must get one and be
+// found by the guards, and no request is failed for it.
+func TestFleetStoreIsShortOfCalls(t *testing.T) {
+	parallel(t)
+	f := startFleet(t, 3, 2)
+	f.Store.SetRates(metastore.Rates{Reads: 5, Writes: 3})
+	stop := load(t, f, 20*time.Millisecond, 2, 40)
+	time.Sleep(2 * time.Second)
+	f.Configure(fleet.Prefix, "/second/")
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	for _, n := range f.Entries {
+		assert.NilError(t, eventually(ctx, func() error {
+			if a := f.Try(ctx, n, "/second/", fleet.NewJob(1, 10)); a.Status != 200 {
+				return fmt.Errorf("%s answers %d %s", n.ID, a.Status, a.Text)
+			}
+			return nil
+		}))
+	}
+	n := f.Entries[2]
+	n.Process().Terminate()
+	<-n.Process().Done()
+	assert.NilError(t, n.Start())
+	again, cancelAgain := context.WithTimeout(t.Context(), 15*time.Second)
+	defer cancelAgain()
+	assert.NilError(t, f.AwaitReady(again))
+	answers := stop()
+	assert.Assert(t, answers[500]+answers[502]+answers[504] == 0, "%v", answers)
+	assert.Assert(t, answers[200] > 0, "%v", answers)
+}
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -59,6 +59,8 @@
 	items  map[string]item
 	leases map[int64]*lease
 	fault  Fault
+	rates  Rates
+	window window
 	calls  int
 	mux    *http.ServeMux
 }
@@ -82,6 +84,36 @@
 	s.mu.Unlock()
 }
 
+// Rates bound the calls that the store answers in a second; zero for no bound.
+type Rates struct{ Reads, Writes int }
+
+// window counts the calls of one second.
+type window struct {
+	began         time.Time
+	reads, writes int
+}
+
+// SetRates bounds the calls of all callers together from now on. Calls above are
+// turned away with 429.
+func (s *Store) SetRates(r Rates) {
+	s.mu.Lock()
+	s.rates = r
+	s.mu.Unlock()
+}
+
+// spend reports whether a call is within the rates. The lock is held.
+func (s *Store) spend(read bool) bool {
+	if now := time.Now(); now.Sub(s.window.began) >= time.Second {
+		s.window = window{began: now}
+	}
+	if read {
+		s.window.reads++
+		return s.rates.Reads == 0 || s.window.reads <= s.rates.Reads
+	}
+	s.window.writes++
+	return s.rates.Writes == 0 || s.window.writes <= s.rates.Writes
+}
+
 // Put writes a key as the operator does; it works during an outage too.
 func (s *Store) Put(key string, value []byte) int64 {
 	s.mu.Lock()
@@ -131,7 +163,12 @@
 	s.mu.Lock()
 	s.calls++
 	f := s.fault
+	within := s.spend(r.Method == http.MethodGet)
 	s.mu.Unlock()
+	if !within {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
 	if f.For != nil && !slices.Contains(f.For, caller) {
 		f = Fault{}
 	}
