--- a/e2e/fleet/caller.go
+++ b/e2e/fleet/caller.go
@@ -14,9 +14,9 @@
 	"almondstand.dev/standin/caller"
 )
 
-// resend is the pause after which a caller submits a job again that got no
+// Resend is the pause after which a caller submits a job again that got no
 // answer; the platform's bound of the same name.
-const resend = 1300 * time.Millisecond
+const Resend = 1300 * time.Millisecond
 
 // Job is what a caller submits.
 type Job struct {
@@ -96,8 +96,18 @@
 // Submit submits a job as a caller does: what got no answer, 502 or 504 is sent
 // again after the resend time, to another entry. The judge is told the outcome.
 func (f *Fleet) Submit(ctx context.Context, first int, j Job, tries int) Answer {
+	return f.submit(ctx, first, j, tries, true)
+}
+
+// Resubmit submits a job again of which the answer to an earlier attempt was not
+// waited for: a refusal of this one says nothing of that.
+func (f *Fleet) Resubmit(ctx context.Context, first int, j Job, tries int) Answer {
+	return f.submit(ctx, first, j, tries, false)
+}
+
+// submit takes refused as true while every attempt so far was refused.
+func (f *Fleet) submit(ctx context.Context, first int, j Job, tries int, refused bool) Answer {
 	var a Answer
-	refused := true
 	for i := range tries {
 		a = f.Try(ctx, f.Entries[(first+i)%len(f.Entries)], Prefix, j)
 		switch a.Status {
@@ -116,7 +126,7 @@
 		select {
 		case <-ctx.Done():
 			return a
-		case <-time.After(resend):
+		case <-time.After(Resend):
 		}
 	}
 	return a
--- a/e2e/soak/run.go
+++ b/e2e/soak/run.go
@@ -198,8 +198,14 @@
 
 // submit is one caller.
 func (r *run) submit(turn int) {
-	job := fleet.NewJob(1+turn%8, []int{40, 40, 150, 1200}[turn%4])
-	a := r.fleet.Submit(context.Background(), turn%entries, job, 3)
+	job := newJob(turn)
+	submit := r.fleet.Submit
+	if job.Deadline == longDeadline {
+		r.leave(job, turn)
+		turn++
+		submit = r.fleet.Resubmit
+	}
+	a := submit(context.Background(), turn%entries, job, 3)
 	r.mu.Lock()
 	r.counts[a.Status]++
 	r.mu.Unlock()
@@ -388,3 +394,33 @@
 		}
 	}
 }
+
+// Every longTurn-th job has tasks that last longer than the pause after which a
+// caller submits a job again: what an entry left behind must be over by then.
+const (
+	longTurn     = 12
+	longTasks    = 2
+	longMs       = 2600
+	longDeadline = 6 * time.Second
+)
+
+// leaveAfter is when the caller of a long job breaks its connection, to submit the
+// job again elsewhere.
+const leaveAfter = time.Second
+
+// leave submits a job and leaves before it can be done.
+func (r *run) leave(job fleet.Job, turn int) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveAfter)
+	defer cancel()
+	r.fleet.Try(ctx, r.fleet.Entries[turn%entries], fleet.Prefix, job)
+	time.Sleep(fleet.Resend)
+}
+
+func newJob(turn int) fleet.Job {
+	if turn%longTurn == longTurn-1 {
+		job := fleet.NewJob(longTasks, longMs)
+		job.Deadline = longDeadline
+		return job
+	}
+	return fleet.NewJob(1+turn%8, []int{40, 40, 150, 1200}[turn%4])
+}
