guard/host: a look finds its runner gone

Found by reading the diff: between the check that a look is wanted and the look itself the runner can leave, and the guard would end with a nil dereference; looks beside one another make it likelier than before, when the same gap stood. TestLookWithoutARunner panics without the check. entry/jobs: the first beat is set where the count begins.

--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -104,25 +104,29 @@
 	defer e.wake.Stop()
 	tick := time.NewTicker(beatEvery)
 	defer tick.Stop()
+	e.mu.Lock()
+	e.beat = uptime.Now()
+	e.mu.Unlock()
 	for {
-		e.mu.Lock()
-		e.look(uptime.Now(), true)
-		e.mu.Unlock()
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
 		}
+		e.mu.Lock()
+		e.look(uptime.Now())
+		e.mu.Unlock()
 	}
 }
 
-// look notes the time, and whether the process stood still since the last look.
-// starts is true for the look that begins the count. The lock is held.
-func (e *Engine) look(now time.Duration, starts bool) {
-	if e.beat == 0 && !starts {
+// look notes the time, and whether the process stood still since the last look. The
+// lock is held.
+func (e *Engine) look(now time.Duration) {
+	if e.beat == 0 {
+		// Not running yet.
 		return
 	}
-	if e.beat > 0 && now-e.beat > stoodStill {
+	if now-e.beat > stoodStill {
 		e.plan.Pause(now + settle)
 		stoodStillFor.Log(context.Background(), e.logger, millis("for_ms", now-e.beat))
 	}
@@ -337,7 +341,7 @@
 
 // act carries out what the planner decides. The lock is held.
 func (e *Engine) act(now time.Duration) {
-	e.look(now, false)
+	e.look(now)
 	actions, next := e.plan.Act(now)
 	type orders struct {
 		starts []planner.Start
--- a/guard/host/host_test.go
+++ b/guard/host/host_test.go
@@ -334,3 +334,12 @@
 	_, at := sink.find(t, runs.Stopped)
 	assert.Assert(t, at.Sub(began) < stopTimeout, "told after %s", at.Sub(began))
 }
+
+// A runner reports that it has left while a look is about to be sent. The guard must
+// not break on the life that is gone: every run of its entries would be lost with it.
+func TestLookWithoutARunner(t *testing.T) {
+	f := newFakeRunner()
+	h, _ := startHost(t, f)
+	h.Left("i")
+	assert.Equal(t, h.lookOnce(t.Context()), time.Duration(0))
+}
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -130,8 +130,13 @@
 func (h *Host) lookOnce(ctx context.Context) (again time.Duration) {
 	asked := uptime.Now()
 	h.mu.Lock()
-	life := *h.book.Life()
-	api := h.api
+	known := h.book.Life()
+	if known == nil {
+		// The runner has left since the look was found to be wanted.
+		h.mu.Unlock()
+		return 0
+	}
+	life, api := *known, h.api
 	left, leases := h.leased-h.steady(), h.book.Holds()
 	until := h.lease(asked)
 	seen := h.book.Seen()
