--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -302,7 +302,7 @@
 	if !told && !room {
 		return nil, false, s.untilDue(now)
 	}
-	// Room goes with every report: it counts the runs that the reports tell of.
+	// Every report goes along, also a begin that could wait: room counts its run.
 	up := uptime.Now()
 	for _, r := range s.reports {
 		reports = append(reports, wireReport(r, up))
