dispatch/planner: a wrong declaration is tried before it counts

Found by reading: with declared times alone as the measure, a contract whose callers declare far too much would have every job turned away for want of time, and no run would ever show better. The least time is that of the contract's own runs, and nothing before the first (TestWrongDeclarationIsTried; not run against the form before).

--- a/dispatch/planner/estimate.go
+++ b/dispatch/planner/estimate.go
@@ -11,6 +11,10 @@
 	// the contract's runs: declared times are some 40 % off, and tasks of one
 	// contract differ by as much.
 	declaredShare = 0.5
+	// leastPart of the expected time is the least that work takes: run times of one
+	// contract differ by a factor of two. What can't be done in the caller's time by
+	// this measure is not started: its caller would wait for nothing.
+	leastPart = 0.5
 )
 
 // estimate learns the run times of one contract's tasks.
@@ -42,6 +46,16 @@
 	return seconds(declaredShare*own + (1-declaredShare)*e.ran)
 }
 
+// least is the least time that a task takes; zero before the first run. The mean of
+// the contract's runs bounds it: a declaration that is far too long would have every
+// job turned away, and no run would ever show better.
+func (e *estimate) least(declared time.Duration) time.Duration {
+	if e.ran == 0 {
+		return 0
+	}
+	return time.Duration(leastPart * float64(min(e.expect(declared), seconds(e.ran))))
+}
+
 func (e *estimate) learn(ran, declared time.Duration) {
 	e.ran = mean(e.ran, ran.Seconds())
 	if declared > 0 {
--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -18,10 +18,12 @@
 	// startBy is the latest start for an answer in the time wanted, keepUntil the
 	// latest for one that is of any use.
 	startBy, keepUntil time.Duration
-	// expected is the run time of a task, by step, and chain that of the longest
-	// chain of steps.
+	// expected is the run time of a task, by step.
 	expected []time.Duration
-	chain    time.Duration
+	// least is the least time that a task takes, by step, and leastChain that of the
+	// longest chain of steps.
+	least      []time.Duration
+	leastChain time.Duration
 	// begun is true once a start was ordered, ran once one has begun.
 	begun, ran bool
 	firstStart time.Duration
@@ -79,17 +81,22 @@
 // predict works out by when the job must start.
 func (j *job) predict(e *estimate) {
 	ends := make([]time.Duration, len(j.work.Steps))
+	leastEnds := make([]time.Duration, len(j.work.Steps))
 	var chain time.Duration
 	for s, step := range j.work.Steps {
 		run := e.expect(step.Declared)
+		least := e.least(step.Declared)
 		j.expected = append(j.expected, run)
+		j.least = append(j.least, least)
 		for _, a := range step.After {
 			ends[s] = max(ends[s], ends[a])
+			leastEnds[s] = max(leastEnds[s], leastEnds[a])
 		}
 		ends[s] += run
 		chain = max(chain, ends[s])
+		leastEnds[s] += least
+		j.leastChain = max(j.leastChain, leastEnds[s])
 	}
-	j.chain = chain
 	longest := time.Duration(float64(chain) * unevenFactor)
 	wanted := time.Duration(float64(chain)*j.terms.Stretch) + j.terms.Allowance
 	end := j.deadline - answerMargin
@@ -101,10 +108,10 @@
 	j.keepUntil = max(j.keepUntil, j.startBy)
 }
 
-// lastStart is the latest start of work of an expected time that can still be done
-// while the caller waits.
-func (j *job) lastStart(expected time.Duration) time.Duration {
-	return j.deadline - answerMargin - time.Duration(leastPart*float64(expected))
+// lastStart is the latest start of work that takes at least so long and is done while
+// the caller waits.
+func (j *job) lastStart(least time.Duration) time.Duration {
+	return j.deadline - answerMargin - least
 }
 
 // lastUseful is the latest start of what waits that can still make the job complete.
@@ -112,7 +119,7 @@
 	last := j.deadline
 	for _, t := range j.tasks {
 		if t.waits() {
-			last = min(last, j.lastStart(j.expected[t.step]))
+			last = min(last, j.lastStart(j.least[t.step]))
 		}
 	}
 	return last
@@ -201,7 +208,7 @@
 		if now > j.startBy {
 			due = j.keepUntil
 		}
-		next = min(next, due, max(j.lastStart(j.chain), now)+time.Millisecond)
+		next = min(next, due, max(j.lastStart(j.leastChain), now)+time.Millisecond)
 	}
 	for _, j := range s.begun {
 		next = min(next, max(j.lastUseful(), now)+time.Millisecond)
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -47,10 +47,6 @@
 	// lateFactor times the wanted time is the latest at which an answer is still
 	// worth something to the caller.
 	lateFactor = 3
-	// leastPart of the expected time is the least that work takes: run times of one
-	// contract differ by a factor of two. What can't be done in the caller's time by
-	// this measure is not started: its caller would wait for nothing.
-	leastPart = 0.5
 	// unevenFactor is how much longer the longest of a job's tasks runs than the
 	// mean: tasks of a job differ by some 15 %, and their mean is not known exactly.
 	// 1.15 gave 1 % fewer answers in time in bursts (replay, two seeds).
@@ -340,7 +336,7 @@
 	}
 	for _, j := range append([]*job(nil), s.fresh...) {
 		switch {
-		case now > j.lastStart(j.chain):
+		case now > j.lastStart(j.leastChain):
 			p.end(now, j, Refused, WhyTooLittleTime)
 		case now >= j.keepUntil:
 			p.refuse(now, j)
--- a/dispatch/planner/planner_test.go
+++ b/dispatch/planner/planner_test.go
@@ -338,6 +338,7 @@
 // and told at the end of its time that tasks may have run.
 func TestTooLittleTimeIsRefusedAtOnce(t *testing.T) {
 	f := newFleet(t, 4)
+	f.learn(300 * ms)
 	w := work.Job{ID: "j", Steps: []work.Step{{Count: 1, Need: core, Declared: 300 * ms}}}
 	assert.Equal(t, f.Submit(f.now, f.now+100*ms, w, terms), Taken)
 	a := f.act()
@@ -348,10 +349,32 @@
 	assert.Assert(t, a.Ended[0].RetryAfter > 0)
 }
 
+// learn has a task run, so that the contract's run times are known.
+func (f *fleet) learn(run time.Duration) {
+	start := f.submit("before", 1, run).Starts[0]
+	f.now += run
+	f.Report(f.now, start.Endpoint, start.Run, Done, run)
+	f.act()
+}
+
+// Callers declare sixty times what their tasks take. Refused for want of time, none
+// would ever run and show better: the first runs, and its run time counts from then on.
+func TestWrongDeclarationIsTried(t *testing.T) {
+	f := newFleet(t, 1)
+	for _, id := range []string{"first", "second"} {
+		starts := f.submit(id, 1, 6*time.Second).Starts
+		assert.Equal(t, len(starts), 1, id)
+		f.now += 100 * ms
+		f.Report(f.now, starts[0].Endpoint, starts[0].Run, Done, 100*ms)
+		f.act()
+	}
+}
+
 // A run has gone wrong and the time left is too short for another. The caller is told
 // at once, and the job's other tasks give their room back.
 func TestJobThatCannotMakeItEndsAtOnce(t *testing.T) {
 	f := newFleet(t, 2)
+	f.learn(600 * ms)
 	a := f.submit("j", 2, 600*ms)
 	assert.Equal(t, len(a.Starts), 2)
 	f.report(a.Starts[0], Running)
