guard/runs: a start that was never answered is not told as not started

Cause: Lapse took a run without an answer for one that never began. Now such a run is told as stopped: it may have run. TestLapseOfAnUnansweredStartIsNoRefusal fails without it.

--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -346,15 +346,12 @@
 
 // Lapse tells the owners of all runs that these are over: the lease of the
 // runner, which answers nothing, has run out. Their room stays taken until the
-// runner itself accounts for them.
+// runner itself accounts for them. A start without an answer may have been carried
+// out before the runner went silent, so none is told as not started.
 func (b *Book) Lapse(now time.Duration) []Report {
 	var reports []Report
 	for _, r := range b.runs {
-		state := Stopped
-		if !r.started {
-			state = NotStarted
-		}
-		reports = append(reports, b.tell(now, r, state, Unwell)...)
+		reports = append(reports, b.tell(now, r, Stopped, Unwell)...)
 	}
 	return reports
 }
--- a/guard/runs/runs_test.go
+++ b/guard/runs/runs_test.go
@@ -184,6 +184,18 @@
 	assert.Equal(t, len(b.Read(begin+2*time.Second, begin+2*time.Second, work.Account{Ends: []work.End{{Seq: 1, Run: s.Name}}})), 0)
 }
 
+// A runner begins a run and crashes before it answers the start. Its guard can't know
+// of the run: when the lease has run out the entry must be told that it may have run,
+// or its caller reads "not run" of a task that began.
+func TestLapseOfAnUnansweredStartIsNoRefusal(t *testing.T) {
+	b := newBook(1)
+	s := mustStart(t, b, begin, entryA, order("j", 0))
+	b.Doubtful(begin+150*ms, s.Name)
+	got := b.Lapse(begin + time.Second)
+	assert.Equal(t, len(got), 1)
+	assert.Equal(t, got[0].State, Stopped)
+}
+
 // A runner that drains gets nothing new, also when an older report of it comes
 // late, and a guard that ends takes nothing.
 func TestDrainingStays(t *testing.T) {
