guard/subset: a guard keeps sessions with twelve entries, not with all

Cause: each guard kept a stream with each entry: 13,200 of them with 55 entries and 240 guards.

Hypothesis: with a subset by rendezvous hashing, messages and sessions a process no longer grow with the number of entries, and entries, each seeing 52 runners, serve callers no worse.

Change: guard/subset ranks entries for a guard; guard/uplink keeps sessions with the first twelve within reach, one more for each that is out of reach for 0.4 s, and asks an entry outside the subset to release it: the entry ends the stream once none of its runs is left. Where entries see fewer than 24 guards, subsets widen. Up to twelve entries nothing changes. entry/registry no longer passes on what it only heard: the address of a host that is gone went round for good. bench/replay has loads of 55 uneven entries and 240 runners.

--- a/bench/replay/arrivals.go
+++ b/bench/replay/arrivals.go
@@ -10,6 +10,8 @@
 const (
 	callerStream = 1
 	runStream    = 2
+	// addressStream is the same for every seed: addresses stay with their entries.
+	addressStream = 3
 )
 
 // arrival is one job that a caller submits.
@@ -79,7 +81,17 @@
 	z := l.drawZone(random)
 	size := leastSize + random.Float64()*sizeSpread
 	declared := size * (leastDeclared + declaredSpread*random.Float64())
-	return arrival{at: at, kind: kind, zone: z.Name, entry: random.IntN(z.Entries), size: size, declared: declared}
+	return arrival{at: at, kind: kind, zone: z.Name, entry: z.drawEntry(random), size: size, declared: declared}
+}
+
+// drawEntry returns the number of the entry that takes a job. The entry of an address
+// is drawn from the address alone, as a balancer does.
+func (z Zone) drawEntry(random *rand.Rand) int {
+	if z.Clients == 0 {
+		return random.IntN(z.Entries)
+	}
+	address := rand.New(rand.NewPCG(addressStream, uint64(random.IntN(z.Clients))))
+	return address.IntN(z.Entries)
 }
 
 func (l Load) drawZone(random *rand.Rand) Zone {
--- a/bench/replay/guard.go
+++ b/bench/replay/guard.go
@@ -32,10 +32,12 @@
 	ends    int64
 	wrong   Wrong
 	times   float64
+	// cpu of its runner, thousandths of a core.
+	cpu int64
 }
 
 func newGuard(s *sim, n int, zone string) *guard {
-	g := &guard{sim: s, id: fmt.Sprintf("guard-%d", n), zone: zone, book: runs.New(runs.Options{}), running: map[work.RunName]bool{}, times: 1}
+	g := &guard{sim: s, id: fmt.Sprintf("guard-%d", n), zone: zone, book: runs.New(runs.Options{}), running: map[work.RunName]bool{}, times: 1, cpu: s.load.runnerCPU(n)}
 	g.adopt()
 	s.after(sweepEvery, g.sweep)
 	return g
@@ -49,7 +51,7 @@
 	g.deliver(g.book.Adopt(g.sim.now, runs.Life{
 		Instance: fmt.Sprint(g.id, "-", g.life),
 		Service:  service,
-		Total:    work.Amounts{CPUMilli: g.sim.load.RunnerCPU},
+		Total:    work.Amounts{CPUMilli: g.cpu},
 	}))
 	g.read(nil)
 }
--- a/bench/replay/load.go
+++ b/bench/replay/load.go
@@ -26,6 +26,9 @@
 	Name             string
 	Entries, Runners int
 	Callers          float64
+	// Clients are the addresses from which the callers come; each stays with one entry,
+	// so that entries have uneven loads. Zero spreads the callers evenly.
+	Clients int
 }
 
 // Burst multiplies the rate of one kind, or of all for "".
@@ -64,10 +67,20 @@
 	For  time.Duration
 	// RunnerCPU is what a runner has, thousandths of a core.
 	RunnerCPU int64
-	Kinds     []Kind
-	Zones     []Zone
-	Bursts    []Burst
-	Troubles  []Trouble
+	// Sizes of the runners in turn, times RunnerCPU; all are alike without.
+	Sizes    []float64
+	Kinds    []Kind
+	Zones    []Zone
+	Bursts   []Burst
+	Troubles []Trouble
+}
+
+// runnerCPU is what the runner of a number has, thousandths of a core.
+func (l Load) runnerCPU(n int) int64 {
+	if len(l.Sizes) == 0 {
+		return l.RunnerCPU
+	}
+	return int64(float64(l.RunnerCPU) * l.Sizes[n%len(l.Sizes)])
 }
 
 // What callers want: Stretch times the work and Allowance more.
@@ -123,5 +136,5 @@
 	hanging.Troubles = []Trouble{{At: 4 * time.Second, For: 5 * time.Second, Wrong: Hanging, Runners: 1}}
 	gone := base("gone")
 	gone.Troubles = []Trouble{{At: 4 * time.Second, For: 3 * time.Second, Wrong: Gone, Runners: 3}}
-	return append([]Load{calm, burst, wave, slow, failing, hanging, gone}, travel()...)
+	return append([]Load{calm, burst, wave, slow, failing, hanging, gone}, append(travel(), large()...)...)
 }
--- a/bench/replay/replay_test.go
+++ b/bench/replay/replay_test.go
@@ -148,3 +148,19 @@
 		assert.Assert(t, r.All.Share() > 0.999, "%s: %.3f", r.Way, r.All.Share())
 	}
 }
+
+// Some entries have the callers of four addresses and some none, and each sees a fifth of
+// the runners. Nobody may be turned away while all runners together have room, and a
+// burst of the widest kind leaves the others most of what they had.
+func TestManyHosts(t *testing.T) {
+	t.Parallel()
+	calm, wave := load(t, "large-calm"), load(t, "large-wide-burst")
+	calm.For, wave.For = 1500*time.Millisecond, 3*time.Second
+	w := replay.Ways()[0]
+	ours := replay.Play(calm, w, 1)
+	assert.Assert(t, ours.All.Share() > 0.995, "%.3f", ours.All.Share())
+	assert.Equal(t, ours.All.Refused+ours.All.Failed, 0)
+	ours = replay.Play(wave, w, 1)
+	assert.Assert(t, ours.Kinds["pair"].Served() > 0.85, "%.3f", ours.Kinds["pair"].Served())
+	assert.Assert(t, ours.Kinds["wide"].Served() > 0.85, "%.3f", ours.Kinds["wide"].Served())
+}
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -8,6 +8,7 @@
 
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
+	"almondstand.dev/guard/subset"
 )
 
 // Delays, each way.
@@ -82,6 +83,7 @@
 	pushed  int
 	entries []*entry
 	guards  []*guard
+	byID    map[string]*guard
 	result  *Result
 }
 
@@ -98,6 +100,7 @@
 		way:    w,
 		runs:   rand.New(rand.NewPCG(seed, runStream)),
 		now:    begin,
+		byID:   map[string]*guard{},
 		result: newResult(l, w.Name),
 	}
 	s.build(seed)
@@ -129,7 +132,9 @@
 func (s *sim) build(seed uint64) {
 	for _, z := range s.load.Zones {
 		for range z.Runners {
-			s.guards = append(s.guards, newGuard(s, len(s.guards), z.Name))
+			g := newGuard(s, len(s.guards), z.Name)
+			s.guards = append(s.guards, g)
+			s.byID[g.id] = g
 		}
 	}
 	for _, z := range s.load.Zones {
@@ -144,8 +149,8 @@
 			})
 		}
 	}
-	for _, e := range s.entries {
-		for _, g := range s.guards {
+	for _, g := range s.guards {
+		for _, e := range s.subset(g) {
 			e.plan.Attach(g.id, g.zone, true)
 			g.attach(e)
 		}
@@ -155,6 +160,22 @@
 	}
 }
 
+// subset returns the entries with which a guard keeps sessions.
+func (s *sim) subset(g *guard) []*entry {
+	byName := map[string]*entry{}
+	var known []subset.Entry
+	for _, e := range s.entries {
+		name := fmt.Sprint("entry-", e.number)
+		byName[name] = e
+		known = append(known, subset.Entry{Address: name, Rank: subset.Rank(g.id, name)})
+	}
+	var chosen []*entry
+	for _, name := range subset.Choose(known, subset.Size) {
+		chosen = append(chosen, byName[name])
+	}
+	return chosen
+}
+
 // trouble befalls the first runners of each zone.
 func (s *sim) trouble(t Trouble) {
 	hit := map[string]int{}
@@ -268,11 +289,4 @@
 	e.sim.after(messageTime, func() { g.receive(e, sent, waits, wants, o) })
 }
 
-func (s *sim) guard(id string) *guard {
-	for _, g := range s.guards {
-		if g.id == id {
-			return g
-		}
-	}
-	return nil
-}
+func (s *sim) guard(id string) *guard { return s.byID[id] }
--- a/bench/replay/yardstick.go
+++ b/bench/replay/yardstick.go
@@ -88,7 +88,7 @@
 	y := &yardstick{load: l, order: o, random: rand.New(rand.NewPCG(seed, runStream)), result: newResult(l, "yardstick: "+o.Name)}
 	for _, z := range l.Zones {
 		for n := range z.Runners {
-			r := &idealRunner{free: l.RunnerCPU}
+			r := &idealRunner{free: l.runnerCPU(len(y.runners))}
 			for _, t := range l.Troubles {
 				if n < t.Runners {
 					r.away = append(r.away, t)
--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// Release drops an endpoint whose guard serves other entries from now on. It returns
+// false while runs are open there or it takes starts.
+func (p *Planner) Release(id string) bool {
+	e := p.endpoints[id]
+	if e == nil {
+		return true
+	}
+	if len(e.runs) > 0 || e.open {
+		return false
+	}
+	p.Detach(id)
+	return p.Forget(id)
+}
+
 // Forget drops an endpoint that has no runs. It returns false when it has.
 func (p *Planner) Forget(id string) bool {
 	e := p.endpoints[id]
--- /dev/null
+++ b/dispatch/planner/release_test.go
@@ -0,0 +1,25 @@
+package planner
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A caller waits for a job to its deadline and gets no answer: its guard left this entry
+// while a task of the job ran, and nothing is reported of it any more. An endpoint is
+// released only once it takes no starts and no run is left there.
+func TestEndpointIsReleasedOnceItsRunsAreOver(t *testing.T) {
+	f := newFleet(t, 4)
+	start := f.submit("job", 1, 60*ms).Starts[0]
+	assert.Assert(t, !f.Release(f.id(0)), "it takes starts")
+	f.Describe(f.now, f.id(0), Room{Service: "teardown", Runner: "r", Total: core, Used: core})
+	assert.Assert(t, !f.Release(f.id(0)), "a run is open")
+	f.now += 60 * time.Millisecond
+	f.report(start, Done)
+	assert.Equal(t, f.act().Ended[0].Outcome, Completed)
+	assert.Assert(t, f.Release(f.id(0)))
+	assert.Equal(t, f.Endpoints(f.now)[Detached], 0, "it is gone, not only out of reach")
+	assert.Assert(t, f.Release(f.id(0)), "again")
+}
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -284,6 +284,25 @@
 	e.plan.Detach(id)
 }
 
+// Release takes a guard's endpoint away when none of this entry's runs is left there. It
+// returns false when there are some, or a newer session has taken over.
+func (e *Engine) Release(id string, g Guard) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.guards[id] != g || !e.plan.Release(id) {
+		return false
+	}
+	delete(e.guards, id)
+	return true
+}
+
+// Guards counts the guards that are attached.
+func (e *Engine) Guards() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.guards)
+}
+
 // Current reports whether a guard's session is the newest.
 func (e *Engine) Current(id string, g Guard) bool {
 	e.mu.Lock()
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -78,17 +78,20 @@
 	logger *slog.Logger
 
 	mu sync.Mutex
-	// named is when an address was last named by the store, by another entry or by
-	// a guard that reaches it.
-	named   map[string]time.Time
-	list    []string
-	version uint64
-	next    int
+	// named is when an address was last named by anybody, and met when it was last named
+	// by the store, by a guard that reaches it, or by the entry itself. Only these are
+	// passed on to other entries: of two that name to each other whatever they have
+	// heard, neither ever drops the address of a host that is gone, and guards dial it
+	// for good.
+	named, met map[string]time.Time
+	list       []string
+	version    uint64
+	next       int
 }
 
 // New returns a registry that knows this entry only.
 func New(o Options, s Store, c Config) *Registry {
-	r := &Registry{opt: o, store: s, config: c, logger: o.Logger, named: map[string]time.Time{}}
+	r := &Registry{opt: o, store: s, config: c, logger: o.Logger, named: map[string]time.Time{}, met: map[string]time.Time{}}
 	r.rebuild()
 	return r
 }
@@ -100,8 +103,18 @@
 	return r.list, r.version
 }
 
-// Hint takes addresses that others reach.
+// Hint takes addresses of entries that the caller reaches.
 func (r *Registry) Hint(addresses []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range addresses {
+		r.named[a], r.met[a] = time.Now(), time.Now()
+	}
+	r.rebuild()
+}
+
+// hear takes addresses of entries that another entry has met.
+func (r *Registry) hear(addresses []string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, a := range addresses {
@@ -110,12 +123,27 @@
 	r.rebuild()
 }
 
+// acquainted returns this entry's address and those that may be passed on.
+func (r *Registry) acquainted() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := []string{r.opt.Address}
+	for a, at := range r.met {
+		if a != r.opt.Address && time.Since(at) <= knownFor {
+			list = append(list, a)
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
 // rebuild works the list out anew. The lock is held.
 func (r *Registry) rebuild() {
 	list := []string{r.opt.Address}
 	for a, at := range r.named {
 		if time.Since(at) > knownFor {
 			delete(r.named, a)
+			delete(r.met, a)
 			continue
 		}
 		if a != r.opt.Address {
@@ -261,7 +289,8 @@
 		client.CloseIdleConnections()
 		return
 	}
-	r.Hint(append(res.Msg.GetEntries(), address))
+	r.hear(res.Msg.GetEntries())
+	r.Hint([]string{address})
 	if res.Msg.GetConfigRevision() > revision {
 		r.config.Take(ctx, res.Msg.GetConfigRevision(), res.Msg.GetConfig())
 	}
@@ -270,8 +299,7 @@
 // Meet answers another entry.
 func (r *Registry) Meet(_ context.Context, req *connect.Request[wirev1.MeetRequest]) (*connect.Response[wirev1.MeetResponse], error) {
 	r.Hint([]string{req.Msg.GetAddress()})
-	known, _ := r.Known()
-	res := &wirev1.MeetResponse{Entries: known}
+	res := &wirev1.MeetResponse{Entries: r.acquainted()}
 	if revision, raw := r.config.Held(); revision > req.Msg.GetConfigRevision() {
 		res.ConfigRevision, res.Config = revision, raw
 	}
--- a/entry/sessions/events.go
+++ b/entry/sessions/events.go
@@ -12,4 +12,6 @@
 	guardLost = eventlog.Define(1352, "session.guard_lost", slog.LevelWarn,
 		"A guard's session ended. Its runs stay open until the guard attaches again or their callers' time is over.",
 		"If it goes on, look at that guard and the network between.")
+	guardReleased = eventlog.Define(1353, "session.guard_released", slog.LevelInfo,
+		"A guard serves other entries from now on; none of this entry's runs is left there.", "None.")
 )
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -38,6 +38,9 @@
 // ErrNoGreeting means that a guard's first message was no greeting.
 var ErrNoGreeting = errors.New("sessions: no greeting")
 
+// errReleased means that the guard is retiring from this entry, which holds no run there.
+var errReleased = errors.New("sessions: the guard is released")
+
 // errOlder means that a newer life of the same guard is attached.
 var errOlder = errors.New("sessions: a newer life of the guard is attached")
 
@@ -128,8 +131,13 @@
 	err = ses.serve(ctx, open)
 	s.jobs.Detach(ses.guard, ses)
 	s.left(ses.guard)
+	if errors.Is(err, errReleased) {
+		guardReleased.Log(ctx, s.logger, slog.String("guard", ses.guard))
+		return nil
+	}
 	guardLost.Log(ctx, s.logger, slog.String("guard", ses.guard), slog.Any("error", err))
-	return nil
+	// An end without an error tells the guard that no run is left open there.
+	return connect.NewError(connect.CodeAborted, err)
 }
 
 // admit makes the session its guard's newest and returns the open runs there.
@@ -165,6 +173,8 @@
 	stops  []planner.Stop
 	// prompt is true when a message is to go out though there are no orders.
 	prompt bool
+	// retiring is true while the guard asks to be released.
+	retiring bool
 	// open counts the runs ordered here and not over.
 	open int
 	// clock is the guard's newest clock, and clockAt when it came, uptime.
@@ -180,10 +190,7 @@
 	s.stops = append(s.stops, stops...)
 	s.open += len(starts)
 	s.mu.Unlock()
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
+	s.signal()
 }
 
 // Wake implements jobs.Guard.
@@ -191,10 +198,7 @@
 	s.mu.Lock()
 	s.prompt = true
 	s.mu.Unlock()
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
+	s.signal()
 }
 
 // heard notes the guard's clock. Only a newer one counts: the oldest possible
@@ -219,7 +223,7 @@
 	for _, r := range open {
 		greeting.Open = append(greeting.Open, &wirev1.OpenRun{Task: fleetwire.Task(r.Task), Attempt: uint32(r.Attempt)})
 	}
-	if err := s.stream.Send(&wirev1.AttachResponse{Greeting: greeting, Entries: entries}); err != nil {
+	if err := s.stream.Send(&wirev1.AttachResponse{Greeting: greeting, Entries: entries, Guards: uint32(s.server.jobs.Guards())}); err != nil {
 		return err
 	}
 	failed := make(chan error, 1)
@@ -257,6 +261,38 @@
 		if news.Room != nil || len(news.Reports) > 0 {
 			s.server.jobs.Tell(s.guard, s, news)
 		}
+		s.setRetiring(m.GetRoom())
+	}
+}
+
+// setRetiring takes note of whether the guard asks to be released. The room told with
+// it is closed, so nothing more is ordered there.
+func (s *session) setRetiring(r *wirev1.Room) {
+	s.mu.Lock()
+	if r != nil {
+		s.retiring = r.GetRetiring()
+	}
+	retiring := s.retiring
+	s.mu.Unlock()
+	if retiring {
+		s.signal()
+	}
+}
+
+// released reports whether a retiring guard holds no run of this entry any more, and
+// takes its endpoint away.
+func (s *session) released() bool {
+	s.mu.Lock()
+	retiring := s.retiring
+	s.mu.Unlock()
+	return retiring && s.server.jobs.Release(s.guard, s)
+}
+
+// signal has the session look for something to send.
+func (s *session) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -278,6 +314,9 @@
 		if s.silentFor(now) > listenFor {
 			return context.DeadlineExceeded
 		}
+		if s.released() {
+			return errReleased
+		}
 		m, pause := s.take(now, now-lastSent)
 		if !s.server.jobs.Current(s.guard, s) {
 			return errOlder
@@ -287,6 +326,7 @@
 			continue
 		}
 		m.Waiting, m.WantsMilli = s.server.jobs.Waiting(s.guard)
+		m.Guards = uint32(s.server.jobs.Guards())
 		if err := s.stream.Send(m); err != nil {
 			return err
 		}
--- a/guard/uplink/events.go
+++ b/guard/uplink/events.go
@@ -12,6 +12,8 @@
 	entryLost = eventlog.Define(2222, "guard.entry_lost", slog.LevelWarn,
 		"A session with an entry ended; the guard attaches again. Runs of an entry that stays silent are stopped.",
 		"If it goes on, look at that entry and the network between.")
+	sessionRetired = eventlog.Define(2224, "guard.session_retired", slog.LevelInfo,
+		"A session with an entry outside this guard's subset has ended, with no run of the entry left.", "None.")
 	entryForgotten = eventlog.Define(2223, "guard.entry_forgotten", slog.LevelInfo,
 		"An entry that could not be reached and that nobody names any more is given up.", "None.")
 )
--- /dev/null
+++ b/guard/uplink/links_test.go
@@ -0,0 +1,239 @@
+package uplink
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"almondstand.dev/guard/subset"
+	"almondstand.dev/wire/fleetwire"
+	"almondstand.dev/wire/wirev1"
+	"almondstand.dev/wire/wirev1/wirev1connect"
+)
+
+// manyGuards is what the entries of these tests say of the guards that they see: enough
+// for subsets to stay as they are.
+const manyGuards = 100
+
+// entry is one that names the others and releases guards that ask for it.
+type entry struct {
+	wirev1connect.UnimplementedFleetServiceHandler
+	name    string
+	address string
+	server  *http.Server
+	named   []string
+
+	mu       sync.Mutex
+	sessions int
+	// holds keeps a guard from being released, as open runs do.
+	holds bool
+	// closed counts the messages in which a guard asked to be released.
+	closed int
+}
+
+func (e *entry) Attach(_ context.Context, st *connect.BidiStream[wirev1.AttachRequest, wirev1.AttachResponse]) error {
+	if _, err := st.Receive(); err != nil {
+		return err
+	}
+	e.add(1)
+	defer e.add(-1)
+	err := st.Send(&wirev1.AttachResponse{Greeting: &wirev1.EntryGreeting{Entry: e.name, Incarnation: 1}, Entries: e.named, Guards: manyGuards})
+	if err != nil {
+		return err
+	}
+	retiring := false
+	for {
+		m, err := st.Receive()
+		if err != nil {
+			return connect.NewError(connect.CodeAborted, err)
+		}
+		if m.GetRoom() != nil {
+			retiring = m.GetRoom().GetRetiring()
+		}
+		if retiring && e.releases() {
+			return nil
+		}
+		if err := st.Send(&wirev1.AttachResponse{Guards: manyGuards}); err != nil {
+			return err
+		}
+	}
+}
+
+func (e *entry) add(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sessions += n
+}
+
+func (e *entry) attached() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sessions > 0
+}
+
+func (e *entry) releases() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.closed++
+	return !e.holds
+}
+
+func (e *entry) listen(t *testing.T, address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	assert.NilError(t, err)
+	e.address = l.Addr().String()
+	mux := http.NewServeMux()
+	mux.Handle(wirev1connect.NewFleetServiceHandler(e))
+	e.server = fleetwire.NewServer(mux)
+	server := e.server
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+}
+
+// deployment of so many entries that name each other, and a guard of which the settings
+// name the first three.
+func deployment(t *testing.T, n int) (*Uplink, []*entry) {
+	t.Helper()
+	all := make([]*entry, n)
+	var named []string
+	for i := range all {
+		all[i] = &entry{name: fmt.Sprintf("entry-%d", i)}
+		all[i].listen(t, "127.0.0.1:0")
+		named = append(named, all[i].address)
+	}
+	for _, e := range all {
+		e.named = named
+	}
+	up := New(Options{
+		Guard:  "guard",
+		Seeds:  func() []string { return named[:3] },
+		Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)),
+	}, noHost{})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- up.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return up, all
+}
+
+// chosen splits the entries into those of the guard's subset and the others.
+func chosen(all []*entry) (in, out []*entry) {
+	var ranked []subset.Entry
+	for _, e := range all {
+		ranked = append(ranked, subset.Entry{Address: e.address, Rank: subset.Rank("guard", e.address)})
+	}
+	wanted := map[string]bool{}
+	for _, a := range subset.Choose(ranked, subset.Size) {
+		wanted[a] = true
+	}
+	for _, e := range all {
+		if wanted[e.address] {
+			in = append(in, e)
+		} else {
+			out = append(out, e)
+		}
+	}
+	return in, out
+}
+
+// awaitAttached waits until just these entries have a session.
+func awaitAttached(t *testing.T, all, want []*entry) {
+	t.Helper()
+	wanted := map[*entry]bool{}
+	for _, e := range want {
+		wanted[e] = true
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, e := range all {
+			if e.attached() != wanted[e] {
+				return poll.Continue("%s: attached %t, want %t", e.name, e.attached(), wanted[e])
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(8*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+// Processor time and messages grow with the square of the deployment when each guard
+// keeps a session with each entry. A guard learns of all from its settings' entries,
+// attaches to its subset, and leaves the others, those of its settings too.
+func TestGuardServesASubset(t *testing.T) {
+	_, all := deployment(t, 20)
+	in, _ := chosen(all)
+	assert.Equal(t, len(in), subset.Size)
+	awaitAttached(t, all, in)
+}
+
+// An entry loses power. Its callers go to others, so the guard takes one more into its
+// subset; when the entry is back it is attached to again and the other one is left.
+func TestEntryOutOfReachIsReplacedUntilItIsBack(t *testing.T) {
+	_, all := deployment(t, 16)
+	in, out := chosen(all)
+	awaitAttached(t, all, in)
+	lost := in[0]
+	_ = lost.server.Close()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		n := 0
+		for _, e := range out {
+			if e.attached() {
+				n++
+			}
+		}
+		if n == 1 && !lost.attached() {
+			return poll.Success()
+		}
+		return poll.Continue("%d others attached", n)
+	}, poll.WithTimeout(8*time.Second), poll.WithDelay(10*time.Millisecond))
+	lost.listen(t, lost.address)
+	awaitAttached(t, all, in)
+}
+
+// A guard leaves an entry that has runs there. The entry alone knows what it has
+// ordered: ended by the guard, the session would leave the entry with runs of which
+// nothing is ever reported, and their callers without an answer.
+func TestEntryEndsTheSessionOfAGuardThatRetires(t *testing.T) {
+	_, all := deployment(t, 16)
+	in, out := chosen(all)
+	awaitAttached(t, all, in)
+	out[0].mu.Lock()
+	out[0].holds = true
+	out[0].mu.Unlock()
+	for _, e := range in {
+		_ = e.server.Close()
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if out[0].attached() {
+			return poll.Success()
+		}
+		return poll.Continue("not attached")
+	}, poll.WithTimeout(8*time.Second))
+	for _, e := range in {
+		e.listen(t, e.address)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		out[0].mu.Lock()
+		defer out[0].mu.Unlock()
+		if out[0].closed > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not asked")
+	}, poll.WithTimeout(8*time.Second))
+	assert.Assert(t, out[0].attached(), "the session goes on while the entry holds runs")
+	out[0].mu.Lock()
+	out[0].holds = false
+	out[0].mu.Unlock()
+	awaitAttached(t, all, in)
+}
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -57,6 +57,12 @@
 	toldRoom runs.Room
 	// along is true when the room goes along with the next reports.
 	along bool
+	// retiring is true while the guard asks the entry to end the session.
+	retiring, toldRetiring bool
+	// entries are those that the entry last named, and guards the number of guards that
+	// are attached to it.
+	entries []string
+	guards  int
 }
 
 func newSession(u *Uplink, l *link, dial time.Duration) *session {
@@ -151,10 +157,57 @@
 	for _, r := range s.up.host.Resume(s.owner, open) {
 		s.push(r)
 	}
-	s.up.know(m.GetEntries())
+	s.hear(m)
 	return nil
 }
 
+// hear takes note of what the entry says of the deployment.
+func (s *session) hear(m *wirev1.AttachResponse) {
+	s.mu.Lock()
+	s.guards = int(m.GetGuards())
+	if len(m.GetEntries()) > 0 {
+		s.entries = m.GetEntries()
+	}
+	s.mu.Unlock()
+	if len(m.GetEntries()) > 0 {
+		s.up.know(m.GetEntries())
+	}
+}
+
+// entriesNamed are those that the entry last named.
+func (s *session) entriesNamed() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries
+}
+
+// guardsSeen is the number of guards attached to the entry.
+func (s *session) guardsSeen() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.guards
+}
+
+// setRetiring asks the entry to end the session, or takes that back.
+func (s *session) setRetiring(r bool) {
+	s.mu.Lock()
+	changed := s.retiring != r
+	s.retiring = r
+	if changed {
+		s.due = time.Now()
+	}
+	s.mu.Unlock()
+	if changed {
+		signal(s.wake)
+	}
+}
+
+func (s *session) isRetiring() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retiring
+}
+
 // receive takes one message of the entry.
 func (s *session) receive(m *wirev1.AttachResponse) {
 	sent := time.Duration(m.GetEchoUs()) * time.Microsecond
@@ -162,9 +215,7 @@
 		s.up.host.Alive(s.owner, sent)
 	}
 	s.setWaiting(m.GetWaiting(), m.GetWantsMilli())
-	if len(m.GetEntries()) > 0 {
-		s.up.know(m.GetEntries())
-	}
+	s.hear(m)
 	var orders []runs.Order
 	for _, o := range m.GetStarts() {
 		for _, t := range o.GetTasks() {
@@ -209,7 +260,7 @@
 func (s *session) Waits() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.waiting
+	return s.waiting && !s.retiring
 }
 
 // Offered implements offer.Listener.
@@ -289,7 +340,7 @@
 		}
 		m := &wirev1.AttachRequest{ClockUs: uptime.Now().Microseconds(), Reports: reports}
 		if room {
-			m.Room = wireRoom(s.room())
+			m.Room = s.room()
 		}
 		if err := st.Send(m); err != nil {
 			s.cancel(fmt.Errorf("uplink: send: %w", err))
@@ -341,12 +392,15 @@
 }
 
 // room returns the room that is told now.
-func (s *session) room() runs.Room {
+func (s *session) room() *wirev1.Room {
 	r := s.up.host.Room()
 	s.mu.Lock()
-	s.toldRoom = r
-	s.mu.Unlock()
-	return r
+	defer s.mu.Unlock()
+	s.toldRoom, s.toldRetiring = r, s.retiring
+	m := wireRoom(r)
+	m.Open = m.Open && !s.retiring
+	m.Retiring = s.retiring
+	return m
 }
 
 // News implements offer.Listener.
@@ -354,7 +408,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.toldRoom
-	return t.Open != r.Open || t.Cleared != r.Cleared || t.Instance != r.Instance || t.Total != r.Total
+	return s.retiring != s.toldRetiring || t.Open != r.Open || t.Cleared != r.Cleared || t.Instance != r.Instance || t.Total != r.Total
 }
 
 func signal(c chan struct{}) {
--- a/guard/uplink/uplink.go
+++ b/guard/uplink/uplink.go
@@ -1,4 +1,4 @@
-// Package uplink keeps a guard attached to every entry it knows of.
+// Package uplink keeps a guard attached to its subset of the entries.
 package uplink
 
 import (
@@ -12,6 +12,7 @@
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/guard/offer"
 	"almondstand.dev/guard/runs"
+	"almondstand.dev/guard/subset"
 	"almondstand.dev/wire/fleetwire"
 )
 
@@ -77,6 +78,8 @@
 	mu sync.Mutex
 	// links are the entries known, by address.
 	links map[string]*link
+	// size is the number of entries within reach to keep sessions with.
+	size int
 	// current is the newest session of each entry, by the entry's id.
 	current map[string]*session
 	// turn is held while a message is taken, and while a session takes over from
@@ -87,18 +90,9 @@
 	ctx    context.Context
 }
 
-// link is one address at which an entry is known.
-type link struct {
-	address string
-	// named is when the settings or an entry last named it.
-	named time.Time
-	// reached is when a session last worked.
-	reached time.Time
-}
-
 // New returns an uplink without attachments.
 func New(o Options, h Host) *Uplink {
-	return &Uplink{opt: o, host: h, logger: o.Logger, links: map[string]*link{}, current: map[string]*session{}}
+	return &Uplink{opt: o, host: h, logger: o.Logger, links: map[string]*link{}, size: subset.Size, current: map[string]*session{}}
 }
 
 // Run attaches until the context ends.
@@ -106,73 +100,20 @@
 	u.mu.Lock()
 	u.ctx = ctx
 	u.mu.Unlock()
-	u.know(u.opt.Seeds())
-	ticker := time.NewTicker(lastRetry)
+	u.refresh()
+	ticker := time.NewTicker(chooseEvery)
 	defer ticker.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
 		case <-ticker.C:
-			u.know(u.opt.Seeds())
+			u.refresh()
 		}
 	}
 	u.attach.Wait()
 	return nil
 }
 
-// know takes note of entries and attaches to new ones.
-func (u *Uplink) know(addresses []string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for _, a := range addresses {
-		if l, known := u.links[a]; known {
-			l.named = time.Now()
-			continue
-		}
-		l := &link{address: a, named: time.Now()}
-		u.links[a] = l
-		entryLearnt.Log(u.ctx, u.logger, slog.String("address", a))
-		u.attach.Go(func() { u.keep(u.ctx, l) })
-	}
-}
-
-// known returns the addresses of the entries that answer.
-func (u *Uplink) known() []string {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	all := make([]string, 0, len(u.links))
-	for a, l := range u.links {
-		if time.Since(l.reached) < forgetAfter {
-			all = append(all, a)
-		}
-	}
-	return all
-}
-
-// keep holds one entry's attachment until the entry is forgotten.
-func (u *Uplink) keep(ctx context.Context, l *link) {
-	away := time.Now()
-	for ctx.Err() == nil {
-		dial, retry := attempt(time.Since(away))
-		s := newSession(u, l, dial)
-		began := time.Now()
-		err := s.run(ctx)
-		if time.Since(began) > lasting && s.attached {
-			away = time.Now()
-		}
-		if s.attached {
-			entryLost.Log(ctx, u.logger, slog.String("address", l.address), slog.String("entry", s.owner.Entry), slog.Any("error", err))
-		}
-		if u.forgotten(l) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(retry):
-		}
-	}
-}
-
 // attempt is the time for a connection to come about, and the pause after an attempt
 // that failed, with an entry that has been out of reach for so long.
 func attempt(away time.Duration) (dial, retry time.Duration) {
@@ -181,17 +122,6 @@
 	return dial, retry
 }
 
-func (u *Uplink) forgotten(l *link) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if time.Since(l.named) < forgetAfter || time.Since(l.reached) < forgetAfter {
-		return false
-	}
-	delete(u.links, l.address)
-	entryForgotten.Log(u.ctx, u.logger, slog.String("address", l.address))
-	return true
-}
-
 // admit makes a session the only one of its entry. Nothing that arrives on the
 // older one counts from then on: an order that the network held up there would
 // come after the entry has been told that it never arrived.
@@ -199,8 +129,11 @@
 	u.mu.Lock()
 	older := u.current[s.owner.Entry]
 	u.current[s.owner.Entry] = s
-	if l := u.links[s.link.address]; l != nil {
-		l.reached = time.Now()
+	l := s.link
+	l.reached, l.session = time.Now(), s
+	if l.down {
+		l.down = false
+		u.choose()
 	}
 	u.mu.Unlock()
 	if older != nil && older != s {
