--- /dev/null
+++ b/e2e/fleet_size_test.go
@@ -0,0 +1,120 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"almondstand.dev/e2e/fleet"
+)
+
+// steady submits a job each few milliseconds, in turn at the entries, until stop is
+// called, which returns the answers that were no "completed". Nothing is tried again.
+func steady(t *testing.T, f *fleet.Fleet, entries []*fleet.Node, every time.Duration) (stop func() []string) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var mu sync.Mutex
+	var wrong []string
+	var open sync.WaitGroup
+	open.Go(func() {
+		tick := time.NewTicker(every)
+		defer tick.Stop()
+		for i := 0; ; i++ {
+			select {
+			case <-ctx.Done():
+				return
+			case <-tick.C:
+			}
+			n := entries[i%len(entries)]
+			open.Go(func() {
+				j := fleet.NewJob(4, 60)
+				a := f.Try(t.Context(), n, fleet.Prefix, j)
+				if a.Status == http.StatusOK && a.State == "completed" {
+					f.Judge.Completed(j.ID, j.Tasks)
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				wrong = append(wrong, fmt.Sprintf("%s at %s: %d %s after %s", j.ID, n.ID, a.Status, a.Text, a.Took))
+			})
+		}
+	})
+	return func() []string {
+		cancel()
+		open.Wait()
+		return wrong
+	}
+}
+
+// Agents beside runners are stopped and started in turn, as an upgrade does it. Callers
+// wait for nothing but what the other runners can't take: no request fails, none is
+// turned away, no task runs twice and no answer is lost.
+func TestGuardsRolledInTurnCostNoRequest(t *testing.T) {
+	f := startFleet(t, 3, 4)
+	stop := steady(t, f, f.Entries, 40*time.Millisecond)
+	for _, g := range f.Guards {
+		time.Sleep(300 * time.Millisecond)
+		g.Process().Terminate()
+		<-g.Process().Done()
+		assert.NilError(t, g.Start())
+	}
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, strings.Join(stop(), "\n"), "")
+}
+
+// A host joins at an address that no settings name. Guards must find it through the
+// store and the other entries, its first callers must be served, and those of the others
+// must not notice.
+func TestEntryJoinsUnderLoad(t *testing.T) {
+	f := startFleet(t, 4, 3)
+	joins := f.Entries[3]
+	joins.Process().Terminate()
+	<-joins.Process().Done()
+	stop := steady(t, f, f.Entries[:3], 40*time.Millisecond)
+	time.Sleep(500 * time.Millisecond)
+	assert.NilError(t, joins.Start())
+	ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+	defer cancel()
+	assert.NilError(t, eventually(ctx, func() error {
+		if !f.IsReady(joins) {
+			return fmt.Errorf("%s is not ready", joins.ID)
+		}
+		return nil
+	}))
+	joined := steady(t, f, f.Entries[3:], 40*time.Millisecond)
+	time.Sleep(time.Second)
+	assert.Equal(t, strings.Join(joined(), "\n"), "")
+	assert.Equal(t, strings.Join(stop(), "\n"), "")
+}
+
+// More entries than a guard serves. Guards find all of them through the three that their
+// settings name, keep sessions with twelve, and are released by the others; every entry
+// serves its callers, before and after one of them is killed, and no task runs twice.
+func TestGuardsServeASubsetOfManyEntries(t *testing.T) {
+	const entries, guards = 15, 30
+	f := startFleet(t, entries, guards)
+	ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
+	defer cancel()
+	released := regexp.MustCompile(`"session.guard_released"`)
+	assert.NilError(t, eventually(ctx, func() error {
+		n := 0
+		for _, e := range f.Entries {
+			n += len(released.FindAllString(e.Process().Log(), -1))
+		}
+		if n == 0 {
+			return fmt.Errorf("no guard was released")
+		}
+		return nil
+	}))
+	stop := steady(t, f, f.Entries[1:], 20*time.Millisecond)
+	time.Sleep(time.Second)
+	f.Entries[0].Process().Kill()
+	time.Sleep(1500 * time.Millisecond)
+	assert.Equal(t, strings.Join(stop(), "\n"), "")
+}
--- a/e2e/soak/schedule.go
+++ b/e2e/soak/schedule.go
@@ -42,7 +42,7 @@
 	Burst        Kind = "many callers"
 )
 
-var planned = []Kind{EntryTerm, EntryHangup, GuardHangup, Configure, Configure}
+var planned = []Kind{EntryTerm, EntryHangup, GuardTerm, GuardHangup, Configure, Configure}
 
 var all = []Kind{
 	EntryKill, EntryKill, EntryFreeze, EntryTerm, EntryHangup, GuardKill, GuardKill, GuardFreeze, GuardTerm, GuardHangup,
