guard/uplink: a guard reads the list of entries at its start, and attaches to its subset at once

Cause: after a loss of power all 240 guards attached to the three entries of their settings first, and the other 52 had no runners until these, busy with 240 sessions each on a fifth of a processor, had named them.

Hypothesis: with the list of entries known before the seeds are named, sessions spread over all entries from the first moment.

Change: the guard asks the platform's store once, at its start, for the entries' registered addresses (a stale read, a tenth of a call); seeds are named after that, or after 60 ms.

--- a/e2e/fleet/fleet.go
+++ b/e2e/fleet/fleet.go
@@ -173,7 +173,11 @@
 	for _, n := range f.Guards {
 		n.file = filepath.Join(f.opt.Dir, n.ID+".json")
 		n.args = []string{"run", "--settings", n.file}
-		if err := write(n.file, f.guardSettings(n)); err != nil {
+		store, err := f.serveStore(n.ID)
+		if err != nil {
+			return err
+		}
+		if err := write(n.file, f.guardSettings(n, store)); err != nil {
 			return err
 		}
 	}
@@ -222,11 +226,12 @@
 	})
 }
 
-func (f *Fleet) guardSettings(n *Node) any {
+func (f *Fleet) guardSettings(n *Node, store string) any {
 	return section(map[string]any{
 		"id": n.ID, "zone": "a",
 		"listen":     map[string]string{"reports": n.Control, "metrics": n.Metrics},
 		"seeds":      f.seeds(),
+		"store":      store,
 		"entry_port": entryPort,
 	})
 }
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -61,7 +61,7 @@
 func New(s Settings, o Options) *Entry {
 	e := &Entry{opt: o}
 	e.settings.Store(&s)
-	client := store.New(s.Store.AddrPort, storeMetrics(o.Metrics.Scope))
+	client := store.New(s.Store.AddrPort, store.Metrics(o.Metrics.Scope))
 	incarnation := uint64(time.Now().UnixNano())
 	e.config = follower.New(client, o.Logger)
 	e.members = registry.New(registry.Options{
--- a/entry/edge/gauges.go
+++ b/entry/edge/gauges.go
@@ -7,18 +7,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"almondstand.dev/dispatch/planner"
-	"almondstand.dev/platform/store"
 )
 
-// storeMetrics counts and times the calls to the store.
-func storeMetrics(scope tally.Scope) store.Observer {
-	return func(call string, o store.Outcome, took time.Duration) {
-		tagged := scope.Tagged(map[string]string{"call": call, "outcome": string(o)})
-		tagged.Counter("store_calls_total").Inc(1)
-		tagged.Timer("store_call_seconds").Record(took)
-	}
-}
-
 // gaugeEvery paces the gauges; they are scraped every 5 s.
 const gaugeEvery = 2 * time.Second
 
--- a/entry/registry/events.go
+++ b/entry/registry/events.go
@@ -22,4 +22,7 @@
 		"If it goes on, look at the store and the network to it.")
 	meetFailed = eventlog.Define(1583, "registry.meet_failed", slog.LevelInfo,
 		"Another entry did not answer.", "None.")
+	malformedAddress = eventlog.Define(1587, "registry.malformed_address", slog.LevelWarn,
+		"A value in the store, or what a guard or another entry named, is no entry's address; it is left out, and nothing else changes.",
+		"Find the program that writes under the entries' keys.")
 )
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -21,9 +21,6 @@
 	"almondstand.dev/wire/wirev1"
 )
 
-// prefix of the keys that name the live entries.
-const prefix = "almondstand/entries/"
-
 // Timing.
 const (
 	// leaseTTL is how long an entry that is gone stays listed.
@@ -105,6 +102,7 @@
 
 // Hint takes addresses of entries that the caller reaches.
 func (r *Registry) Hint(addresses []string) {
+	addresses = r.sound(addresses)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, a := range addresses {
@@ -115,6 +113,7 @@
 
 // hear takes addresses of entries that another entry has met.
 func (r *Registry) hear(addresses []string) {
+	addresses = r.sound(addresses)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, a := range addresses {
@@ -123,6 +122,20 @@
 	r.rebuild()
 }
 
+// sound leaves out what is no entry's address.
+func (r *Registry) sound(values []string) []string {
+	addresses, malformed := fleetwire.EntryAddresses(values)
+	if len(malformed) > 0 {
+		malformedAddress.Log(context.Background(), r.logger, slog.Int("values", len(malformed)), slog.String("first", clip(malformed[0])))
+	}
+	return addresses
+}
+
+// foreignText bounds what is written of a value that is no address, bytes.
+const foreignText = 100
+
+func clip(s string) string { return s[:min(len(s), foreignText)] }
+
 // acquainted returns this entry's address and those that may be passed on.
 func (r *Registry) acquainted() []string {
 	r.mu.Lock()
@@ -210,7 +223,7 @@
 		return 0, err
 	}
 	err = r.call(ctx, func(c context.Context) error {
-		return r.store.Put(c, prefix+r.opt.Entry, []byte(r.opt.Address), granted.ID)
+		return r.store.Put(c, fleetwire.EntriesPrefix+r.opt.Entry, []byte(r.opt.Address), granted.ID)
 	})
 	if err != nil {
 		return 0, err
@@ -225,7 +238,7 @@
 	for ctx.Err() == nil {
 		var items []store.Item
 		err := r.call(ctx, func(c context.Context) (err error) {
-			items, err = r.store.List(c, prefix)
+			items, err = r.store.List(c, fleetwire.EntriesPrefix)
 			return err
 		})
 		pause := listEvery
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -42,8 +42,8 @@
 // must be dropped by all, however often they meet each other.
 func TestAddressOfALostEntryIsDropped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a, b, c := registryAt("a:1"), registryAt("b:1"), registryAt("c:1")
-		a.Hint([]string{"lost:1"})
+		a, b, c := registryAt("10.0.0.1:1"), registryAt("10.0.0.2:1"), registryAt("10.0.0.3:1")
+		a.Hint([]string{"10.0.0.9:1"})
 		for range 20 {
 			meet(t, a, b)
 			meet(t, b, c)
@@ -53,7 +53,7 @@
 		for _, r := range []*Registry{a, b, c} {
 			r.Hint(nil)
 			known, _ := r.Known()
-			assert.Assert(t, !slices.Contains(known, "lost:1"), "%s: %v", r.opt.Entry, known)
+			assert.Assert(t, !slices.Contains(known, "10.0.0.9:1"), "%s: %v", r.opt.Entry, known)
 			assert.Equal(t, len(known), 3, "%v", known)
 		}
 	})
@@ -61,9 +61,9 @@
 
 // An entry that no settings name must still be learnt of by all, through one that has met it.
 func TestEntryIsLearntOfThroughOthers(t *testing.T) {
-	a, b, c := registryAt("a:1"), registryAt("b:1"), registryAt("c:1")
+	a, b, c := registryAt("10.0.0.1:1"), registryAt("10.0.0.2:1"), registryAt("10.0.0.3:1")
 	meet(t, c, b)
 	meet(t, a, b)
 	known, _ := a.Known()
-	assert.DeepEqual(t, known, []string{"a:1", "b:1", "c:1"})
+	assert.DeepEqual(t, known, []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
 }
--- a/guard/side/events.go
+++ b/guard/side/events.go
@@ -18,4 +18,7 @@
 	reloaded     = eventlog.Define(2245, "guard.side_reloaded", slog.LevelInfo, "The settings file was read again.", "None.")
 	reloadFailed = eventlog.Define(2246, "guard.side_reload_failed", slog.LevelError,
 		"The settings file can't be read; the guard goes on with the settings it has.", "Correct the file.")
+	foreignEntries = eventlog.Define(2247, "guard.side_malformed_entries", slog.LevelWarn,
+		"Values in the store under the entries' keys are no entries' addresses; they are left out, the others are used.",
+		"Find the program that writes under the entries' keys.")
 )
--- a/guard/side/settings.go
+++ b/guard/side/settings.go
@@ -22,6 +22,9 @@
 	Listen Listen `json:"listen"`
 	// Seeds are hosts of entries; only their IPs count. They may be stale.
 	Seeds []settings.Address `json:"seeds" validate:"max=64"`
+	// Store is the platform's metadata store, where entries register; it is asked once,
+	// at the start. Left out, only the seeds are.
+	Store settings.Address `json:"store"`
 	// EntryPort is the port on which every entry serves guards.
 	EntryPort int    `json:"entry_port" validate:"required,min=1,max=65535"`
 	Bounds    Bounds `json:"bounds"`
--- a/guard/side/side.go
+++ b/guard/side/side.go
@@ -14,6 +14,7 @@
 	"almondstand.dev/guard/runs"
 	"almondstand.dev/guard/uplink"
 	"almondstand.dev/platform/runner"
+	"almondstand.dev/platform/store"
 	"almondstand.dev/telemetry"
 	"almondstand.dev/wire/fleetwire"
 )
@@ -73,11 +74,35 @@
 		Incarnation: uint64(time.Now().UnixNano()),
 		Zone:        s.Zone,
 		Seeds:       func() []string { return g.settings.Load().entries() },
+		Entries:     registered(s, o),
 		Logger:      o.Logger,
 	}, g.host)
 	return g
 }
 
+// registered reads the entries that the store names; nil without a store.
+func registered(s Settings, o Options) func(context.Context) ([]string, error) {
+	if !s.Store.IsValid() {
+		return nil
+	}
+	client := store.New(s.Store.AddrPort, store.Metrics(o.Metrics.Scope))
+	return func(ctx context.Context) ([]string, error) {
+		items, err := client.List(ctx, fleetwire.EntriesPrefix)
+		if err != nil {
+			return nil, err
+		}
+		var values []string
+		for _, i := range items {
+			values = append(values, string(i.Value))
+		}
+		addresses, malformed := fleetwire.EntryAddresses(values)
+		if len(malformed) > 0 {
+			foreignEntries.Log(ctx, o.Logger, slog.Int("values", len(malformed)))
+		}
+		return addresses, nil
+	}
+}
+
 func share(d time.Duration, part float64) time.Duration {
 	return time.Duration(float64(d) * part)
 }
--- a/guard/uplink/links_test.go
+++ b/guard/uplink/links_test.go
@@ -101,24 +101,36 @@
 	t.Cleanup(func() { _ = server.Close() })
 }
 
-// deployment of so many entries that name each other, and a guard of which the settings
-// name the first three.
-func deployment(t *testing.T, n int) (*Uplink, []*entry) {
+// entries that name each other.
+func entries(t *testing.T, n int) []*entry {
 	t.Helper()
 	all := make([]*entry, n)
-	var named []string
 	for i := range all {
 		all[i] = &entry{name: fmt.Sprintf("entry-%d", i)}
 		all[i].listen(t, "127.0.0.1:0")
-		named = append(named, all[i].address)
 	}
 	for _, e := range all {
-		e.named = named
+		e.named = addresses(all)
 	}
+	return all
+}
+
+func addresses(all []*entry) []string {
+	var list []string
+	for _, e := range all {
+		list = append(list, e.address)
+	}
+	return list
+}
+
+// startGuard has a guard run of which the settings name the first three entries.
+func startGuard(t *testing.T, all []*entry, list func(context.Context) ([]string, error)) {
+	t.Helper()
 	up := New(Options{
-		Guard:  "guard",
-		Seeds:  func() []string { return named[:3] },
-		Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)),
+		Guard:   "guard",
+		Seeds:   func() []string { return addresses(all)[:3] },
+		Entries: list,
+		Logger:  slog.New(slog.NewJSONHandler(io.Discard, nil)),
 	}, noHost{})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
@@ -127,7 +139,14 @@
 		cancel()
 		<-ended
 	})
-	return up, all
+}
+
+// deployment of so many entries and a guard that learns of them from three.
+func deployment(t *testing.T, n int) []*entry {
+	t.Helper()
+	all := entries(t, n)
+	startGuard(t, all, nil)
+	return all
 }
 
 // chosen splits the entries into those of the guard's subset and the others.
@@ -171,7 +190,7 @@
 // keeps a session with each entry. A guard learns of all from its settings' entries,
 // attaches to its subset, and leaves the others, those of its settings too.
 func TestGuardServesASubset(t *testing.T) {
-	_, all := deployment(t, 20)
+	all := deployment(t, 20)
 	in, _ := chosen(all)
 	assert.Equal(t, len(in), subset.Size)
 	awaitAttached(t, all, in)
@@ -180,7 +199,7 @@
 // An entry loses power. Its callers go to others, so the guard takes one more into its
 // subset; when the entry is back it is attached to again and the other one is left.
 func TestEntryOutOfReachIsReplacedUntilItIsBack(t *testing.T) {
-	_, all := deployment(t, 16)
+	all := deployment(t, 16)
 	in, out := chosen(all)
 	awaitAttached(t, all, in)
 	lost := in[0]
@@ -205,7 +224,7 @@
 // ordered: ended by the guard, the session would leave the entry with runs of which
 // nothing is ever reported, and their callers without an answer.
 func TestEntryEndsTheSessionOfAGuardThatRetires(t *testing.T) {
-	_, all := deployment(t, 16)
+	all := deployment(t, 16)
 	in, out := chosen(all)
 	awaitAttached(t, all, in)
 	out[0].mu.Lock()
@@ -237,3 +256,32 @@
 	out[0].mu.Unlock()
 	awaitAttached(t, all, in)
 }
+
+// Everything has lost power and all guards are back at once. Attached to first, the three
+// entries that every settings file names are busy with all guards' sessions, and the
+// others have no runners meanwhile. A guard that reads the list of entries attaches to
+// its subset at once, and to nobody else.
+func TestGuardAttachesToItsSubsetFromTheList(t *testing.T) {
+	all := entries(t, 20)
+	startGuard(t, all, func(context.Context) ([]string, error) { return addresses(all), nil })
+	in, _ := chosen(all)
+	awaitAttached(t, all, in)
+	for _, e := range all {
+		e.mu.Lock()
+		assert.Equal(t, e.closed, 0, "%s had a session that wasn't wanted", e.name)
+		e.mu.Unlock()
+	}
+}
+
+// The store is away as a guard starts: it must not wait for it, and learns of the entries
+// from those that its settings name.
+func TestGuardStartsWhileTheStoreIsAway(t *testing.T) {
+	all := entries(t, 5)
+	startGuard(t, all, func(ctx context.Context) ([]string, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	began := time.Now()
+	awaitAttached(t, all, all)
+	assert.Assert(t, time.Since(began) < lookupTimeout, "attached after %s", time.Since(began))
+}
--- a/guard/uplink/uplink.go
+++ b/guard/uplink/uplink.go
@@ -48,6 +48,15 @@
 	beginsWait = 80 * time.Millisecond
 )
 
+// Reading the list of entries at the start.
+const (
+	// lookupHead is how long the seeds wait for the list: the store answers within 4 ms,
+	// and a data centre is some milliseconds away.
+	lookupHead = 60 * time.Millisecond
+	// lookupTimeout bounds the reading: by then the seeds have named the entries.
+	lookupTimeout = 500 * time.Millisecond
+)
+
 // Host is the account of the runner; see guard/host.
 type Host interface {
 	Room() runs.Room
@@ -65,8 +74,11 @@
 	Zone        string
 	// Seeds returns the addresses of entries that the settings name; it is asked
 	// again when no entry can be reached.
-	Seeds  func() []string
-	Logger *slog.Logger
+	Seeds func() []string
+	// Entries reads the list of those that are registered; nil where there is none. It
+	// is asked once, at the start.
+	Entries func(ctx context.Context) ([]string, error)
+	Logger  *slog.Logger
 }
 
 // Uplink is the set of attachments.
@@ -100,6 +112,7 @@
 	u.mu.Lock()
 	u.ctx = ctx
 	u.mu.Unlock()
+	u.discover(ctx)
 	u.refresh()
 	ticker := time.NewTicker(chooseEvery)
 	defer ticker.Stop()
@@ -114,6 +127,32 @@
 	return nil
 }
 
+// discover learns of the registered entries before the settings' seeds are named. After a
+// loss of power every guard attached to the same three seeds first, 240 sessions each,
+// and the other entries had no runners until those three could name them.
+func (u *Uplink) discover(ctx context.Context) {
+	if u.opt.Entries == nil {
+		return
+	}
+	done := make(chan struct{})
+	u.attach.Go(func() {
+		defer close(done)
+		called, cancel := context.WithTimeout(ctx, lookupTimeout)
+		defer cancel()
+		entries, err := u.opt.Entries(called)
+		if err != nil {
+			lookupFailed.Log(ctx, u.logger, slog.String("error", err.Error()))
+			return
+		}
+		u.know(entries)
+	})
+	select {
+	case <-done:
+	case <-time.After(lookupHead):
+	case <-ctx.Done():
+	}
+}
+
 // attempt is the time for a connection to come about, and the pause after an attempt
 // that failed, with an entry that has been out of reach for so long.
 func attempt(away time.Duration) (dial, retry time.Duration) {
