--- /dev/null
+++ b/bench/capacity/sweep.go
@@ -0,0 +1,129 @@
+// Package capacity prints the tables of docs/CAPACITY.md from the sweeps in journal/, so
+// that the page and the runs can't differ. It measures nothing.
+package capacity
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// ErrSweep means a journal entry that holds no sweep, or one that can't be read.
+var ErrSweep = errors.New("capacity: no sweep")
+
+// Sweep is one journal entry: a day at several sizes.
+type Sweep struct {
+	ID   string
+	Site string
+	// Hosts are the sizes, ascending.
+	Hosts []int
+	// Served is the credit of callers against what they were owed, by size.
+	Served []float64
+	// Broken counts the rules that were broken, by size.
+	Broken []int
+	Rows   []Row
+}
+
+// Row is one quantity of one role.
+type Row struct {
+	Role, Quantity string
+	// Busiest is the value of the busiest host, by size.
+	Busiest []float64
+	// Power with which the busiest grows as hosts are added.
+	Power float64
+}
+
+// entry is what of a journal file is read.
+type entry struct {
+	ID     string `json:"id"`
+	Verb   string `json:"cmd"`
+	Site   string `json:"site"`
+	Digest string `json:"digest"`
+	Days   []struct {
+		Name   string                     `json:"name"`
+		Served float64                    `json:"served"`
+		Rules  map[string]json.RawMessage `json:"rules"`
+	} `json:"days"`
+}
+
+// dayName begins the names of a sweep's days; the number of hosts follows.
+const dayName = "sweep-"
+
+// Read reads the sweep of an id from a journal.
+func Read(journal, id string) (Sweep, error) {
+	files, err := filepath.Glob(filepath.Join(journal, "*-"+id+".json"))
+	if err != nil || len(files) != 1 {
+		return Sweep{}, fmt.Errorf("%w: %s: %d files in %s", ErrSweep, id, len(files), journal)
+	}
+	raw, err := os.ReadFile(files[0])
+	if err != nil {
+		return Sweep{}, fmt.Errorf("%w: %w", ErrSweep, err)
+	}
+	var e entry
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return Sweep{}, fmt.Errorf("%w: %s: %w", ErrSweep, id, err)
+	}
+	return e.sweep()
+}
+
+func (e entry) sweep() (Sweep, error) {
+	s := Sweep{ID: e.ID, Site: e.Site}
+	if e.Verb != "sweep" {
+		return s, fmt.Errorf("%w: %s is of %q", ErrSweep, e.ID, e.Verb)
+	}
+	for _, d := range e.Days {
+		hosts, err := strconv.Atoi(strings.TrimPrefix(d.Name, dayName))
+		if err != nil {
+			return s, fmt.Errorf("%w: %s: day %q", ErrSweep, e.ID, d.Name)
+		}
+		s.Hosts = append(s.Hosts, hosts)
+		s.Served = append(s.Served, d.Served)
+		s.Broken = append(s.Broken, len(d.Rules))
+	}
+	if !slices.IsSorted(s.Hosts) || len(s.Hosts) == 0 {
+		return s, fmt.Errorf("%w: %s: sizes %v", ErrSweep, e.ID, s.Hosts)
+	}
+	for _, line := range strings.Split(e.Digest, "\n") {
+		if row, ok := rowOf(line, len(s.Hosts)); ok {
+			s.Rows = append(s.Rows, row)
+		}
+	}
+	if len(s.Rows) == 0 {
+		return s, fmt.Errorf("%w: %s: no figures", ErrSweep, e.ID)
+	}
+	return s, nil
+}
+
+// rowLine is "role: quantity", then a pair "middle / busiest" for each size, the power,
+// and the value carried on, which isn't read.
+var rowLine = regexp.MustCompile(`^([a-z]+): (.+?)  +(.*)$`)
+
+func rowOf(line string, sizes int) (Row, bool) {
+	m := rowLine.FindStringSubmatch(line)
+	if m == nil {
+		return Row{}, false
+	}
+	fields := strings.Fields(strings.ReplaceAll(m[3], "/", " "))
+	if len(fields) < 2*sizes+1 {
+		return Row{}, false
+	}
+	numbers := make([]float64, 2*sizes+1)
+	for i := range numbers {
+		n, err := strconv.ParseFloat(fields[i], 64)
+		if err != nil {
+			return Row{}, false
+		}
+		numbers[i] = n
+	}
+	r := Row{Role: m[1], Quantity: m[2], Power: numbers[2*sizes]}
+	for i := range sizes {
+		r.Busiest = append(r.Busiest, numbers[2*i+1])
+	}
+	return r, true
+}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -316,6 +316,3 @@
 		Operators: n.listen.operators.Addr(),
 	}
 }
-
-// Incarnation returns the entry's incarnation.
-func (n *Node) Incarnation() uint64 { return n.incarnation }
--- a/entry/operator/client/client.go
+++ b/entry/operator/client/client.go
@@ -110,11 +110,6 @@
 	return get[operator.Entries](ctx, c, "/v1/entries")
 }
 
-// Endpoints lists the endpoints that one entry knows.
-func (c *Client) Endpoints(ctx context.Context) (operator.Endpoints, error) {
-	return get[operator.Endpoints](ctx, c, "/v1/endpoints")
-}
-
 // Burn returns one entry's counts.
 func (c *Client) Burn(ctx context.Context, withSeries bool) (burn.Snapshot, error) {
 	return get[burn.Snapshot](ctx, c, "/v1/burn?series="+strconv.FormatBool(withSeries))
