--- a/bench/replay/guard.go
+++ b/bench/replay/guard.go
@@ -9,15 +9,15 @@
 
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
-	"almondstand.dev/guard/offer"
+	"almondstand.dev/guard/advertise"
 	"almondstand.dev/guard/runs"
 )
 
 // service of every contract.
 const service = "service"
 
-// beginsWait is how long a guard keeps the news that a run has begun.
-const beginsWait = 80 * time.Millisecond
+// startsDelay is how long a guard keeps the news that a run has begun.
+const startsDelay = 80 * time.Millisecond
 
 // guard is one account with its runner.
 type guard struct {
@@ -25,7 +25,7 @@
 	id    string
 	zone  string
 	life  int
-	book  *runs.Book
+	table *runs.Table
 	links []*link
 	// running are the runs at the runner.
 	running map[work.RunName]bool
@@ -37,7 +37,7 @@
 }
 
 func newGuard(s *sim, n int, zone string) *guard {
-	g := &guard{sim: s, id: fmt.Sprintf("guard-%d", n), zone: zone, book: runs.New(runs.Options{}), running: map[work.RunName]bool{}, times: 1, cpu: s.load.runnerCPU(n)}
+	g := &guard{sim: s, id: fmt.Sprintf("guard-%d", n), zone: zone, table: runs.New(runs.Options{}), running: map[work.RunName]bool{}, times: 1, cpu: s.load.runnerCPU(n)}
 	g.adopt()
 	s.after(sweepEvery, g.sweep)
 	return g
@@ -48,7 +48,7 @@
 	g.life++
 	g.ends = 0
 	g.running = map[work.RunName]bool{}
-	g.deliver(g.book.Adopt(g.sim.now, runs.Life{
+	g.deliver(g.table.Adopt(g.sim.now, runs.Life{
 		Instance: fmt.Sprint(g.id, "-", g.life),
 		Service:  service,
 		Total:    work.Amounts{CPUMilli: g.cpu},
@@ -59,7 +59,7 @@
 func (g *guard) suffer(t Trouble) {
 	g.wrong, g.times = t.Wrong, max(t.Times, 1)
 	if t.Wrong == Gone {
-		g.deliver(inOrder(g.book.Lose(g.sim.now)))
+		g.deliver(inOrder(g.table.Lose(g.sim.now)))
 	}
 }
 
@@ -74,17 +74,17 @@
 func (g *guard) receive(e *entry, sent time.Duration, waits bool, wants int64, o orders) {
 	l := g.link(e)
 	owner := l.owner
-	g.book.Alive(owner, sent)
+	g.table.Alive(owner, sent)
 	l.setWaits(waits, wants)
 	var reports []runs.Report
 	for _, id := range o.stops {
-		if r, over := g.book.Cancel(g.sim.now, owner, id); over {
+		if r, over := g.table.Cancel(g.sim.now, owner, id); over {
 			reports = append(reports, r)
 		}
 	}
 	g.sim.result.Orders += len(o.starts)
 	for _, x := range o.starts {
-		start, refused := g.book.Ask(g.sim.now, sent, owner, runs.Order{Run: x.Run, Need: x.Need, Life: x.Life})
+		start, refused := g.table.Ask(g.sim.now, sent, owner, runs.Order{Run: x.Run, Need: x.Need, Life: x.Life})
 		if refused != nil {
 			g.sim.result.misplaced(refused.Refusal)
 			reports = append(reports, *refused)
@@ -108,7 +108,7 @@
 		}
 		g.running[name] = true
 		job.began++
-		if r, news := g.book.Started(g.sim.now, name); news {
+		if r, news := g.table.Started(g.sim.now, name); news {
 			g.deliver([]runs.Report{r})
 		}
 		g.run(name, g.duration(job))
@@ -150,16 +150,16 @@
 
 // read gives the account what the runner says.
 func (g *guard) read(ends []work.End) {
-	reports := g.book.Read(g.sim.now, g.sim.now, work.Account{Running: slices.Collect(maps.Keys(g.running)), Ends: ends})
+	reports := g.table.Read(g.sim.now, g.sim.now, work.Account{Running: slices.Collect(maps.Keys(g.running)), Ends: ends})
 	g.deliver(inOrder(reports))
 }
 
 // stop sends the stops that are due.
 func (g *guard) stop() {
-	stops := g.book.Stops(g.sim.now)
+	stops := g.table.Stops(g.sim.now)
 	slices.SortFunc(stops, func(a, b runs.Stop) int { return byTask(a.Name.Task, b.Name.Task) })
 	for _, x := range stops {
-		g.book.Barred(g.sim.now, x.Name)
+		g.table.Barred(g.sim.now, x.Name)
 		g.end(x.Name, stopGrace, work.Broken)
 	}
 }
@@ -181,7 +181,7 @@
 
 // deliver sends reports to their owners and spreads the news of the room.
 func (g *guard) deliver(reports []runs.Report) {
-	offer.Room(wall(g.sim.now), g.book.Room(), g.book.Useful(), g.links)
+	advertise.Capacity(wall(g.sim.now), g.table.Capacity(), g.table.HasFree(), g.links)
 	for _, r := range reports {
 		for _, l := range g.links {
 			if l.owner == r.Owner {
@@ -193,11 +193,11 @@
 
 // free reports whether the runner has room for a task.
 func (g *guard) free(need work.Amounts) bool {
-	r := g.book.Room()
+	r := g.table.Capacity()
 	return r.Open && need.Fits(r.Total.Sub(r.Used))
 }
 
-// wall turns simulated time into the type that package offer takes.
+// wall turns simulated time into the type that package advertise takes.
 func wall(d time.Duration) time.Time { return time.Unix(0, int64(d)) }
 
 // link is a guard's session with one entry; see guard/uplink.
@@ -210,10 +210,10 @@
 
 	reports []runs.Report
 	// due is when room is to be told, tell when reports are; never for neither.
-	due, tell time.Duration
-	told      time.Duration
-	toldRoom  runs.Room
-	along     bool
+	due, tell    time.Duration
+	told         time.Duration
+	sentCapacity runs.Capacity
+	along        bool
 	// flush is the newest flush that is planned: older ones are void.
 	flush int
 }
@@ -247,41 +247,41 @@
 	}
 }
 
-// Wants implements offer.Listener.
-func (l *link) Wants() int64 { return l.wants }
+// PendingDemand implements advertise.Session.
+func (l *link) PendingDemand() int64 { return l.wants }
 
-// Waits implements offer.Listener.
-func (l *link) Waits() bool { return l.waits }
+// HasPending implements advertise.Session.
+func (l *link) HasPending() bool { return l.waits }
 
-// Offered implements offer.Listener.
-func (l *link) Offered() time.Time { return wall(l.told) }
+// LastSent implements advertise.Session.
+func (l *link) LastSent() time.Time { return wall(l.told) }
 
-// News implements offer.Listener.
-func (l *link) News(r runs.Room) bool {
-	t := l.toldRoom
+// Changed implements advertise.Session.
+func (l *link) Changed(r runs.Capacity) bool {
+	t := l.sentCapacity
 	return t.Open != r.Open || t.Cleared != r.Cleared || t.Instance != r.Instance || t.Total != r.Total
 }
 
-// TellAt implements offer.Listener.
-func (l *link) TellAt(at time.Time) {
+// SendAt implements advertise.Session.
+func (l *link) SendAt(at time.Time) {
 	l.due = time.Duration(at.UnixNano())
 	l.plan()
 }
 
-// TellAfter implements offer.Listener.
-func (l *link) TellAfter(pace time.Duration, contended bool) {
+// SendAfter implements advertise.Session.
+func (l *link) SendAfter(pace time.Duration, contended bool) {
 	l.due = min(l.due, l.told+pace)
 	l.along = l.along || !contended
 	l.plan()
 }
 
-// Hold implements offer.Listener.
-func (l *link) Hold() { l.due = never }
+// Withhold implements advertise.Session.
+func (l *link) Withhold() { l.due = never }
 
 func (l *link) push(r runs.Report) {
 	at := l.guard.sim.now
 	if r.State == runs.Running {
-		at += beginsWait
+		at += startsDelay
 	} else {
 		l.reports = slices.DeleteFunc(l.reports, func(old runs.Report) bool { return old.Run == r.Run })
 	}
@@ -314,8 +314,8 @@
 	l.reports, l.tell = nil, never
 	var told *planner.Room
 	if room {
-		r := l.guard.book.Room()
-		l.toldRoom, l.told, l.due, l.along = r, now, never, false
+		r := l.guard.table.Capacity()
+		l.sentCapacity, l.told, l.due, l.along = r, now, never, false
 		told = &planner.Room{Service: service, Runner: r.Instance, Open: r.Open, Total: r.Total, Used: r.Used, Cleared: r.Cleared}
 	}
 	l.guard.sim.result.Messages++
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -22,7 +22,7 @@
 	stopGrace = 50 * time.Millisecond
 	// pingEvery is the pause after which a busy guard hears from an entry.
 	pingEvery = 150 * time.Millisecond
-	// sweepEvery paces the guards' look at what must end.
+	// sweepEvery paces the guards' check of what must end.
 	sweepEvery = 20 * time.Millisecond
 )
 
--- a/dispatch/planner/foresight.go
+++ b/dispatch/planner/foresight.go
@@ -14,10 +14,9 @@
 	// which their number tells how fast room comes free: after a restart they are few,
 	// though all room is free.
 	knownShare = 0.04
-	// shortest is how long room is short before anything is foreseen from it: chance,
-	// the wave of callers after a restart and one wide job are over by then. Without
-	// it 0.003 less of worth, as 0.6 in 100 more go unserved (six of the days); with every
-	// late job kept 0.007 less (three entries, eleven runners, nine days each).
+	// shortest is how long capacity is short before anything is foreseen from it: chance,
+	// callers that come again together after a restart and one wide job are over by then.
+	// Without it 0.6 % more requests go unserved (three entries, eleven runners).
 	shortest = 700 * time.Millisecond
 )
 
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -56,8 +56,7 @@
 
 // youngFor is how long after its first event an entry counts on runners that it doesn't
 // know yet: guards attach within some 0.1 s, and a runner is adopted with its next report,
-// 1.5 s apart. Refused meanwhile, callers would have had an answer a moment later: 0.003
-// of worth (six days with a loss of power, three entries).
+// 1.5 s apart. Rejected meanwhile, callers would have had an answer a moment later.
 const youngFor = 3 * time.Second
 
 // young reports whether this entry has begun a moment ago.
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -35,8 +35,8 @@
 	forgetAfter = 30 * time.Second
 )
 
-// ErrNoGreeting means that a guard's first message was no greeting.
-var ErrNoGreeting = errors.New("sessions: no greeting")
+// ErrNoHandshake means that a guard's first message was no handshake.
+var ErrNoHandshake = errors.New("sessions: no handshake")
 
 // errReleased means that the guard is retiring from this entry, which holds no run there.
 var errReleased = errors.New("sessions: the guard is released")
@@ -114,9 +114,9 @@
 	if err != nil {
 		return connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	g := first.GetGreeting()
+	g := first.GetHandshake()
 	if g == nil {
-		return connect.NewError(connect.CodeInvalidArgument, ErrNoGreeting)
+		return connect.NewError(connect.CodeInvalidArgument, ErrNoHandshake)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -141,7 +141,7 @@
 }
 
 // admit makes the session its guard's newest and returns the open runs there.
-func (s *Server) admit(ses *session, g *wirev1.GuardGreeting) ([]work.RunID, error) {
+func (s *Server) admit(ses *session, g *wirev1.GuardHandshake) ([]work.RunID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.lives[ses.guard]
@@ -219,11 +219,11 @@
 	s.membersVersion = version
 	s.open += len(open)
 	s.mu.Unlock()
-	greeting := &wirev1.EntryGreeting{Entry: s.server.opt.Entry, Incarnation: s.server.opt.Incarnation}
+	handshake := &wirev1.EntryHandshake{Entry: s.server.opt.Entry, Incarnation: s.server.opt.Incarnation}
 	for _, r := range open {
-		greeting.Open = append(greeting.Open, &wirev1.OpenRun{Task: fleetwire.Task(r.Task), Attempt: uint32(r.Attempt)})
+		handshake.Open = append(handshake.Open, &wirev1.OpenRun{Task: fleetwire.Task(r.Task), Attempt: uint32(r.Attempt)})
 	}
-	if err := s.stream.Send(&wirev1.AttachResponse{Greeting: greeting, Entries: entries, Guards: uint32(s.server.jobs.Guards())}); err != nil {
+	if err := s.stream.Send(&wirev1.AttachResponse{Handshake: handshake, Entries: entries, Guards: uint32(s.server.jobs.Guards())}); err != nil {
 		return err
 	}
 	failed := make(chan error, 1)
@@ -242,7 +242,7 @@
 			return err
 		}
 		s.heard(m.GetClockUs())
-		news := jobs.News{Room: roomOf(m.GetRoom())}
+		news := jobs.News{Room: roomOf(m.GetCapacity())}
 		over := 0
 		for _, r := range m.GetReports() {
 			c := changeOf(r)
@@ -261,13 +261,13 @@
 		if news.Room != nil || len(news.Reports) > 0 {
 			s.server.jobs.Tell(s.guard, s, news)
 		}
-		s.setRetiring(m.GetRoom())
+		s.setRetiring(m.GetCapacity())
 	}
 }
 
 // setRetiring takes note of whether the guard asks to be released. The room told with
 // it is closed, so nothing more is ordered there.
-func (s *session) setRetiring(r *wirev1.Room) {
+func (s *session) setRetiring(r *wirev1.Capacity) {
 	s.mu.Lock()
 	if r != nil {
 		s.retiring = r.GetRetiring()
@@ -325,7 +325,7 @@
 			timer.Reset(pause)
 			continue
 		}
-		m.Waiting, m.WantsMilli = s.server.jobs.Waiting(s.guard)
+		m.HasPending, m.PendingMilli = s.server.jobs.Waiting(s.guard)
 		m.Guards = uint32(s.server.jobs.Guards())
 		if err := s.stream.Send(m); err != nil {
 			return err
@@ -389,7 +389,7 @@
 	return out
 }
 
-func roomOf(r *wirev1.Room) *planner.Room {
+func roomOf(r *wirev1.Capacity) *planner.Room {
 	if r == nil {
 		return nil
 	}
@@ -398,7 +398,7 @@
 		Runner:  r.GetRunner(),
 		Open:    r.GetOpen(),
 		Total:   fleetwire.FromAmounts(r.GetTotal()),
-		Used:    fleetwire.FromAmounts(r.GetUsed()),
+		Used:    fleetwire.FromAmounts(r.GetAllocated()),
 		Labels:  r.GetLabels(),
 		Cleared: r.GetCleared(),
 	}
--- a/guard/host/events.go
+++ b/guard/host/events.go
@@ -12,7 +12,7 @@
 		"None.")
 	runnerLeft = eventlog.Define(2202, "guard.runner_left", slog.LevelInfo,
 		"The runner said that it ends; its runs are over.", "None.")
-	greetFailed = eventlog.Define(2203, "guard.greet_failed", slog.LevelWarn,
+	confirmFailed = eventlog.Define(2203, "guard.greet_failed", slog.LevelWarn,
 		"A runner that announced itself did not answer, or another life of it did.",
 		"If it goes on, look at the runner: it announces an address at which nobody answers.")
 	startFailed = eventlog.Define(2204, "guard.start_failed", slog.LevelWarn,
@@ -21,7 +21,7 @@
 	stopFailed = eventlog.Define(2205, "guard.stop_failed", slog.LevelWarn,
 		"A stop got no answer; it is sent again, and the lease is not extended beyond the run's end.",
 		"As for start_failed.")
-	lookFailed = eventlog.Define(2206, "guard.look_failed", slog.LevelWarn,
+	pollFailed = eventlog.Define(2206, "guard.look_failed", slog.LevelWarn,
 		"The runner did not give its account; the lease was not extended.",
 		"As for start_failed.")
 	runStarted = eventlog.Define(2208, "guard.run_started", slog.LevelInfo,
--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -21,39 +21,38 @@
 const (
 	startTimeout = 150 * time.Millisecond
 	stopTimeout  = 120 * time.Millisecond
-	// lookWait is how long a look may wait for an end. It also paces the renewal
+	// pollWait is how long a poll may wait for an end. It also paces the renewal
 	// of the lease: five renewals may go unanswered before a lease of 600 ms ends.
-	lookWait   = 60 * time.Millisecond
-	lookMargin = 160 * time.Millisecond
-	// lookSlow is the time beyond its wait after which a look counts as unanswered
+	pollWait   = 60 * time.Millisecond
+	pollMargin = 160 * time.Millisecond
+	// pollSlow is the time beyond its wait after which a poll counts as unanswered
 	// and the next is sent beside it. Until then the guard knows of no end, and the
-	// room of the runs that have ended stands empty: with one look of 25 lost, a
+	// capacity of the runs that have ended stands empty: with one poll of 25 lost, a
 	// tenth of the time.
-	lookSlow = 20 * time.Millisecond
-	// patientFor times the mean time until a look is answered, and leastPatience at
-	// the least, is waited for one before another is sent beside it. Without it a lost
-	// look on a busy runner kept the ends of 80 ms from their entries, with one call in
-	// twenty lost a fifth of the time: 0.011 of worth on the worst day of three entries
-	// and eleven runners (six seeds; measured with these always in force).
-	patientFor    = 1.5
-	leastPatience = 10 * time.Millisecond
-	// lostMemory is how long after a lost look the next ones are waited for in this way:
-	// where none is lost, looks beside one another are work for nothing, half as many
+	pollSlow = 20 * time.Millisecond
+	// hedgeFactor times the mean time until a poll is answered, leastHedgeDelay at the
+	// least, is the delay after which an unanswered poll is hedged by another. Without it
+	// a lost poll on a busy runner kept all ends from their entries for 80 ms: with one
+	// call in twenty lost, a fifth of the time.
+	hedgeFactor     = 1.5
+	leastHedgeDelay = 10 * time.Millisecond
+	// lostMemory is how long after a lost poll the next ones are waited for in this way:
+	// where none is lost, polls beside one another are work for nothing, half as many
 	// again on a busy runner.
 	lostMemory = 3 * time.Second
-	// looksMemory is the number of looks over which that mean is taken.
-	looksMemory = 8
-	// looks bounds the looks that are under way.
-	looks = 4
+	// pollMemory is the number of polls over which that mean is taken.
+	pollMemory = 8
+	// inFlightPolls bounds the polls that are under way.
+	inFlightPolls = 4
 	// stopPause spaces the attempts of a stop that fails at once.
 	stopPause = 30 * time.Millisecond
-	// silentPause spaces the looks at a runner whose leases have all run out.
+	// silentPause spaces the polls at a runner whose leases have all run out.
 	silentPause = 500 * time.Millisecond
-	// strangePause spaces the lines on reports that are no runner's, and strangeText
+	// foreignInterval spaces the lines on reports that are no runner's, and foreignText
 	// bounds what of them is written, bytes.
-	strangePause = 5 * time.Second
-	strangeText  = 200
-	// adoptTries and adoptPause bound the greeting of a new runner between two of
+	foreignInterval = 5 * time.Second
+	foreignText     = 200
+	// adoptTries and adoptPause bound the attempts to reach a new runner between two of
 	// its reports, which come every 1.5 s.
 	adoptTries = 6
 	adoptPause = 100 * time.Millisecond
@@ -74,15 +73,15 @@
 type Runner interface {
 	Start(ctx context.Context, instance string, token int64, run work.RunName, spec string, until time.Duration) (time.Duration, error)
 	Stop(ctx context.Context, instance string, token int64, run work.RunName) (time.Duration, error)
-	Look(ctx context.Context, instance string, token int64, until time.Duration, seen int64, wait time.Duration) (work.Account, error)
+	Poll(ctx context.Context, instance string, token int64, until time.Duration, seen int64, wait time.Duration) (work.Account, error)
 }
 
 // Sink takes what the entries are to be told.
 type Sink interface {
 	// Deliver hands reports to the sessions of their owners.
 	Deliver([]runs.Report)
-	// RoomChanged says that Room returns something new.
-	RoomChanged()
+	// CapacityChanged says that Capacity returns something new.
+	CapacityChanged()
 }
 
 // Options of a Host.
@@ -103,9 +102,9 @@
 	sink   Sink
 	began  time.Time
 
-	mu   sync.Mutex
-	book *runs.Book
-	api  Runner
+	mu    sync.Mutex
+	table *runs.Table
+	api   Runner
 	// heard is the newest report number of the current life.
 	heard int64
 	// candidate is a life that has announced itself and is not adopted yet.
@@ -116,22 +115,22 @@
 	leased time.Duration
 	// acked is the highest end that the runner knows to be taken note of.
 	acked int64
-	// strangeAt is when a report that is no runner's was last written of; zero for never.
-	strangeAt time.Duration
-	// lookTakes is the mean time until a look is answered.
-	lookTakes time.Duration
-	// silent is true while the runner answers no looks.
+	// foreignAt is when a report that is no runner's was last written of; zero for never.
+	foreignAt time.Duration
+	// pollTakes is the mean time until a poll is answered.
+	pollTakes time.Duration
+	// silent is true while the runner answers no polls.
 	silent bool
-	// lookedAt is the uptime at which the newest account read was asked for.
-	lookedAt time.Duration
-	// lostAt is the uptime at which a look was last known to be lost; zero for never.
+	// polledAt is the uptime at which the newest account read was asked for.
+	polledAt time.Duration
+	// lostAt is the uptime at which a poll was last known to be lost; zero for never.
 	lostAt time.Duration
 	// readAt is the uptime at which the newest account was read, and accountAt the
 	// runner's clock in it.
 	readAt, accountAt time.Duration
 
 	sweep chan struct{}
-	look  chan struct{}
+	poll  chan struct{}
 	ctx   context.Context
 	calls sync.WaitGroup
 }
@@ -148,11 +147,11 @@
 		opt:    o,
 		logger: o.Logger,
 		began:  time.Now(),
-		book:   runs.New(o.Runs),
-		// As on a quiet runner, until looks show otherwise.
-		lookTakes: lookWait,
+		table:  runs.New(o.Runs),
+		// As on a quiet runner, until polls show otherwise.
+		pollTakes: pollWait,
 		sweep:     make(chan struct{}, 1),
-		look:      make(chan struct{}, 1),
+		poll:      make(chan struct{}, 1),
 	}
 }
 
@@ -162,10 +161,10 @@
 	h.sink = sink
 	h.ctx = ctx
 	h.mu.Unlock()
-	defer time.AfterFunc(h.clearAfter(), sink.RoomChanged).Stop()
+	defer time.AfterFunc(h.clearAfter(), sink.CapacityChanged).Stop()
 	var loops sync.WaitGroup
 	loops.Go(func() { h.sweepLoop(ctx) })
-	loops.Go(func() { h.lookLoop(ctx) })
+	loops.Go(func() { h.pollLoop(ctx) })
 	loops.Wait()
 	h.calls.Wait()
 	return nil
@@ -182,11 +181,11 @@
 	}
 }
 
-// Room returns what the runner has and what is taken.
-func (h *Host) Room() runs.Room {
+// Capacity returns what the runner has and what is taken.
+func (h *Host) Capacity() runs.Capacity {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	room := h.book.Room()
+	room := h.table.Capacity()
 	room.Cleared = room.Cleared || h.steady() > h.clearAfter()
 	return room
 }
@@ -197,39 +196,39 @@
 	return time.Duration(float64(h.opt.MaxLease)/slowClock) + lapseMargin
 }
 
-// Useful reports whether there is room for another run like the newest asked for.
-func (h *Host) Useful() bool {
+// HasFree reports whether there is room for another run like the newest asked for.
+func (h *Host) HasFree() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.book.Useful()
+	return h.table.HasFree()
 }
 
 // Idle reports whether nothing is at the runner.
 func (h *Host) Idle() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.book.Idle()
+	return h.table.Idle()
 }
 
 // Leave takes no starts from now on.
 func (h *Host) Leave() {
 	h.mu.Lock()
-	h.book.Leave()
+	h.table.Leave()
 	h.mu.Unlock()
-	h.sink.RoomChanged()
+	h.sink.CapacityChanged()
 }
 
 // Alive takes note that an entry lived at the uptime given.
 func (h *Host) Alive(o runs.Owner, at time.Duration) {
 	h.mu.Lock()
-	h.book.Alive(o, at)
+	h.table.Alive(o, at)
 	h.mu.Unlock()
 }
 
 // Resume compares the open runs of an entry that has attached with those here.
 func (h *Host) Resume(o runs.Owner, open []work.RunID) []runs.Report {
 	h.mu.Lock()
-	reports := h.book.Resume(uptime.Now(), o, open)
+	reports := h.table.Resume(uptime.Now(), o, open)
 	h.mu.Unlock()
 	signal(h.sweep)
 	return reports
@@ -240,15 +239,15 @@
 func (h *Host) Order(sent time.Duration, o runs.Owner, orders []runs.Order, cancels []work.RunID) {
 	now := uptime.Now()
 	h.mu.Lock()
-	h.book.Alive(o, sent)
+	h.table.Alive(o, sent)
 	var reports []runs.Report
 	for _, id := range cancels {
-		if report, over := h.book.Cancel(now, o, id); over {
+		if report, over := h.table.Cancel(now, o, id); over {
 			reports = append(reports, report)
 		}
 	}
 	for _, order := range orders {
-		start, report := h.book.Ask(now, sent, o, order)
+		start, report := h.table.Ask(now, sent, o, order)
 		if report != nil {
 			h.refused(*report, now-sent)
 			reports = append(reports, *report)
@@ -265,7 +264,7 @@
 		signal(h.sweep)
 	}
 	if len(orders) > 0 {
-		signal(h.look)
+		signal(h.poll)
 		signal(h.sweep)
 	}
 }
@@ -280,7 +279,7 @@
 
 // lease returns the runner's time to which its lease may be extended now.
 func (h *Host) lease(now time.Duration) time.Duration {
-	span := h.book.HoldUntil(now) - now
+	span := h.table.HoldUntil(now) - now
 	if span <= 0 {
 		return 0
 	}
@@ -307,10 +306,10 @@
 
 // launch sends a start. The lock is held.
 func (h *Host) launch(now time.Duration, s *runs.Start) {
-	life := h.book.Life()
+	life := h.table.Life()
 	api := h.api
 	until := h.lease(now)
-	h.book.ValidUntil(s.Name, until)
+	h.table.ValidUntil(s.Name, until)
 	h.calls.Go(func() {
 		h.started(s, h.send(startTimeout, func(ctx context.Context) (time.Duration, error) {
 			return api.Start(ctx, life.Instance, life.Token, s.Name, s.Spec, until)
@@ -327,7 +326,7 @@
 	var reports []runs.Report
 	switch why, known := declined(err); {
 	case err == nil:
-		if report, news := h.book.Started(now, s.Name); news {
+		if report, news := h.table.Started(now, s.Name); news {
 			reports = append(reports, report)
 		}
 		runStarted.Log(h.ctx, h.logger, slog.String("job", s.Run.Task.Job), slog.Int("index", s.Run.Task.Index),
@@ -335,14 +334,14 @@
 	case errors.Is(err, runner.ErrOldRun) && answer.again:
 		// The run may have begun by the first order and be over: its end is in the
 		// runner's account.
-		h.book.Doubtful(now, s.Name)
+		h.table.Doubtful(now, s.Name)
 	case known && answer.sure:
 		if errors.Is(err, runner.ErrOldRun) {
-			h.book.Old(now, s.Run.Task)
+			h.table.Old(now, s.Run.Task)
 		}
-		reports = h.book.Declined(now, s.Name, why)
+		reports = h.table.Declined(now, s.Name, why)
 	default:
-		h.book.Doubtful(now, s.Name)
+		h.table.Doubtful(now, s.Name)
 	}
 	h.mu.Unlock()
 	h.opt.Metrics.start(err)
@@ -352,7 +351,7 @@
 		signal(h.sweep)
 	}
 	h.deliver(reports)
-	signal(h.look)
+	signal(h.poll)
 }
 
 // declined says why a start has not begun; sure is false when it may have, or
@@ -380,7 +379,7 @@
 		runEnded.Log(h.ctx, h.logger, slog.String("job", r.Run.Task.Job), slog.Int("index", r.Run.Task.Index), slog.Int("attempt", r.Run.Attempt),
 			slog.String("state", r.State.String()), slog.String("reason", r.Refusal.String()), slog.String("entry", r.Owner.Entry))
 	}
-	h.sink.RoomChanged()
+	h.sink.CapacityChanged()
 	if len(reports) > 0 {
 		h.sink.Deliver(reports)
 	}
--- a/guard/host/host_test.go
+++ b/guard/host/host_test.go
@@ -96,8 +96,8 @@
 	f.ended <- struct{}{}
 }
 
-func (f *fakeRunner) Look(ctx context.Context, _ string, _ int64, _ time.Duration, seen int64, wait time.Duration) (work.Account, error) {
-	if f.lost("look") {
+func (f *fakeRunner) Poll(ctx context.Context, _ string, _ int64, _ time.Duration, seen int64, wait time.Duration) (work.Account, error) {
+	if f.lost("poll") {
 		<-ctx.Done()
 		return work.Account{}, runner.ErrUnanswered
 	}
@@ -146,7 +146,7 @@
 	at      []time.Time
 }
 
-func (s *told) RoomChanged() {}
+func (s *told) CapacityChanged() {}
 
 func (s *told) Deliver(r []runs.Report) {
 	s.mu.Lock()
@@ -203,7 +203,7 @@
 			return poll.Continue("not running")
 		}
 		h.Heard(runner.Report{Instance: "i", Service: "s", Seq: 1, Clock: f.clock(), Capacity: work.Amounts{CPUMilli: 32000}})
-		if !h.Room().Open {
+		if !h.Capacity().Open {
 			return poll.Continue("no room yet")
 		}
 		return poll.Success()
@@ -283,7 +283,7 @@
 	keepAlive(t, h)
 	f.set(func() {
 		f.lose["start"] = 1
-		f.lose["look"] = 1
+		f.lose["poll"] = 1
 		f.refuse = runner.ErrOldRun
 	})
 	run := order(h)
@@ -305,48 +305,48 @@
 	keepAlive(t, h)
 	run := order(h)
 	_, _ = sink.find(t, runs.Running)
-	time.Sleep(2 * lookWait)
-	f.set(func() { f.lose["look"] = 1 })
+	time.Sleep(2 * pollWait)
+	f.set(func() { f.lose["poll"] = 1 })
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		if f.lose["look"] > 0 {
-			return poll.Continue("no look lost yet")
+		if f.lose["poll"] > 0 {
+			return poll.Continue("no poll lost yet")
 		}
 		return poll.Success()
 	}, poll.WithDelay(time.Millisecond))
 	began := time.Now()
 	f.end(run, work.Done)
 	_, at := sink.find(t, runs.Done)
-	assert.Assert(t, at.Sub(began) < lookMargin, "told after %s", at.Sub(began))
+	assert.Assert(t, at.Sub(began) < pollMargin, "told after %s", at.Sub(began))
 }
 
-// Tasks wait for room that stands empty: a look at a busy runner was lost, and its
-// guard knows of none of the ends until the look is given up, 80 ms later, though one
-// came every 10 ms before. On a busy runner the next look goes out after some 15 ms;
-// on a quiet one, where looks take their whole wait, none goes out beside another.
+// Tasks wait for room that stands empty: a poll at a busy runner was lost, and its
+// guard knows of none of the ends until the poll is given up, 80 ms later, though one
+// came every 10 ms before. On a busy runner the next poll goes out after some 15 ms;
+// on a quiet one, where polls take their whole wait, none goes out beside another.
 func TestBusyRunnerIsLookedAtSooner(t *testing.T) {
 	f := newFakeRunner()
 	h, sink := startHost(t, f)
 	keepAlive(t, h)
-	assert.Equal(t, h.patience(), lookWait+lookSlow, "nothing is known of the runner")
+	assert.Equal(t, h.hedgeDelay(), pollWait+pollSlow, "nothing is known of the runner")
 	order(h)
 	_, _ = sink.find(t, runs.Running)
 	var lost time.Duration
 	took := func(d time.Duration) time.Duration {
 		h.mu.Lock()
 		for range 50 {
-			h.looked(d)
+			h.answered(d)
 		}
 		h.lostAt = lost
 		h.mu.Unlock()
-		return h.patience()
+		return h.hedgeDelay()
 	}
-	assert.Equal(t, took(10*time.Millisecond), lookWait+lookSlow, "none was lost: nothing is gained by another")
+	assert.Equal(t, took(10*time.Millisecond), pollWait+pollSlow, "none was lost: nothing is gained by another")
 	lost = uptime.Now()
 	assert.Assert(t, took(10*time.Millisecond) <= 16*time.Millisecond)
-	assert.Equal(t, took(time.Millisecond), leastPatience)
-	assert.Assert(t, took(lookWait) > lookWait+lookSlow/2)
+	assert.Equal(t, took(time.Millisecond), leastHedgeDelay)
+	assert.Assert(t, took(pollWait) > pollWait+pollSlow/2)
 }
 
 // A stop that is lost is sent again: until the runner has it, the run holds its room.
@@ -363,11 +363,11 @@
 	assert.Assert(t, at.Sub(began) < stopTimeout, "told after %s", at.Sub(began))
 }
 
-// A runner reports that it has left while a look is about to be sent. The guard must
+// A runner reports that it has left while a poll is about to be sent. The guard must
 // not break on the life that is gone: every run of its entries would be lost with it.
 func TestLookWithoutARunner(t *testing.T) {
 	f := newFakeRunner()
 	h, _ := startHost(t, f)
 	h.Left("i")
-	assert.Equal(t, h.lookOnce(t.Context()), time.Duration(0))
+	assert.Equal(t, h.pollOnce(t.Context()), time.Duration(0))
 }
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -29,10 +29,10 @@
 		h.mu.Lock()
 		h.sendStops(now)
 		if now-forgot > forgetEvery {
-			h.book.Forget(now)
+			h.table.Forget(now)
 			forgot = now
 		}
-		wait := min(h.book.Next()-now, forgetEvery)
+		wait := min(h.table.Next()-now, forgetEvery)
 		h.mu.Unlock()
 		timer.Reset(max(wait, time.Millisecond))
 	}
@@ -40,8 +40,8 @@
 
 // sendStops sends the stops that are due. The lock is held.
 func (h *Host) sendStops(now time.Duration) {
-	stops := h.book.Stops(now)
-	life := h.book.Life()
+	stops := h.table.Stops(now)
+	life := h.table.Life()
 	if life == nil {
 		return
 	}
@@ -64,9 +64,9 @@
 	h.mu.Lock()
 	h.read(clock)
 	if err == nil {
-		h.book.Barred(uptime.Now(), s.Name)
+		h.table.Barred(uptime.Now(), s.Name)
 	} else {
-		h.book.StopFailed(s.Name)
+		h.table.StopFailed(s.Name)
 	}
 	h.mu.Unlock()
 	h.opt.Metrics.stop(err)
@@ -75,24 +75,24 @@
 			slog.Int("run", s.Name.Number), slog.String("error", err.Error()))
 		signal(h.sweep)
 	}
-	signal(h.look)
+	signal(h.poll)
 }
 
-// lookLoop renews the lease and reads the runner's account while anything is
-// there, one look at a time unless one goes unanswered.
-func (h *Host) lookLoop(ctx context.Context) {
+// pollLoop renews the lease and reads the runner's account while anything is
+// there, one poll at a time unless one goes unanswered.
+func (h *Host) pollLoop(ctx context.Context) {
 	var under sync.WaitGroup
 	defer under.Wait()
-	free := make(chan struct{}, looks)
+	free := make(chan struct{}, inFlightPolls)
 	for ctx.Err() == nil {
 		if h.wanted() {
-			h.lookRound(ctx, &under, free)
+			h.pollRound(ctx, &under, free)
 			continue
 		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-h.look:
+		case <-h.poll:
 		}
 	}
 }
@@ -101,12 +101,12 @@
 func (h *Host) wanted() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.book.Life() != nil && (!h.book.Idle() || !h.book.Checked() || h.book.Seen() > h.acked)
+	return h.table.Life() != nil && (!h.table.Idle() || !h.table.Checked() || h.table.Seen() > h.acked)
 }
 
-// lookRound sends a look and waits for it as long as one takes that is answered;
-// a look that isn't goes on by itself.
-func (h *Host) lookRound(ctx context.Context, under *sync.WaitGroup, free chan struct{}) {
+// pollRound sends a poll and waits for it as long as one takes that is answered;
+// a poll that isn't goes on by itself.
+func (h *Host) pollRound(ctx context.Context, under *sync.WaitGroup, free chan struct{}) {
 	select {
 	case <-ctx.Done():
 		return
@@ -115,9 +115,9 @@
 	done := make(chan time.Duration, 1)
 	under.Go(func() {
 		defer func() { <-free }()
-		done <- h.lookOnce(ctx)
+		done <- h.pollOnce(ctx)
 	})
-	slow := time.NewTimer(h.patience())
+	slow := time.NewTimer(h.hedgeDelay())
 	defer slow.Stop()
 	select {
 	case again := <-done:
@@ -133,57 +133,57 @@
 	return err == nil && asked < h.readAt && v.Clock < h.accountAt
 }
 
-// patience is the time after which a look that isn't answered is overtaken. Where looks
+// hedgeDelay is the time after which a poll that isn't answered is overtaken. Where polls
 // have been lost of late it is short: on a busy
 // runner an end would have come by then in four cases of five.
-func (h *Host) patience() time.Duration {
+func (h *Host) hedgeDelay() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.book.Idle() || h.lostAt == 0 || uptime.Now()-h.lostAt > lostMemory {
-		return lookWait + lookSlow
+	if h.table.Idle() || h.lostAt == 0 || uptime.Now()-h.lostAt > lostMemory {
+		return pollWait + pollSlow
 	}
-	return min(max(time.Duration(patientFor*float64(h.lookTakes)), leastPatience), lookWait+lookSlow)
+	return min(max(time.Duration(hedgeFactor*float64(h.pollTakes)), leastHedgeDelay), pollWait+pollSlow)
 }
 
-// looked takes note of the time that an answered look took. The lock is held.
-func (h *Host) looked(took time.Duration) {
-	h.lookTakes += (min(took, lookWait) - h.lookTakes) / looksMemory
+// answered takes note of the time that an answered poll took. The lock is held.
+func (h *Host) answered(took time.Duration) {
+	h.pollTakes += (min(took, pollWait) - h.pollTakes) / pollMemory
 }
 
-// lookOnce returns the pause before the next look.
-func (h *Host) lookOnce(ctx context.Context) (again time.Duration) {
+// pollOnce returns the pause before the next poll.
+func (h *Host) pollOnce(ctx context.Context) (again time.Duration) {
 	asked := uptime.Now()
 	h.mu.Lock()
-	known := h.book.Life()
+	known := h.table.Life()
 	if known == nil {
-		// The runner has left since the look was found to be wanted.
+		// The runner has left since the poll was found to be wanted.
 		h.mu.Unlock()
 		return 0
 	}
 	life, api := *known, h.api
-	left, leases := h.leased-h.steady(), h.book.Holds()
+	left, leases := h.leased-h.steady(), h.table.Holds()
 	until := h.lease(asked)
-	seen := h.book.Seen()
-	wait := lookWait
-	if h.silent || h.book.Idle() || seen > h.acked && !h.book.Open() {
+	seen := h.table.Seen()
+	wait := pollWait
+	if h.silent || h.table.Idle() || seen > h.acked && !h.table.Open() {
 		wait = 0
 	}
-	if h.book.Idle() {
+	if h.table.Idle() {
 		until = 0
 	}
 	h.mu.Unlock()
-	called, cancel := context.WithTimeout(ctx, wait+lookMargin)
-	account, err := api.Look(called, life.Instance, life.Token, until, seen, wait)
+	called, cancel := context.WithTimeout(ctx, wait+pollMargin)
+	account, err := api.Poll(called, life.Instance, life.Token, until, seen, wait)
 	cancel()
-	h.opt.Metrics.look(err)
+	h.opt.Metrics.poll(err)
 	if err != nil {
-		lookFailed.Log(ctx, h.logger, slog.String("runner", life.Instance), slog.String("error", err.Error()))
+		pollFailed.Log(ctx, h.logger, slog.String("runner", life.Instance), slog.String("error", err.Error()))
 	}
 	now := uptime.Now()
 	h.mu.Lock()
 	h.read(account.Clock)
-	if current := h.book.Life(); current == nil || current.Instance != life.Instance || asked <= h.lookedAt || h.older(asked, account, err) {
-		// Of another life, or overtaken by a look that was asked for later: accounts
+	if current := h.table.Life(); current == nil || current.Instance != life.Instance || asked <= h.polledAt || h.older(asked, account, err) {
+		// Of another life, or overtaken by a poll that was asked for later: accounts
 		// are read in the order in which they were asked for.
 		h.mu.Unlock()
 		return 0
@@ -197,15 +197,15 @@
 	switch {
 	case err == nil:
 		again = 0
-		h.lookedAt = asked
+		h.polledAt = asked
 		h.readAt, h.accountAt = now, account.Clock
 		h.acked = max(h.acked, seen)
-		h.looked(now - asked)
-		reports = h.book.Read(now, asked, account)
+		h.answered(now - asked)
+		reports = h.table.Read(now, asked, account)
 	case errors.Is(err, runner.ErrReplaced):
-		reports = h.book.Lose(now)
+		reports = h.table.Lose(now)
 	case h.steady() > h.leased+lapseMargin:
-		reports = h.book.Lapse(now)
+		reports = h.table.Lapse(now)
 		again = silentPause
 	}
 	h.sendStops(now)
@@ -220,14 +220,14 @@
 // Heard takes a runner's report about itself.
 func (h *Host) Heard(r runner.Report) bool {
 	h.mu.Lock()
-	if life := h.book.Life(); life != nil && life.Instance == r.Instance {
+	if life := h.table.Life(); life != nil && life.Instance == r.Instance {
 		if r.Seq > h.heard {
 			h.heard = r.Seq
-			h.book.Describe(r.Capacity, r.Labels, r.Draining)
+			h.table.Describe(r.Capacity, r.Labels, r.Draining)
 			h.read(r.Clock)
 		}
 		h.mu.Unlock()
-		h.sink.RoomChanged()
+		h.sink.CapacityChanged()
 		return true
 	}
 	if h.candidate == nil || h.candidate.Instance != r.Instance || r.Seq > h.candidate.Seq {
@@ -246,28 +246,28 @@
 func (h *Host) Malformed(instance string, err error) {
 	h.mu.Lock()
 	now := uptime.Now()
-	tell := h.strangeAt == 0 || now-h.strangeAt >= strangePause
+	tell := h.foreignAt == 0 || now-h.foreignAt >= foreignInterval
 	if tell {
-		h.strangeAt = now
+		h.foreignAt = now
 	}
 	h.mu.Unlock()
-	h.opt.Metrics.strange()
+	h.opt.Metrics.foreign()
 	if tell {
 		reportMalformed.Log(context.Background(), h.logger, slog.String("runner", clip(instance)), slog.String("error", clip(err.Error())))
 	}
 }
 
 // clip bounds what a stranger wrote.
-func clip(s string) string { return s[:min(len(s), strangeText)] }
+func clip(s string) string { return s[:min(len(s), foreignText)] }
 
 // Left takes note that a runner has ended as planned.
 func (h *Host) Left(instance string) bool {
 	h.mu.Lock()
 	var reports []runs.Report
-	life := h.book.Life()
+	life := h.table.Life()
 	left := life != nil && life.Instance == instance
 	if left {
-		reports = h.book.Lose(uptime.Now())
+		reports = h.table.Lose(uptime.Now())
 	}
 	if h.candidate != nil && h.candidate.Instance == instance {
 		h.candidate = nil
@@ -296,27 +296,27 @@
 		if c == nil || h.ctx.Err() != nil {
 			return
 		}
-		if h.greet(*c) {
+		if h.confirm(*c) {
 			return
 		}
 		uptime.Sleep(h.ctx, adoptPause)
 	}
 }
 
-// greet returns true when the candidate is adopted or known to be over.
-func (h *Host) greet(c runner.Report) bool {
+// confirm returns true when the candidate is adopted or known to be over.
+func (h *Host) confirm(c runner.Report) bool {
 	api := h.opt.Dial(c.Address)
 	token := c.Clock.Milliseconds()
 	asked := uptime.Now()
-	account, err := h.firstLook(api, c.Instance, token)
+	account, err := h.firstPoll(api, c.Instance, token)
 	if errors.Is(err, runner.ErrFenced) && account.Clock > 0 {
 		// The report is older than an order of an earlier guard.
 		token = account.Clock.Milliseconds() + 1
 		asked = uptime.Now()
-		account, err = h.firstLook(api, c.Instance, token)
+		account, err = h.firstPoll(api, c.Instance, token)
 	}
 	if err != nil {
-		greetFailed.Log(h.ctx, h.logger, slog.String("runner", c.Instance), slog.String("error", err.Error()))
+		confirmFailed.Log(h.ctx, h.logger, slog.String("runner", c.Instance), slog.String("error", err.Error()))
 	}
 	h.mu.Lock()
 	if errors.Is(err, runner.ErrReplaced) && h.candidate != nil && h.candidate.Instance == c.Instance {
@@ -332,29 +332,29 @@
 		h.candidate = nil
 	}
 	now := uptime.Now()
-	reports := h.book.Adopt(now, runs.Life{Instance: c.Instance, Service: c.Service, Address: c.Address, Token: token})
-	h.book.Describe(c.Capacity, c.Labels, c.Draining)
+	reports := h.table.Adopt(now, runs.Life{Instance: c.Instance, Service: c.Service, Address: c.Address, Token: token})
+	h.table.Describe(c.Capacity, c.Labels, c.Draining)
 	h.api = api
 	h.heard = c.Seq
 	h.acked = 0
 	h.leased = 0
-	h.lookedAt = asked
+	h.polledAt = asked
 	h.readAt, h.accountAt = now, account.Clock
 	h.silent = false
 	h.clock = sample{account.Clock, h.steady()}
-	reports = append(reports, h.book.Read(now, asked, account)...)
+	reports = append(reports, h.table.Read(now, asked, account)...)
 	left := len(account.Running)
 	h.mu.Unlock()
 	runnerAdopted.Log(h.ctx, h.logger, slog.String("runner", c.Instance), slog.String("service", c.Service),
 		slog.Int64("token", token), slog.Int64("cpu_milli", c.Capacity.CPUMilli), slog.Int("left_running", left))
-	signal(h.look)
+	signal(h.poll)
 	signal(h.sweep)
 	h.deliver(reports)
 	return true
 }
 
-func (h *Host) firstLook(api Runner, instance string, token int64) (account work.Account, err error) {
+func (h *Host) firstPoll(api Runner, instance string, token int64) (account work.Account, err error) {
 	ctx, cancel := context.WithTimeout(h.ctx, startTimeout)
 	defer cancel()
-	return api.Look(ctx, instance, token, 0, 0, 0)
+	return api.Poll(ctx, instance, token, 0, 0, 0)
 }
--- a/guard/host/metrics.go
+++ b/guard/host/metrics.go
@@ -10,7 +10,7 @@
 
 // Metrics count the orders to the runner.
 type Metrics struct {
-	starts, startErrors, stops, stopErrors, looks, lookErrors tally.Counter
+	starts, startErrors, stops, stopErrors, polls, pollErrors tally.Counter
 	// leasesLate counts extensions that came after the lease had run out, and
 	// leaseLeft is what was left of it at each extension.
 	leasesLate tally.Counter
@@ -27,8 +27,8 @@
 		startErrors: s.Counter("runner_start_errors_total"),
 		stops:       s.Counter("runner_stops_total"),
 		stopErrors:  s.Counter("runner_stop_errors_total"),
-		looks:       s.Counter("runner_looks_total"),
-		lookErrors:  s.Counter("runner_look_errors_total"),
+		polls:       s.Counter("runner_looks_total"),
+		pollErrors:  s.Counter("runner_look_errors_total"),
 		leasesLate:  s.Counter("runner_leases_late_total"),
 		leaseLeft:   s.Timer("runner_lease_left_seconds"),
 		malformed:   s.Counter("runner_reports_malformed_total"),
@@ -49,7 +49,7 @@
 
 func (m *Metrics) start(err error) { count(m.starts, m.startErrors, err) }
 func (m *Metrics) stop(err error)  { count(m.stops, m.stopErrors, err) }
-func (m *Metrics) look(err error)  { count(m.looks, m.lookErrors, err) }
+func (m *Metrics) poll(err error)  { count(m.polls, m.pollErrors, err) }
 
 // extended takes note that the runner's lease was extended with so much left of it;
 // negative when it had run out.
@@ -60,6 +60,6 @@
 	m.leaseLeft.Record(max(left, 0))
 }
 
-func (m *Metrics) strange() { m.malformed.Inc(1) }
+func (m *Metrics) foreign() { m.malformed.Inc(1) }
 
 func (m *Metrics) refused(why runs.Refusal) { m.refusals[why].Inc(1) }
--- a/guard/host/orders.go
+++ b/guard/host/orders.go
@@ -9,14 +9,13 @@
 )
 
 const (
-	// resendAfter is how long an order may go unanswered before it is sent again
+	// hedgeStartAfter is how long an order may go unanswered before it is sent again
 	// beside the first; a runner answers within a millisecond or two. Orders name
 	// their run, so the runner does nothing for the second if the first has come, and
 	// turns the first down when it comes after the run's end. Without it a lost order
 	// cost its task 150 ms and a stop: with one order of 25 lost, three jobs of eight
-	// tasks in ten. Half of 25 ms, with the patience for looks, serves 0.003 of worth
-	// more where one call in twenty is lost (six seeds).
-	resendAfter = 12 * time.Millisecond
+	// tasks in ten.
+	hedgeStartAfter = 12 * time.Millisecond
 	// sends bounds how often an order is sent: of 25 lost ones one is lost twice.
 	sends = 3
 )
@@ -73,12 +72,12 @@
 	}
 }
 
-// await waits for an answer; resendAfter at most if the order may be sent again.
+// await waits for an answer; hedgeStartAfter at most if the order may be sent again.
 func await(answers <-chan reply, bounded bool) (reply, bool) {
 	if !bounded {
 		return <-answers, true
 	}
-	wait := time.NewTimer(resendAfter)
+	wait := time.NewTimer(hedgeStartAfter)
 	defer wait.Stop()
 	select {
 	case a := <-answers:
--- a/guard/runs/resume.go
+++ b/guard/runs/resume.go
@@ -10,7 +10,7 @@
 // Resume compares the runs that an owner holds open with those here, after its
 // stream broke: each is reported on, others of the same entry are stopped. The
 // older stream delivers nothing any more, so a run that isn't here never starts.
-func (b *Book) Resume(now time.Duration, owner Owner, open []work.RunID) []Report {
+func (b *Table) Resume(now time.Duration, owner Owner, open []work.RunID) []Report {
 	for _, r := range b.runs {
 		if r.owner.Entry != owner.Entry {
 			continue
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -9,7 +9,7 @@
 	"almondstand.dev/dispatch/work"
 )
 
-// Options of a Book. The zero value of a field takes its default.
+// Options of a Table. The zero value of a field takes its default.
 type Options struct {
 	// Silence is how long an entry may be silent before its runs are stopped.
 	Silence time.Duration
@@ -73,8 +73,8 @@
 	at     time.Duration
 }
 
-// Book is the account. It is not safe for concurrent use.
-type Book struct {
+// Table is the account of what runs. It is not safe for concurrent use.
+type Table struct {
 	opt  Options
 	life *Life
 	// draining is set by the runner, leaving by the guard's own end.
@@ -104,7 +104,7 @@
 }
 
 // New returns an empty account.
-func New(o Options) *Book {
+func New(o Options) *Table {
 	if o.Silence == 0 {
 		o.Silence = DefaultSilence
 	}
@@ -117,7 +117,7 @@
 	if o.Stale == 0 {
 		o.Stale = DefaultStale
 	}
-	return &Book{
+	return &Table{
 		opt:     o,
 		runs:    map[work.TaskID]*run{},
 		strays:  map[work.RunName]bool{},
@@ -128,11 +128,11 @@
 }
 
 // Life returns the runner's life, nil when there is none.
-func (b *Book) Life() *Life { return b.life }
+func (b *Table) Life() *Life { return b.life }
 
 // Adopt takes a new life of the runner. The runs of the older one are over:
 // a life that answers in its place proves that the older has ended.
-func (b *Book) Adopt(now time.Duration, l Life) []Report {
+func (b *Table) Adopt(now time.Duration, l Life) []Report {
 	reports := b.Lose(now)
 	b.life = &l
 	b.checked = false
@@ -142,7 +142,7 @@
 }
 
 // Lose ends the runner's life without a successor; its runs are over.
-func (b *Book) Lose(now time.Duration) []Report {
+func (b *Table) Lose(now time.Duration) []Report {
 	var reports []Report
 	for _, r := range b.runs {
 		reports = append(reports, b.over(now, r, Stopped)...)
@@ -154,7 +154,7 @@
 }
 
 // Describe takes what the current life says of itself.
-func (b *Book) Describe(total work.Amounts, labels []string, draining bool) {
+func (b *Table) Describe(total work.Amounts, labels []string, draining bool) {
 	if b.life == nil {
 		return
 	}
@@ -166,40 +166,40 @@
 }
 
 // Leave closes the guard for good.
-func (b *Book) Leave() { b.leaving = true }
+func (b *Table) Leave() { b.leaving = true }
 
 // Open reports whether starts are taken.
-func (b *Book) Open() bool {
+func (b *Table) Open() bool {
 	return b.life != nil && b.checked && !b.draining && !b.leaving && len(b.strays) == 0
 }
 
-// Room returns what the runner has and what is taken.
-func (b *Book) Room() Room {
+// Capacity returns what the runner has and what is taken.
+func (b *Table) Capacity() Capacity {
 	if b.life == nil {
-		return Room{}
+		return Capacity{}
 	}
-	return Room{Life: *b.life, Open: b.Open(), Cleared: b.checked && len(b.strays) == 0, Used: b.used}
+	return Capacity{Life: *b.life, Open: b.Open(), Cleared: b.checked && len(b.strays) == 0, Used: b.used}
 }
 
-// Useful reports whether there is room for another run like the newest asked for.
-func (b *Book) Useful() bool {
+// HasFree reports whether there is room for another run like the newest asked for.
+func (b *Table) HasFree() bool {
 	return b.Open() && b.asked.Fits(b.life.Total.Sub(b.used))
 }
 
 // Idle reports whether nothing is at the runner.
-func (b *Book) Idle() bool { return len(b.runs) == 0 && len(b.strays) == 0 }
+func (b *Table) Idle() bool { return len(b.runs) == 0 && len(b.strays) == 0 }
 
 // Holds reports whether runs of this account are at the runner.
-func (b *Book) Holds() bool { return len(b.runs) > 0 }
+func (b *Table) Holds() bool { return len(b.runs) > 0 }
 
 // Checked reports whether an account of this life has been read.
-func (b *Book) Checked() bool { return b.checked }
+func (b *Table) Checked() bool { return b.checked }
 
 // Seen is the highest end taken note of.
-func (b *Book) Seen() int64 { return b.seen }
+func (b *Table) Seen() int64 { return b.seen }
 
 // Alive takes note that the owner lived at the uptime given.
-func (b *Book) Alive(o Owner, at time.Duration) {
+func (b *Table) Alive(o Owner, at time.Duration) {
 	if at > b.alive[o] {
 		b.alive[o] = at
 	}
@@ -207,7 +207,7 @@
 
 // Ask decides on one ordered run. sent is the earliest uptime at which the owner
 // can have sent the order. The run is to be started, or refused with a report.
-func (b *Book) Ask(now, sent time.Duration, owner Owner, o Order) (*Start, *Report) {
+func (b *Table) Ask(now, sent time.Duration, owner Owner, o Order) (*Start, *Report) {
 	if why := b.refuse(now, sent, owner, o); why != NoRefusal {
 		return nil, &Report{Owner: owner, Run: o.Run, State: NotStarted, Refusal: why}
 	}
@@ -215,7 +215,7 @@
 }
 
 // enter takes a run into the account.
-func (b *Book) enter(now, sent time.Duration, owner Owner, o Order) *Start {
+func (b *Table) enter(now, sent time.Duration, owner Owner, o Order) *Start {
 	n := max(o.Run.Attempt, b.numbers[o.Run.Task].number+1)
 	r := &run{
 		id:      o.Run,
@@ -232,7 +232,7 @@
 	return &Start{Run: o.Run, Name: r.name, Spec: o.Spec}
 }
 
-func (b *Book) refuse(now, sent time.Duration, owner Owner, o Order) Refusal {
+func (b *Table) refuse(now, sent time.Duration, owner Owner, o Order) Refusal {
 	if now-sent > b.opt.Stale || o.Life <= now-sent {
 		return Late
 	}
@@ -255,14 +255,14 @@
 }
 
 // ValidUntil notes the runner's time up to which a start is valid.
-func (b *Book) ValidUntil(name work.RunName, until time.Duration) {
+func (b *Table) ValidUntil(name work.RunName, until time.Duration) {
 	if r := b.find(name); r != nil {
 		r.until = max(r.until, until)
 	}
 }
 
 // Started takes note that the runner has begun the run.
-func (b *Book) Started(now time.Duration, name work.RunName) (Report, bool) {
+func (b *Table) Started(now time.Duration, name work.RunName) (Report, bool) {
 	r := b.find(name)
 	if r == nil {
 		return Report{}, false
@@ -281,7 +281,7 @@
 }
 
 // Declined takes note that the runner has not begun the run and won't.
-func (b *Book) Declined(now time.Duration, name work.RunName, why Refusal) []Report {
+func (b *Table) Declined(now time.Duration, name work.RunName, why Refusal) []Report {
 	r := b.find(name)
 	if r == nil || r.started {
 		return nil
@@ -291,7 +291,7 @@
 
 // Doubtful takes note that a start got no answer: it may be carried out later,
 // so the run keeps its room until a bar or its lease makes sure.
-func (b *Book) Doubtful(now time.Duration, name work.RunName) {
+func (b *Table) Doubtful(now time.Duration, name work.RunName) {
 	r := b.find(name)
 	if r == nil || r.started {
 		return
@@ -300,7 +300,7 @@
 }
 
 // Barred takes note that the runner has acknowledged a stop at the uptime given.
-func (b *Book) Barred(now time.Duration, name work.RunName) {
+func (b *Table) Barred(now time.Duration, name work.RunName) {
 	r := b.find(name)
 	if r == nil {
 		return
@@ -311,7 +311,7 @@
 }
 
 // StopFailed takes note that a stop was not acknowledged; it is sent again.
-func (b *Book) StopFailed(name work.RunName) {
+func (b *Table) StopFailed(name work.RunName) {
 	if r := b.find(name); r != nil {
 		r.stopSent = false
 	}
@@ -321,7 +321,7 @@
 }
 
 // Cancel stops a run at its owner's wish.
-func (b *Book) Cancel(now time.Duration, owner Owner, id work.RunID) (Report, bool) {
+func (b *Table) Cancel(now time.Duration, owner Owner, id work.RunID) (Report, bool) {
 	r, here := b.runs[id.Task]
 	if here && r.owner == owner && r.id == id {
 		b.stop(now, r)
@@ -333,7 +333,7 @@
 	return Report{Owner: owner, Run: id, State: NotStarted, Refusal: Unknown}, true
 }
 
-func (b *Book) find(name work.RunName) *run {
+func (b *Table) find(name work.RunName) *run {
 	r, ok := b.runs[name.Task]
 	if !ok || r.name != name {
 		return nil
@@ -341,7 +341,7 @@
 	return r
 }
 
-func (b *Book) stop(now time.Duration, r *run) {
+func (b *Table) stop(now time.Duration, r *run) {
 	if r.stopping == 0 {
 		r.stopping = max(now, 1)
 	}
@@ -351,7 +351,7 @@
 // runner, which answers nothing, has run out. Their room stays taken until the
 // runner itself accounts for them. A start without an answer may have been carried
 // out before the runner went silent, so none is told as not started.
-func (b *Book) Lapse(now time.Duration) []Report {
+func (b *Table) Lapse(now time.Duration) []Report {
 	var reports []Report
 	for _, r := range b.runs {
 		reports = append(reports, b.tell(now, r, Stopped, Unwell)...)
@@ -360,18 +360,18 @@
 }
 
 // over ends a run and gives its room back.
-func (b *Book) over(now time.Duration, r *run, s State) []Report {
+func (b *Table) over(now time.Duration, r *run, s State) []Report {
 	return b.close(now, r, s, Unwell)
 }
 
-func (b *Book) close(now time.Duration, r *run, s State, why Refusal) []Report {
+func (b *Table) close(now time.Duration, r *run, s State, why Refusal) []Report {
 	delete(b.runs, r.id.Task)
 	b.used = b.used.Sub(r.need)
 	return b.tell(now, r, s, why)
 }
 
 // tell makes the last report on a run, once.
-func (b *Book) tell(now time.Duration, r *run, s State, why Refusal) []Report {
+func (b *Table) tell(now time.Duration, r *run, s State, why Refusal) []Report {
 	if r.told {
 		return nil
 	}
--- a/guard/runs/runs_test.go
+++ b/guard/runs/runs_test.go
@@ -21,7 +21,7 @@
 const begin = time.Second
 
 // newBook returns an account of a runner with room for n runs, read once.
-func newBook(n int64) *Book {
+func newBook(n int64) *Table {
 	b := New(Options{})
 	b.Adopt(begin, Life{Instance: "i1", Service: "s", Token: 5})
 	b.Describe(work.Amounts{CPUMilli: 1000 * n, MemoryMB: 64 * n}, nil, false)
@@ -35,14 +35,14 @@
 	return Order{Run: work.RunID{Task: work.TaskID{Job: job, Index: index}, Attempt: 1}, Need: need, Life: 1500 * ms}
 }
 
-func mustStart(t *testing.T, b *Book, at time.Duration, o Owner, x Order) *Start {
+func mustStart(t *testing.T, b *Table, at time.Duration, o Owner, x Order) *Start {
 	t.Helper()
 	s, r := b.Ask(at, at, o, x)
 	assert.Assert(t, r == nil, "%v", r)
 	return s
 }
 
-func refusal(t *testing.T, b *Book, now, sent time.Duration, o Owner, x Order) Refusal {
+func refusal(t *testing.T, b *Table, now, sent time.Duration, o Owner, x Order) Refusal {
 	t.Helper()
 	_, r := b.Ask(now, sent, o, x)
 	assert.Assert(t, r != nil)
@@ -134,10 +134,10 @@
 	stray := work.RunName{Task: work.TaskID{Job: "old"}, Number: 1}
 	b.Read(begin, begin, work.Account{Running: []work.RunName{stray}})
 	assert.Equal(t, refusal(t, b, begin, begin, entryA, order("j", 0)), Closed)
-	assert.Assert(t, !b.Room().Cleared)
+	assert.Assert(t, !b.Capacity().Cleared)
 	assert.DeepEqual(t, b.Stops(begin), []Stop{{stray}})
 	b.Read(begin+50*ms, begin+40*ms, work.Account{Ends: []work.End{{Seq: 1, Run: stray, How: work.Broken}}})
-	assert.Assert(t, b.Room().Cleared)
+	assert.Assert(t, b.Capacity().Cleared)
 	mustStart(t, b, begin+60*ms, entryA, order("j", 0))
 }
 
@@ -208,7 +208,7 @@
 	assert.Equal(t, refusal(t, c, begin, begin, entryA, order("j", 0)), Closed)
 }
 
-// A task runs twice. Two looks are under way at once and wait at the runner; the one
+// A task runs twice. Two polls are under way at once and wait at the runner; the one
 // asked for later is answered with a moment before the run's begin, the other with one
 // after it, and that one is read first. What the later one lacks is no run that is over.
 func TestAccountOfAnEarlierMomentEndsNothing(t *testing.T) {
--- a/guard/runs/sweep.go
+++ b/guard/runs/sweep.go
@@ -14,7 +14,7 @@
 // Read takes the runner's account, asked for at the uptime given, and returns
 // what became of runs. Accounts must be read in the order in which they were asked for, one at a time; they may be of
 // moments in another order.
-func (b *Book) Read(now, asked time.Duration, v work.Account) []Report {
+func (b *Table) Read(now, asked time.Duration, v work.Account) []Report {
 	var reports []Report
 	for _, e := range v.Ends {
 		b.seen = max(b.seen, e.Seq)
@@ -64,7 +64,7 @@
 }
 
 // present takes note of a run that the runner lists.
-func (b *Book) present(now, asked time.Duration, n work.RunName) (Report, bool) {
+func (b *Table) present(now, asked time.Duration, n work.RunName) (Report, bool) {
 	r := b.find(n)
 	if r == nil {
 		// Left by an older guard, whose account is lost: what it takes is not
@@ -92,7 +92,7 @@
 // start or its bar was answered before the account was asked for, so the
 // account would hold it; or the start is valid no longer, on the runner's own
 // clock, so the runner will turn it down when it comes.
-func (b *Book) gone(r *run, asked, clock time.Duration) bool {
+func (b *Table) gone(r *run, asked, clock time.Duration) bool {
 	if r.settled > 0 && r.settled < asked {
 		return true
 	}
@@ -101,7 +101,7 @@
 
 // Stops returns the stops to be sent now: of runs that are to end, whose caller
 // no longer waits, or whose entry is silent, and of strays.
-func (b *Book) Stops(now time.Duration) []Stop {
+func (b *Table) Stops(now time.Duration) []Stop {
 	var stops []Stop
 	for _, r := range b.runs {
 		if r.stopping == 0 && now >= b.lastsUntil(r) {
@@ -123,12 +123,12 @@
 }
 
 // lastsUntil is the uptime until which a run is wanted.
-func (b *Book) lastsUntil(r *run) time.Duration {
+func (b *Table) lastsUntil(r *run) time.Duration {
 	return min(r.expires, b.alive[r.owner]+b.opt.Silence)
 }
 
 // endBound is the uptime by which a run must be over, answered or not.
-func (b *Book) endBound(r *run) time.Duration {
+func (b *Table) endBound(r *run) time.Duration {
 	grace := b.opt.EndBound - b.opt.Silence
 	bound := b.lastsUntil(r) + grace
 	if r.stopping > 0 {
@@ -140,7 +140,7 @@
 // HoldUntil is the uptime to which the runner's lease may be extended now. A
 // lease is the runner's as a whole: while a run's end is due and its stop isn't
 // acknowledged, the lease of all ends with it.
-func (b *Book) HoldUntil(now time.Duration) time.Duration {
+func (b *Table) HoldUntil(now time.Duration) time.Duration {
 	until := now + b.opt.Hold
 	for _, r := range b.runs {
 		if !r.barred {
@@ -152,7 +152,7 @@
 
 // Next is the uptime at which Stops has something new to say, the largest value
 // when nothing is due.
-func (b *Book) Next() time.Duration {
+func (b *Table) Next() time.Duration {
 	next := time.Duration(math.MaxInt64)
 	for _, r := range b.runs {
 		if r.stopping == 0 {
@@ -163,7 +163,7 @@
 }
 
 // Forget drops what nobody will ask for any more.
-func (b *Book) Forget(now time.Duration) {
+func (b *Table) Forget(now time.Duration) {
 	n := 0
 	for _, id := range b.order {
 		if f, ok := b.ended[id]; ok && now-f.at < keepEnded {
@@ -185,7 +185,7 @@
 	}
 }
 
-func (b *Book) owns(o Owner) bool {
+func (b *Table) owns(o Owner) bool {
 	for _, r := range b.runs {
 		if r.owner == o {
 			return true
@@ -196,7 +196,7 @@
 
 // Old raises the number that the task's next run takes, after the runner knew
 // a higher one.
-func (b *Book) Old(now time.Duration, task work.TaskID) {
+func (b *Table) Old(now time.Duration, task work.TaskID) {
 	n := b.numbers[task]
 	b.numbers[task] = numbered{n.number + oldStep, now}
 }
--- a/guard/runs/types.go
+++ b/guard/runs/types.go
@@ -90,8 +90,8 @@
 	Token int64
 }
 
-// Room is what the runner has and what is taken.
-type Room struct {
+// Capacity is what the runner has and what is taken.
+type Capacity struct {
 	Life
 	// Open is false while no starts are taken.
 	Open bool
--- a/guard/uplink/links_test.go
+++ b/guard/uplink/links_test.go
@@ -47,7 +47,7 @@
 	}
 	e.add(1)
 	defer e.add(-1)
-	err := st.Send(&wirev1.AttachResponse{Greeting: &wirev1.EntryGreeting{Entry: e.name, Incarnation: 1}, Entries: e.named, Guards: manyGuards})
+	err := st.Send(&wirev1.AttachResponse{Handshake: &wirev1.EntryHandshake{Entry: e.name, Incarnation: 1}, Entries: e.named, Guards: manyGuards})
 	if err != nil {
 		return err
 	}
@@ -57,8 +57,8 @@
 		if err != nil {
 			return connect.NewError(connect.CodeAborted, err)
 		}
-		if m.GetRoom() != nil {
-			retiring = m.GetRoom().GetRetiring()
+		if m.GetCapacity() != nil {
+			retiring = m.GetCapacity().GetRetiring()
 		}
 		if retiring && e.releases() {
 			return nil
--- a/guard/uplink/uplink.go
+++ b/guard/uplink/uplink.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"almondstand.dev/dispatch/work"
-	"almondstand.dev/guard/offer"
+	"almondstand.dev/guard/advertise"
 	"almondstand.dev/guard/runs"
 	"almondstand.dev/guard/subset"
 	"almondstand.dev/wire/fleetwire"
@@ -39,13 +39,13 @@
 	// listenFor ends a stream on which the entry was silent for so long: entries
 	// send at least once a second.
 	listenFor = 3 * time.Second
-	// beatEvery is the pause after which a message is sent though there is nothing
+	// heartbeatInterval is the pause after which a message is sent though there is nothing
 	// to tell: it carries the clock by which orders are dated.
-	beatEvery = time.Second
-	// beginsWait is how long the news that a run has begun may wait for another
+	heartbeatInterval = time.Second
+	// startsDelay is how long the news that a run has begun may wait for another
 	// message. Half of all tasks take 60 ms: their end goes out instead. An entry
 	// takes a start for unanswered after 320 ms, of which the runner has 150.
-	beginsWait = 80 * time.Millisecond
+	startsDelay = 80 * time.Millisecond
 )
 
 // Reading the list of entries at the start.
@@ -59,9 +59,9 @@
 
 // Host is the account of the runner; see guard/host.
 type Host interface {
-	Room() runs.Room
-	// Useful reports whether there is room for one more run like the last.
-	Useful() bool
+	Capacity() runs.Capacity
+	// HasFree reports whether there is capacity for one more run like the last.
+	HasFree() bool
 	Alive(o runs.Owner, at time.Duration)
 	Resume(o runs.Owner, open []work.RunID) []runs.Report
 	Order(sent time.Duration, o runs.Owner, orders []runs.Order, cancels []work.RunID)
@@ -208,11 +208,11 @@
 	}
 }
 
-// RoomChanged implements host.Sink.
-func (u *Uplink) RoomChanged() {
-	useful := u.host.Useful()
-	room := u.host.Room()
+// CapacityChanged implements host.Sink.
+func (u *Uplink) CapacityChanged() {
+	free := u.host.HasFree()
+	capacity := u.host.Capacity()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	offer.Room(time.Now(), room, useful, slices.Collect(maps.Values(u.current)))
+	advertise.Capacity(time.Now(), capacity, free, slices.Collect(maps.Values(u.current)))
 }
--- a/guard/uplink/uplink_test.go
+++ b/guard/uplink/uplink_test.go
@@ -21,7 +21,7 @@
 	"almondstand.dev/wire/wirev1/wirev1connect"
 )
 
-// silentEntry greets a guard and then says nothing more.
+// silentEntry shakes hands with a guard and then says nothing more.
 type silentEntry struct {
 	wirev1connect.UnimplementedFleetServiceHandler
 	attached atomic.Int64
@@ -32,7 +32,7 @@
 		return err
 	}
 	e.attached.Add(1)
-	if err := st.Send(&wirev1.AttachResponse{Greeting: &wirev1.EntryGreeting{Entry: "e", Incarnation: 1}}); err != nil {
+	if err := st.Send(&wirev1.AttachResponse{Handshake: &wirev1.EntryHandshake{Entry: "e", Incarnation: 1}}); err != nil {
 		return err
 	}
 	<-ctx.Done()
@@ -41,8 +41,8 @@
 
 type noHost struct{}
 
-func (noHost) Room() runs.Room                                             { return runs.Room{} }
-func (noHost) Useful() bool                                                { return false }
+func (noHost) Capacity() runs.Capacity                                     { return runs.Capacity{} }
+func (noHost) HasFree() bool                                               { return false }
 func (noHost) Alive(runs.Owner, time.Duration)                             {}
 func (noHost) Resume(runs.Owner, []work.RunID) []runs.Report               { return nil }
 func (noHost) Order(time.Duration, runs.Owner, []runs.Order, []work.RunID) {}
--- a/guard/uplink/wire.go
+++ b/guard/uplink/wire.go
@@ -8,15 +8,15 @@
 	"almondstand.dev/wire/wirev1"
 )
 
-func wireRoom(r runs.Room) *wirev1.Room {
-	return &wirev1.Room{
-		Service: r.Service,
-		Runner:  r.Instance,
-		Open:    r.Open,
-		Total:   fleetwire.Amounts(r.Total),
-		Used:    fleetwire.Amounts(r.Used),
-		Labels:  r.Labels,
-		Cleared: r.Cleared,
+func wireCapacity(r runs.Capacity) *wirev1.Capacity {
+	return &wirev1.Capacity{
+		Service:   r.Service,
+		Runner:    r.Instance,
+		Open:      r.Open,
+		Total:     fleetwire.Amounts(r.Total),
+		Allocated: fleetwire.Amounts(r.Used),
+		Labels:    r.Labels,
+		Cleared:   r.Cleared,
 	}
 }
 
