guard/uplink: subsets widen only by entries that have been attached for 5 s

Cause, found by reading: each entry says how many guards it sees, and guards widen their subsets where that is under 24. Just after a restart every entry sees few for a moment, so that every guard would open sessions with entries outside its subset at its first choice, one second after it is back, and end them some seconds later: up to 4,000 sessions more at 55 entries and 240 guards, when every process is busiest.

Measured: TestSubsetWidensOnlyOnceSessionsHaveSettled fails without it (a guard among 20 entries attaches to all of them after 1 s).

--- a/guard/uplink/links.go
+++ b/guard/uplink/links.go
@@ -22,6 +22,10 @@
 	// chooseEvery paces the choice; it is made at once when an entry is learnt of,
 	// attached to or found to be down.
 	chooseEvery = time.Second
+	// settledAfter is how long a session must have lasted for its entry's word on how many
+	// guards it sees to count. After a restart entries see few for a moment, and every
+	// guard would widen its subset just then: 4,000 sessions more with 240 guards.
+	settledAfter = 5 * time.Second
 )
 
 // link is one address at which an entry is known.
@@ -76,7 +80,9 @@
 	for _, l := range u.links {
 		if l.session != nil {
 			u.name(l.session.entriesNamed())
-			guards = append(guards, l.session.guardsSeen())
+			if l.session.lasted() >= settledAfter {
+				guards = append(guards, l.session.guardsSeen())
+			}
 		}
 	}
 	u.size = subset.Next(u.size, len(u.links), guards)
--- a/guard/uplink/links_test.go
+++ b/guard/uplink/links_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -32,6 +33,8 @@
 	address string
 	server  *http.Server
 	named   []string
+	// guards is the number of guards that the entry says it sees.
+	guards uint32
 
 	mu       sync.Mutex
 	sessions int
@@ -47,7 +50,7 @@
 	}
 	e.add(1)
 	defer e.add(-1)
-	err := st.Send(&wirev1.AttachResponse{Handshake: &wirev1.EntryHandshake{Entry: e.name, Incarnation: 1}, Entries: e.named, Guards: manyGuards})
+	err := st.Send(&wirev1.AttachResponse{Handshake: &wirev1.EntryHandshake{Entry: e.name, Incarnation: 1}, Entries: e.named, Guards: e.guards})
 	if err != nil {
 		return err
 	}
@@ -63,7 +66,7 @@
 		if retiring && e.releases() {
 			return nil
 		}
-		if err := st.Send(&wirev1.AttachResponse{Guards: manyGuards}); err != nil {
+		if err := st.Send(&wirev1.AttachResponse{Guards: e.guards}); err != nil {
 			return err
 		}
 	}
@@ -106,7 +109,7 @@
 	t.Helper()
 	all := make([]*entry, n)
 	for i := range all {
-		all[i] = &entry{name: fmt.Sprintf("entry-%d", i)}
+		all[i] = &entry{name: fmt.Sprintf("entry-%d", i), guards: manyGuards}
 		all[i].listen(t, "127.0.0.1:0")
 	}
 	for _, e := range all {
@@ -285,3 +288,21 @@
 	awaitAttached(t, all, all)
 	assert.Assert(t, time.Since(began) < lookupTimeout, "attached after %s", time.Since(began))
 }
+
+// Everything is back at once, and each entry sees one guard for a moment. Guards that took
+// that for a deployment with few of them would all widen their subsets just when every
+// process is busiest. Where it stays so, they widen.
+func TestSubsetWidensOnlyOnceSessionsHaveSettled(t *testing.T) {
+	all := entries(t, 20)
+	for _, e := range all {
+		e.guards = 1
+	}
+	startGuard(t, all, func(context.Context) ([]string, error) { return addresses(all), nil })
+	in, _ := chosen(all)
+	awaitAttached(t, all, in)
+	time.Sleep(settledAfter / 2)
+	for _, e := range all {
+		assert.Equal(t, e.attached(), slices.Contains(in, e), "%s", e.name)
+	}
+	awaitAttached(t, all, all)
+}
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -36,8 +36,9 @@
 	owner runs.Owner
 	// dial is the time for its connection to come about.
 	dial time.Duration
-	// attached is true once the handshake is done.
+	// attached is true once the handshake is done, and began when that was.
 	attached bool
+	began    time.Time
 	cancel   context.CancelCauseFunc
 	wake     chan struct{}
 
@@ -145,7 +146,7 @@
 		return ErrHandshake
 	}
 	s.owner = runs.Owner{Entry: g.GetEntry(), Incarnation: g.GetIncarnation()}
-	s.attached = true
+	s.attached, s.began = true, time.Now()
 	s.up.turn.Lock()
 	defer s.up.turn.Unlock()
 	s.up.admit(s)
@@ -187,6 +188,9 @@
 	return s.guards
 }
 
+// lasted is how long the session has been attached. It is called only for one that is.
+func (s *session) lasted() time.Duration { return time.Since(s.began) }
+
 // setRetiring asks the entry to end the session, or takes that back.
 func (s *session) setRetiring(r bool) {
 	s.mu.Lock()
--- a/guard/uplink/uplink.go
+++ b/guard/uplink/uplink.go
@@ -128,8 +128,9 @@
 }
 
 // discover learns of the registered entries before the settings' seeds are named. After a
-// loss of power every guard attached to the same three seeds first, 240 sessions each,
-// and the other entries had no runners until those three could name them.
+// loss of power every guard would attach to the same three seeds first, and the other
+// entries have no runners until those three, busy with all guards, could name them. A list
+// that doesn't come in time costs lookupHead.
 func (u *Uplink) discover(ctx context.Context) {
 	if u.opt.Entries == nil {
 		return
