--- a/guard/uplink/links_test.go
+++ b/guard/uplink/links_test.go
@@ -129,9 +129,10 @@
 // startGuard has a guard run of which the settings name the first three entries.
 func startGuard(t *testing.T, all []*entry, list func(context.Context) ([]string, error)) {
 	t.Helper()
+	seeds := addresses(all)[:3]
 	up := New(Options{
 		Guard:   "guard",
-		Seeds:   func() []string { return addresses(all)[:3] },
+		Seeds:   func() []string { return seeds },
 		Entries: list,
 		Logger:  slog.New(slog.NewJSONHandler(io.Discard, nil)),
 	}, noHost{})
