entry/lag: how late an entry runs, a line a second and six metrics

Cause: logs and metrics could not tell an entry short of processor time from a slow network or slow guards: nothing said how late its timers are, how old a guard's message is when it is taken in, how long an order waits for its stream, nor what each second costs. Change: package lag measures these and writes event 1061 once a second; gauges timer_late, guard_message_age, order_delay, cpu_cores, counters of messages read and sent. No decision depends on it. Test: TestLineTellsTheWorstOfItsSecond, TestMeterRuns.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -16,6 +16,7 @@
 	"almondstand.dev/entry/follower"
 	"almondstand.dev/entry/front"
 	"almondstand.dev/entry/jobs"
+	"almondstand.dev/entry/lag"
 	"almondstand.dev/entry/registry"
 	"almondstand.dev/entry/sessions"
 	"almondstand.dev/platform/store"
@@ -50,6 +51,7 @@
 	members  *registry.Registry
 	jobs     *jobs.Engine
 	sessions *sessions.Server
+	lag      *lag.Meter
 	front    *front.Front
 	draining atomic.Bool
 	// reached is true once some runner could be reached; an entry without any
@@ -75,7 +77,8 @@
 		Logger:  o.Logger,
 		Scope:   o.Metrics.Scope,
 	})
-	e.sessions = sessions.New(sessions.Options{Entry: s.ID, Incarnation: incarnation, Logger: o.Logger}, e.jobs, e.members)
+	e.lag = lag.New(o.Metrics.Scope, o.Logger)
+	e.sessions = sessions.New(sessions.Options{Entry: s.ID, Incarnation: incarnation, Logger: o.Logger, Lag: e.lag}, e.jobs, e.members)
 	e.front = front.New(e.config, e.jobs, o.Logger)
 	return e
 }
@@ -118,6 +121,7 @@
 	actor(e.jobs.Run)
 	actor(e.sessions.Run)
 	actor(e.gauges)
+	actor(e.lag.Run)
 	actor(func(c context.Context) error {
 		mux := http.NewServeMux()
 		mux.Handle(fleetwire.NewHandler(fleet{e.sessions, e.members}))
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -24,6 +24,8 @@
 	mu     sync.Mutex
 	starts []planner.Start
 	stops  []planner.Stop
+	// decidedAt is when the oldest of the starts was decided on, uptime.
+	decidedAt time.Duration
 	// prompt is true when a message is to go out though there are no orders.
 	prompt bool
 	// retiring is true while the guard asks to be released.
@@ -34,11 +36,19 @@
 	clock, clockAt time.Duration
 	lastHeard      time.Duration
 	membersVersion uint64
+	// nearest is the least difference seen between this host's uptime and the guard's
+	// clock when a message was read: the two clocks' offset and the shortest way.
+	nearest time.Duration
+	// measured is true once nearest is known.
+	measured bool
 }
 
 // Order implements jobs.Guard.
 func (s *session) Order(starts []planner.Start, stops []planner.Stop) {
 	s.mu.Lock()
+	if len(s.starts) == 0 {
+		s.decidedAt = uptime.Now()
+	}
 	s.starts = append(s.starts, starts...)
 	s.stops = append(s.stops, stops...)
 	s.open += len(starts)
@@ -65,6 +75,18 @@
 	s.clockAt = now
 }
 
+// age is the time that a message of the guard lay unread or was on the way, beyond the
+// least that one of this session has taken.
+func (s *session) age(clockUs int64) time.Duration {
+	apart := uptime.Now() - time.Duration(clockUs)*time.Microsecond
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.measured || apart < s.nearest {
+		s.nearest, s.measured = apart, true
+	}
+	return apart - s.nearest
+}
+
 // serve runs the session until either side ends it.
 func (s *session) serve(ctx context.Context, open []work.RunID) error {
 	entries, version := s.server.members.Known()
@@ -102,6 +124,9 @@
 			if c != planner.Running {
 				over++
 			}
+			if c == planner.NotTaken {
+				s.server.opt.Lag.Stale()
+			}
 			news.Reports = append(news.Reports, jobs.Report{
 				Run:    fleetwire.FromRun(r.GetTask(), r.GetAttempt()),
 				Change: c,
@@ -114,6 +139,7 @@
 		if news.Room != nil || len(news.Reports) > 0 {
 			s.server.jobs.Tell(s.guard, s, news)
 		}
+		s.server.opt.Lag.Read(s.age(m.GetClockUs()))
 		s.setRetiring(m.GetCapacity())
 	}
 }
@@ -170,6 +196,7 @@
 		if s.released() {
 			return errReleased
 		}
+		starts, decided := s.pendingStarts()
 		m, pause := s.take(now, now-lastSent)
 		if !s.server.jobs.Current(s.guard, s) {
 			return errOlder
@@ -183,11 +210,20 @@
 		if err := s.stream.Send(m); err != nil {
 			return err
 		}
+		s.server.opt.Lag.Sent(starts, uptime.Now()-decided)
 		lastSent = now
 		timer.Reset(pingBusy)
 	}
 }
 
+// pendingStarts counts the starts that are to be sent, and says when the oldest was
+// decided on.
+func (s *session) pendingStarts() (n int, decided time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.starts), s.decidedAt
+}
+
 func (s *session) silentFor(now time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -12,6 +12,7 @@
 
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/entry/jobs"
+	"almondstand.dev/entry/lag"
 	"almondstand.dev/wire/wirev1"
 )
 
@@ -54,6 +55,8 @@
 	Entry       string
 	Incarnation uint64
 	Logger      *slog.Logger
+	// Lag measures how late messages are.
+	Lag *lag.Meter
 }
 
 // Server keeps the guards' sessions.
