guard/advertise: one message of capacity unread at an entry at most

Cause: guards sent every change of capacity to entries with pending tasks, read or not. The entry that is late is the one with pending tasks, so it is sent everybody's starts and ends, thousands of messages a second, and reading them keeps it late; orders dated by messages unread for 350 ms are rejected. Change: read_us in each message of an entry; a guard sends capacity to an entry with pending tasks again once the last has been read. An entry that is on time confirms within 10 ms, a late one with orders and heartbeats. Entries that confirm nothing are served as before. Why it holds: what guards have unread at an entry is bounded by their number, not by the load; a late entry is sent no more than it reads.

--- a/bench/replay/guard.go
+++ b/bench/replay/guard.go
@@ -19,6 +19,12 @@
 // startsDelay is how long a guard keeps the news that a run has begun.
 const startsDelay = 80 * time.Millisecond
 
+// When entries with pending tasks confirm capacity; see entry/sessions.
+const (
+	confirmDelay = 10 * time.Millisecond
+	confirmAge   = 10 * time.Millisecond
+)
+
 // guard is one account with its runner.
 type guard struct {
 	sim   *sim
@@ -71,8 +77,9 @@
 }
 
 // receive takes a message of an entry.
-func (g *guard) receive(e *entry, sent time.Duration, waits bool, wants int64, o orders) {
+func (g *guard) receive(e *entry, sent, read time.Duration, waits bool, wants int64, o orders) {
 	l := g.link(e)
+	defer l.confirm(read)
 	owner := l.owner
 	g.table.Alive(owner, sent)
 	l.setWaits(waits, wants)
@@ -214,6 +221,10 @@
 	told         time.Duration
 	sentCapacity runs.Capacity
 	along        bool
+	// read is the clock of the newest message that the entry has confirmed; owed is true
+	// while capacity waits for that.
+	read time.Duration
+	owed bool
 	// flush is the newest flush that is planned: older ones are void.
 	flush int
 }
@@ -278,6 +289,21 @@
 // Withhold implements advertise.Session.
 func (l *link) Withhold() { l.due = never }
 
+// Unread implements advertise.Session.
+func (l *link) Unread() bool { return l.read < l.told }
+
+// SendOnceRead implements advertise.Session.
+func (l *link) SendOnceRead() { l.due, l.owed = never, true }
+
+// confirm takes note of what the entry has read.
+func (l *link) confirm(read time.Duration) {
+	l.read = max(l.read, read)
+	if l.owed && !l.Unread() {
+		l.owed = false
+		l.guard.deliver(nil)
+	}
+}
+
 func (l *link) push(r runs.Report) {
 	at := l.guard.sim.now
 	if r.State == runs.Running {
@@ -336,6 +362,23 @@
 		e.plan.Describe(e.sim.now, guard, *room)
 	}
 	e.act()
+	if room != nil {
+		e.confirm(guard, sent)
+	}
+}
+
+// confirm tells a guard a moment later that its capacity has been read, unless a message
+// to it does by then; see entry/sessions.
+func (e *entry) confirm(guard string, sent time.Duration) {
+	waits, _ := e.plan.Waiting(e.sim.now, guard)
+	if !waits || e.sim.now-sent-messageTime > confirmAge {
+		return
+	}
+	e.sim.after(confirmDelay, func() {
+		if e.confirmed[guard] < sent {
+			e.cpu.run(0, func() { e.send(e.sim.guard(guard), orders{}) })
+		}
+	})
 }
 
 func changeOf(r runs.Report) planner.Change {
--- a/bench/replay/load.go
+++ b/bench/replay/load.go
@@ -66,6 +66,12 @@
 	Times   float64
 }
 
+// Held has the processors of all entries with a share of one run slower by Times.
+type Held struct {
+	At, For time.Duration
+	Times   float64
+}
+
 // Load is one run's input.
 type Load struct {
 	Name string
@@ -78,6 +84,7 @@
 	Zones    []Zone
 	Bursts   []Burst
 	Troubles []Trouble
+	Held     []Held
 }
 
 // runnerCPU is what the runner of a number has, thousandths of a core.
--- a/bench/replay/replay_test.go
+++ b/bench/replay/replay_test.go
@@ -171,21 +171,39 @@
 // each guard sends every change of its capacity to this one entry: thousands of messages a
 // second that it has no processor time to read. What it orders is seconds late by then and
 // rejected, so its tasks go on waiting, and callers are turned away for the rest of the
-// day. A lost entry's lines of entry.lag: 598 messages read and 569 starts in a second
-// before, 5,389 read and 288 starts, 273 of them not taken, message_age_ms 1466, five
-// seconds after the burst.
+// day: the other entries' runs keep it going, not its own load. A lost entry's lines of
+// entry.lag: 459 messages read and 497 starts in a second before the burst; 5,389 read and
+// 288 starts, 273 of them not taken, message_age_ms 1466, nine seconds after it.
 func TestThinEntriesAreServedAfterABurst(t *testing.T) {
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
-			r := replay.Play(load(t, "thin-burst"), replay.Ways()[0], seed)
-			// The burst is over at 6 s.
-			for _, w := range []string{"   8 s", "  10 s"} {
-				thin, all := *r.ZoneWindows["thin"+w], *r.Windows[w]
-				others := replay.Count{Asked: all.Asked - thin.Asked, InAim: all.InAim - thin.InAim}
-				t.Logf("%s: in aim %.3f, in the other data centres %.3f", w, thin.Share(), others.Share())
-				assert.Check(t, thin.Share() > others.Share()-0.03, "%s: the data centre is not served like the others", w)
-			}
+			servedAgain(t, "thin-burst", seed)
 		})
 	}
 }
+
+// The same entries' hosts are slowed to a sixth for three seconds, or three times as many
+// callers come as there is room for. Both leave entries seconds late, and must not outlast
+// themselves.
+func TestThinEntriesAreServedAfterSlowHosts(t *testing.T) {
+	for _, name := range []string{"thin-slow", "thin-flood"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			servedAgain(t, name, 1)
+		})
+	}
+}
+
+// servedAgain fails unless the thin data centre is served like the others from 2 s after the
+// end of a load's trouble on, at 6 s.
+func servedAgain(t *testing.T, name string, seed uint64) {
+	t.Helper()
+	r := replay.Play(load(t, name), replay.Ways()[0], seed)
+	for _, w := range []string{"   8 s", "  10 s"} {
+		thin, all := *r.ZoneWindows["thin"+w], *r.Windows[w]
+		others := replay.Count{Asked: all.Asked - thin.Asked, InAim: all.InAim - thin.InAim}
+		t.Logf("%s: in aim %.3f, in the other data centres %.3f", w, thin.Share(), others.Share())
+		assert.Check(t, thin.Share() > others.Share()-0.03, "%s: the data centre is not served like the others", w)
+	}
+}
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -141,13 +141,14 @@
 		for range z.Entries {
 			n := len(s.entries)
 			s.entries = append(s.entries, &entry{
-				sim:    s,
-				number: n,
-				zone:   z.Name,
-				plan:   planner.New(planner.Options{Zone: z.Name, Seed: seed*entrySeeds + uint64(n)}),
-				jobs:   map[string]*submitted{},
-				clocks: map[string]reading{},
-				cpu:    processor{sim: s, share: z.Share},
+				sim:       s,
+				number:    n,
+				zone:      z.Name,
+				plan:      planner.New(planner.Options{Zone: z.Name, Seed: seed*entrySeeds + uint64(n)}),
+				jobs:      map[string]*submitted{},
+				clocks:    map[string]reading{},
+				confirmed: map[string]time.Duration{},
+				cpu:       processor{sim: s, share: z.Share},
 			})
 		}
 	}
@@ -160,6 +161,9 @@
 	for _, t := range s.load.Troubles {
 		s.trouble(t)
 	}
+	for _, h := range s.load.Held {
+		s.hold(h)
+	}
 }
 
 // subset returns the entries with which a guard keeps sessions.
@@ -190,6 +194,15 @@
 	}
 }
 
+// hold slows the processors of entries for a while.
+func (s *sim) hold(h Held) {
+	for _, e := range s.entries {
+		share := e.cpu.share
+		s.at(begin+h.At, func() { e.cpu.share = share / h.Times })
+		s.at(begin+h.At+h.For, func() { e.cpu.share = share })
+	}
+}
+
 // submitted is a job whose caller waits.
 type submitted struct {
 	arrival
@@ -211,6 +224,8 @@
 	cpu    processor
 	// clocks are the guards' clocks as last read, by guard.
 	clocks map[string]reading
+	// confirmed are the newest clocks that the guards have been told of as read.
+	confirmed map[string]time.Duration
 	// wake is the newest wake: older ones are void.
 	wake int
 }
@@ -293,9 +308,10 @@
 // send puts a message to a guard on its way.
 func (e *entry) send(g *guard, o orders) {
 	e.cpu.spend(sendCost)
-	sent := e.date(g.id)
+	sent, read := e.date(g.id), e.clocks[g.id].clock
+	e.confirmed[g.id] = read
 	waits, wants := e.plan.Waiting(e.sim.now, g.id)
-	e.sim.after(messageTime, func() { g.receive(e, sent, waits, wants, o) })
+	e.sim.after(messageTime, func() { g.receive(e, sent, read, waits, wants, o) })
 }
 
 // date is the guard's clock as the entry knows it: what it read last, and the time since.
--- a/bench/replay/thin.go
+++ b/bench/replay/thin.go
@@ -34,5 +34,12 @@
 		},
 		Bursts: []Burst{{At: 2 * time.Second, For: 4 * time.Second, Times: 1.8, Kind: "check"}},
 	}
-	return []Load{l}
+	flood := l
+	flood.Name = "thin-flood"
+	flood.Bursts = []Burst{{At: 2 * time.Second, For: 4 * time.Second, Times: 3}}
+	slow := l
+	slow.Name = "thin-slow"
+	slow.Bursts = nil
+	slow.Held = []Held{{At: 2 * time.Second, For: 3 * time.Second, Times: 6}}
+	return []Load{l, flood, slow}
 }
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -26,6 +26,11 @@
 	stops  []planner.Stop
 	// decidedAt is when the oldest of the starts was decided on, uptime.
 	decidedAt time.Duration
+	// readClock is the clock of the newest message that was taken in.
+	readClock time.Duration
+	// confirmAt is when the guard is to be told of it at the latest, uptime; zero when a
+	// heartbeat is soon enough.
+	confirmAt time.Duration
 	// prompt is true when a message is to go out though there are no orders.
 	prompt bool
 	// retiring is true while the guard asks to be released.
@@ -87,6 +92,25 @@
 	return apart - s.nearest
 }
 
+// takenIn takes note that a message has been read. Where capacity came and tasks are pending,
+// the guard is told soon, so that it sends what changes next.
+func (s *session) takenIn(m *wirev1.AttachRequest, age time.Duration) {
+	soon := false
+	if m.GetCapacity() != nil && age <= confirmAge {
+		soon, _ = s.server.jobs.Waiting(s.guard)
+	}
+	s.mu.Lock()
+	s.readClock = time.Duration(m.GetClockUs()) * time.Microsecond
+	soon = soon && s.confirmAt == 0
+	if soon {
+		s.confirmAt = uptime.Now() + confirmDelay
+	}
+	s.mu.Unlock()
+	if soon {
+		s.signal()
+	}
+}
+
 // serve runs the session until either side ends it.
 func (s *session) serve(ctx context.Context, open []work.RunID) error {
 	entries, version := s.server.members.Known()
@@ -98,7 +122,7 @@
 	for _, r := range open {
 		handshake.Open = append(handshake.Open, &wirev1.OpenRun{Task: fleetwire.Task(r.Task), Attempt: uint32(r.Attempt)})
 	}
-	if err := s.stream.Send(&wirev1.AttachResponse{Handshake: handshake, Entries: entries, Guards: uint32(s.server.jobs.Guards())}); err != nil {
+	if err := s.stream.Send(&wirev1.AttachResponse{Handshake: handshake, Entries: entries, Guards: uint32(s.server.jobs.Guards()), ReadUs: s.clock.Microseconds()}); err != nil {
 		return err
 	}
 	failed := make(chan error, 1)
@@ -139,7 +163,9 @@
 		if news.Room != nil || len(news.Reports) > 0 {
 			s.server.jobs.Tell(s.guard, s, news)
 		}
-		s.server.opt.Lag.Read(s.age(m.GetClockUs()))
+		age := s.age(m.GetClockUs())
+		s.server.opt.Lag.Read(age)
+		s.takenIn(m, age)
 		s.setRetiring(m.GetCapacity())
 	}
 }
@@ -242,10 +268,16 @@
 		every = pingBusy
 	}
 	news := len(s.starts) > 0 || len(s.stops) > 0 || s.prompt || version != s.membersVersion
-	if !news && since < every {
-		return nil, min(every-since, pingBusy)
+	confirm := s.confirmAt > 0 && now >= s.confirmAt
+	if !news && !confirm && since < every {
+		return nil, s.untilDue(now, every-since)
+	}
+	m = &wirev1.AttachResponse{
+		EchoUs: (s.clock + now - s.clockAt).Microseconds(),
+		ReadUs: s.readClock.Microseconds(),
+		Starts: group(s.starts),
 	}
-	m = &wirev1.AttachResponse{EchoUs: (s.clock + now - s.clockAt).Microseconds(), Starts: group(s.starts)}
+	s.confirmAt = 0
 	for _, x := range s.stops {
 		m.Stops = append(m.Stops, &wirev1.StopOrder{Task: fleetwire.Task(x.Run.Task), Attempt: uint32(x.Run.Attempt)})
 	}
@@ -257,6 +289,15 @@
 	return m, 0
 }
 
+// untilDue is the time until the next message without orders is due. The lock is held.
+func (s *session) untilDue(now, heartbeat time.Duration) time.Duration {
+	due := min(heartbeat, pingBusy)
+	if s.confirmAt > 0 {
+		due = min(due, s.confirmAt-now)
+	}
+	return due
+}
+
 // group puts the tasks of one step into one order.
 func group(starts []planner.Start) []*wirev1.StartOrder {
 	var out []*wirev1.StartOrder
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -24,6 +24,13 @@
 	pingBusy = 150 * time.Millisecond
 	// pingIdle is the same for the others; they take the entry for gone after 3 s.
 	pingIdle = time.Second
+	// confirmDelay is how long the word that capacity has been read waits for an order while
+	// tasks are pending: the guard sends no more until then. With heartbeats alone 2.5 % fewer
+	// jobs are answered in time on three entries at full load; at 25 ms 1.5 % fewer.
+	confirmDelay = 10 * time.Millisecond
+	// confirmAge is the age of a message above which heartbeats and orders alone confirm it:
+	// the entry is short of processor time, and more capacity would only lie unread.
+	confirmAge = 10 * time.Millisecond
 	// listenFor ends a session whose guard was silent for so long; guards send
 	// once a second at least.
 	listenFor = 2500 * time.Millisecond
--- a/entry/sessions/sessions_test.go
+++ b/entry/sessions/sessions_test.go
@@ -48,3 +48,18 @@
 	assert.Equal(t, len(m.GetStarts()[0].GetTasks()), 2)
 	assert.Equal(t, m.GetEchoUs(), (5200 * time.Millisecond).Microseconds())
 }
+
+// A guard sends capacity again only once its last message has been read. With tasks pending
+// and nothing to order, the entry's word of that goes out within milliseconds; it must not
+// wait for a heartbeat, or a free runner stays unknown meanwhile.
+func TestReadCapacityIsConfirmed(t *testing.T) {
+	s := &session{server: &Server{members: &someMembers{}}}
+	s.readClock, s.confirmAt = 7*time.Second, time.Second+confirmDelay
+	m, pause := s.take(time.Second, time.Millisecond)
+	assert.Assert(t, m == nil)
+	assert.Equal(t, pause, confirmDelay)
+	m, _ = s.take(time.Second+confirmDelay, confirmDelay)
+	assert.Equal(t, m.GetReadUs(), (7 * time.Second).Microseconds())
+	m, _ = s.take(time.Second+confirmDelay, time.Millisecond)
+	assert.Assert(t, m == nil, "confirmed once")
+}
--- a/guard/advertise/advertise.go
+++ b/guard/advertise/advertise.go
@@ -41,6 +41,11 @@
 	SendAfter(interval time.Duration, contended bool)
 	// Withhold sends nothing until some capacity is free.
 	Withhold()
+	// Unread reports whether the entry has yet to confirm that it has read the capacity
+	// that was sent last.
+	Unread() bool
+	// SendOnceRead has capacity sent once the entry has confirmed that.
+	SendOnceRead()
 }
 
 // Capacity spreads a change of capacity: entries with pending tasks are sent free capacity
@@ -61,6 +66,16 @@
 		}
 	}
 	pending = slices.DeleteFunc(pending, func(s S) bool { return s.Changed(c) })
+	// An entry that runs late reads seconds after what is sent, and has pending tasks while
+	// the others have none: each guard would send it every start and end of everybody's
+	// runs, and reading them would take all its processor time. With one message unread at
+	// most it is sent no more than it reads.
+	pending = slices.DeleteFunc(pending, func(s S) bool {
+		if s.Unread() {
+			s.SendOnceRead()
+		}
+		return s.Unread()
+	})
 	if !free {
 		// Advertising zero capacity helps no scheduler.
 		for _, s := range pending {
--- a/guard/advertise/advertise_test.go
+++ b/guard/advertise/advertise_test.go
@@ -19,6 +19,7 @@
 	pace             time.Duration
 	contended        bool
 	withheld         bool
+	unread, owed     bool
 }
 
 func (l *session) PendingDemand() int64              { return l.demand }
@@ -28,6 +29,8 @@
 func (l *session) SendAt(at time.Time)               { l.at = at }
 func (l *session) SendAfter(d time.Duration, c bool) { l.pace, l.contended = d, c }
 func (l *session) Withhold()                         { l.withheld = true }
+func (l *session) Unread() bool                      { return l.unread }
+func (l *session) SendOnceRead()                     { l.owed = true }
 
 var now = time.Unix(1000, 0)
 
@@ -64,6 +67,21 @@
 	assert.Equal(t, small.at, now, "its turn comes too")
 }
 
+// An entry that is short of processor time reads late, so its tasks are pending while the
+// others have none. Sent each change, it would read thousands of messages a second and
+// serve nobody any more; it is sent the newest once it has read the last. An entry that
+// reads at once has the first turn meanwhile.
+func TestLateEntryIsSentNoMoreThanItReads(t *testing.T) {
+	late := &session{pending: true, demand: 90_000, sent: now.Add(-time.Second), unread: true}
+	prompt := &session{pending: true, demand: 1000, sent: now.Add(-time.Millisecond)}
+	Capacity(now, room(29_000), true, []*session{late, prompt})
+	assert.Assert(t, late.owed && late.at.IsZero())
+	assert.Equal(t, prompt.at, now)
+	late.changed = true
+	Capacity(now, room(29_000), true, []*session{late, prompt})
+	assert.Equal(t, late.at, now, "a runner that closes can't wait for the entry")
+}
+
 // Nothing is free: saying so is of no use to entries with pending tasks, and costs them time.
 func TestNoRoomIsHeldBack(t *testing.T) {
 	l := &session{pending: true}
--- /dev/null
+++ b/guard/uplink/capacity_test.go
@@ -0,0 +1,164 @@
+package uplink
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/guard/runs"
+	"almondstand.dev/wire/wirev1"
+	"almondstand.dev/wire/wirev1/wirev1connect"
+)
+
+// pendingEntry has pending tasks, reads all that is sent and confirms it when told to.
+type pendingEntry struct {
+	wirev1connect.UnimplementedFleetServiceHandler
+	// says is false for an entry of an older release, which confirms nothing.
+	says    bool
+	confirm chan struct{}
+
+	mu         sync.Mutex
+	capacities int
+	attached   bool
+}
+
+func (e *pendingEntry) Attach(ctx context.Context, st *connect.BidiStream[wirev1.AttachRequest, wirev1.AttachResponse]) error {
+	m, err := st.Receive()
+	if err != nil {
+		return err
+	}
+	clock := m.GetClockUs()
+	if !e.says {
+		clock = 0
+	}
+	first := &wirev1.AttachResponse{Handshake: &wirev1.EntryHandshake{Entry: "e", Incarnation: 1}, ReadUs: clock, HasPending: true}
+	if err := st.Send(first); err != nil {
+		return err
+	}
+	read := make(chan int64, 1000)
+	go func() {
+		for {
+			m, err := st.Receive()
+			if err != nil {
+				close(read)
+				return
+			}
+			e.take(m)
+			read <- m.GetClockUs()
+		}
+	}()
+	if err := st.Send(&wirev1.AttachResponse{ReadUs: clock, HasPending: true}); err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-e.confirm:
+		}
+		if err := st.Send(&wirev1.AttachResponse{ReadUs: drained(read), HasPending: true}); err != nil {
+			return err
+		}
+	}
+}
+
+// drained is the newest clock that was read.
+func drained(read chan int64) int64 {
+	newest := int64(0)
+	for {
+		select {
+		case c, open := <-read:
+			if !open {
+				return newest
+			}
+			newest = c
+		default:
+			return newest
+		}
+	}
+}
+
+func (e *pendingEntry) take(m *wirev1.AttachRequest) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.attached = true
+	if m.GetCapacity() != nil {
+		e.capacities++
+	}
+}
+
+func (e *pendingEntry) count() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.capacities
+}
+
+// busyHost has room for more, however much changes.
+type busyHost struct{ noHost }
+
+func (busyHost) HasFree() bool { return true }
+func (busyHost) Capacity() runs.Capacity {
+	return runs.Capacity{Life: runs.Life{Total: work.Amounts{CPUMilli: 16_000}}, Open: true}
+}
+
+// change has the guard's capacity change n times, 5 ms apart.
+func change(up *Uplink, n int) {
+	for range n {
+		up.CapacityChanged()
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// attachTo starts a guard with one entry and waits for its first message.
+func attachTo(t *testing.T, e *pendingEntry) *Uplink {
+	t.Helper()
+	address := serveEntry(t, e)
+	up := New(Options{Guard: "g", Seeds: func() []string { return []string{address} }, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))}, busyHost{})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = up.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if e.count() > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("no capacity yet")
+	}, poll.WithTimeout(5*time.Second))
+	return up
+}
+
+// An entry on a small host has pending tasks and is late. The runner's capacity changes with
+// every run of every entry; sent each time, these messages are all that the entry does. It
+// is sent one, and the newest as soon as it has read that.
+func TestEntryThatReadsLateIsSentOneMessage(t *testing.T) {
+	e := &pendingEntry{says: true, confirm: make(chan struct{})}
+	up := attachTo(t, e)
+	change(up, 40)
+	assert.Equal(t, e.count(), 1)
+	e.confirm <- struct{}{}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if e.count() == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("%d messages with capacity", e.count())
+	}, poll.WithTimeout(time.Second))
+	change(up, 40)
+	assert.Equal(t, e.count(), 2)
+}
+
+// While releases are rolled out a guard meets entries that confirm nothing. They are sent
+// capacity as before: withheld, their pending tasks would find no runner.
+func TestEntryThatConfirmsNothingIsSentCapacity(t *testing.T) {
+	e := &pendingEntry{confirm: make(chan struct{})}
+	up := attachTo(t, e)
+	change(up, 40)
+	assert.Assert(t, e.count() > 10, "%d messages with capacity", e.count())
+}
--- a/guard/uplink/outbox.go
+++ b/guard/uplink/outbox.go
@@ -92,6 +92,35 @@
 	s.mu.Unlock()
 }
 
+// Unread implements advertise.Session.
+func (s *session) Unread() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unread()
+}
+
+// unread reports whether the entry has yet to confirm the capacity sent last. The lock is
+// held.
+func (s *session) unread() bool { return s.readClock > 0 && s.capacityClock > s.readClock }
+
+// SendOnceRead implements advertise.Session.
+func (s *session) SendOnceRead() {
+	s.mu.Lock()
+	s.capacityDue, s.owed = time.Time{}, true
+	s.mu.Unlock()
+}
+
+// takeOwed reports whether capacity that waited for the entry may be sent now.
+func (s *session) takeOwed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due := s.owed && !s.unread()
+	if due {
+		s.owed = false
+	}
+	return due
+}
+
 // send writes messages until the stream ends: reports at once, capacity that
 // changed at a bounded pace, and a heartbeat when there is nothing else.
 func (s *session) send(ctx context.Context, st *stream) {
@@ -110,9 +139,10 @@
 			timer.Reset(min(wait, heartbeatInterval-time.Since(heartbeat)))
 			continue
 		}
-		m := &wirev1.AttachRequest{ClockUs: uptime.Now().Microseconds(), Reports: reports}
+		clock := uptime.Now()
+		m := &wirev1.AttachRequest{ClockUs: clock.Microseconds(), Reports: reports}
 		if capacity {
-			m.Capacity = s.capacity()
+			m.Capacity = s.capacity(clock)
 		}
 		if err := st.Send(m); err != nil {
 			s.cancel(fmt.Errorf("uplink: send: %w", err))
@@ -163,12 +193,13 @@
 	return wait
 }
 
-// capacity returns the capacity that is due now.
-func (s *session) capacity() *wirev1.Capacity {
+// capacity returns the capacity that is due now, for a message of the clock given.
+func (s *session) capacity(clock time.Duration) *wirev1.Capacity {
 	r := s.up.host.Capacity()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sentCapacity, s.sentRetiring = r, s.retiring
+	s.capacityClock = clock.Truncate(time.Microsecond)
 	m := wireCapacity(r)
 	m.Open = m.Open && !s.retiring
 	m.Retiring = s.retiring
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -55,6 +55,11 @@
 	// capacitySent is when it was sent last, and sentCapacity what.
 	capacitySent time.Time
 	sentCapacity runs.Capacity
+	// capacityClock is the clock of the message that carried it, and readClock that of the
+	// newest message that the entry has taken in; zero while the entry doesn't say.
+	capacityClock, readClock time.Duration
+	// owed is true while capacity waits for the entry to have read the last.
+	owed bool
 	// withReports is true when capacity goes with the next reports.
 	withReports bool
 	// retiring is true while the guard asks the entry to end the session.
@@ -165,6 +170,7 @@
 func (s *session) hear(m *wirev1.AttachResponse) {
 	s.mu.Lock()
 	s.guards = int(m.GetGuards())
+	s.readClock = max(s.readClock, time.Duration(m.GetReadUs())*time.Microsecond)
 	if len(m.GetEntries()) > 0 {
 		s.entries = m.GetEntries()
 	}
@@ -219,6 +225,9 @@
 	}
 	s.setPending(m.GetHasPending(), m.GetPendingMilli())
 	s.hear(m)
+	if s.takeOwed() {
+		s.up.CapacityChanged()
+	}
 	var orders []runs.Order
 	for _, o := range m.GetStarts() {
 		for _, t := range o.GetTasks() {
--- a/guard/uplink/uplink_test.go
+++ b/guard/uplink/uplink_test.go
@@ -39,6 +39,19 @@
 	return nil
 }
 
+// serveEntry serves guards on a port of its own until the test ends.
+func serveEntry(t *testing.T, e wirev1connect.FleetServiceHandler) (address string) {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(wirev1connect.NewFleetServiceHandler(e))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := fleetwire.NewServer(mux)
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return listener.Addr().String()
+}
+
 type noHost struct{}
 
 func (noHost) Capacity() runs.Capacity                                     { return runs.Capacity{} }
@@ -52,14 +65,8 @@
 // stream's context alone leaves it waiting for a message that never comes.
 func TestSilentSessionIsGivenUp(t *testing.T) {
 	entry := &silentEntry{}
-	mux := http.NewServeMux()
-	mux.Handle(wirev1connect.NewFleetServiceHandler(entry))
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	server := fleetwire.NewServer(mux)
-	go func() { _ = server.Serve(listener) }()
-	defer func() { _ = server.Close() }()
-	up := New(Options{Guard: "g", Seeds: func() []string { return []string{listener.Addr().String()} }, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))}, noHost{})
+	address := serveEntry(t, entry)
+	up := New(Options{Guard: "g", Seeds: func() []string { return []string{address} }, Logger: slog.New(slog.NewJSONHandler(io.Discard, nil))}, noHost{})
 	ctx, cancel := context.WithTimeout(t.Context(), listenFor+2*time.Second)
 	defer cancel()
 	ended := make(chan error, 1)
