dispatch/planner: a job too large for capacity that has shrunk waits

What callers would see: while the runners' capacity is below what a task needs, its job fails at once with fits_no_runner, though it could be answered in time once it grows. Cause: whether a job could ever run was asked of the capacity of the moment. Change: the most that a runner's life has had decides; the next life begins anew. Tests: TestJobWaitsForCapacityThatHasShrunk (red before), TestJobThatFittedAnotherLifeIsFailedAtOnce, TestNothingIsStartedBelowZero and TestNoStartBeyondCapacityThatHasShrunk (green before too: the account and the planner already held).

--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -30,6 +30,9 @@
 	attached bool
 	open     bool
 	total    work.Amounts
+	// most is the most that this life of the runner has had: capacity that has shrunk may
+	// grow again.
+	most work.Amounts
 	// used is what the guard says is taken, of all entries; ordered is what this
 	// entry has ordered since and the guard has not answered yet.
 	used, ordered work.Amounts
@@ -130,11 +133,13 @@
 	}
 	if r.Runner != e.runner {
 		e.health = health{}
+		e.most = work.Amounts{}
 	}
 	e.told = now
 	e.runner = r.Runner
 	e.open = r.Open
 	e.total = r.Total
+	e.most = e.most.Max(r.Total)
 	e.used = r.Used
 	e.labels = r.Labels
 }
@@ -220,18 +225,19 @@
 	tooLarge
 )
 
-// fits reports whether some endpoint could ever run each step.
+// fits reports whether some endpoint could ever run each step. What a runner had before it
+// shrank counts: a task too large for what is left may still be served in time.
 func (s *service) fits(j *job) fit {
 	known := 0
 	for _, step := range j.work.Steps {
 		found := false
 		known = 0
 		for _, e := range s.endpoints {
-			if e.total == (work.Amounts{}) {
+			if e.most == (work.Amounts{}) {
 				continue
 			}
 			known++
-			if step.Need.Fits(e.total) && e.labelled(step.Label) {
+			if step.Need.Fits(e.most) && e.labelled(step.Label) {
 				found = true
 				break
 			}
--- /dev/null
+++ b/dispatch/planner/shrink_test.go
@@ -0,0 +1,54 @@
+package planner
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"almondstand.dev/dispatch/work"
+)
+
+// Every runner's capacity shrinks below the job's tasks for a moment. The caller could be
+// answered in time once it grows again, so the job waits; told that it fits no runner, the
+// caller would give up for good.
+func TestJobWaitsForCapacityThatHasShrunk(t *testing.T) {
+	f := newFleet(t, 2)
+	f.room(0, 1, 0)
+	w := work.Job{ID: "j", Steps: []work.Step{{Count: 1, Need: core.Add(core), Declared: 60 * ms}}}
+	assert.Equal(t, f.Submit(f.now, f.now+1500*ms, w, terms), Taken)
+	a := f.act()
+	assert.Equal(t, len(a.Ended)+len(a.Starts), 0, "%v", a)
+	f.now += 20 * ms
+	f.room(0, 2, 0)
+	assert.Equal(t, len(f.act().Starts), 1)
+}
+
+// A runner that never had enough is no reason to wait, and neither is the runner's next life.
+func TestJobThatFittedAnotherLifeIsFailedAtOnce(t *testing.T) {
+	f := newFleet(t, 2)
+	f.Describe(f.now, f.id(0), Room{Service: "teardown", Runner: "next", Open: true, Total: core})
+	w := work.Job{ID: "j", Steps: []work.Step{{Count: 1, Need: core.Add(core), Declared: 60 * ms}}}
+	f.Submit(f.now, f.now+1500*ms, w, terms)
+	a := f.act()
+	assert.Equal(t, len(a.Ended), 1)
+	assert.Equal(t, a.Ended[0].Why, WhyTooLarge)
+}
+
+// A runner shrinks below what runs there. Nothing is started until what is free is more
+// than nothing, however the amounts are taken from one another.
+func TestNothingIsStartedBelowZero(t *testing.T) {
+	f := newFleet(t, 4)
+	a := f.submit("first", 4, 900*ms)
+	assert.Equal(t, len(a.Starts), 4)
+	for _, s := range a.Starts {
+		f.report(s, Running)
+	}
+	f.room(0, 1, 4)
+	assert.Equal(t, len(f.submit("next", 1, 60*ms).Starts), 0)
+	for _, s := range a.Starts[:3] {
+		f.report(s, Done)
+		assert.Equal(t, len(f.after(ms).Starts), 0, "what still runs takes all that there is")
+	}
+	f.report(a.Starts[3], Done)
+	assert.Equal(t, len(f.after(ms).Starts), 1)
+}
--- a/dispatch/work/work.go
+++ b/dispatch/work/work.go
@@ -22,6 +22,11 @@
 	return Amounts{a.CPUMilli - b.CPUMilli, a.MemoryMB - b.MemoryMB, a.GPUs - b.GPUs}
 }
 
+// Max returns the larger of each amount.
+func (a Amounts) Max(b Amounts) Amounts {
+	return Amounts{max(a.CPUMilli, b.CPUMilli), max(a.MemoryMB, b.MemoryMB), max(a.GPUs, b.GPUs)}
+}
+
 // Fits reports whether a fits into room in every dimension.
 func (a Amounts) Fits(room Amounts) bool {
 	return a.CPUMilli <= room.CPUMilli && a.MemoryMB <= room.MemoryMB && a.GPUs <= room.GPUs
--- a/guard/runs/runs_test.go
+++ b/guard/runs/runs_test.go
@@ -223,3 +223,28 @@
 	assert.Equal(t, len(over), 1, "asked for after the run was seen, it tells")
 	assert.Equal(t, over[0].State, Stopped)
 }
+
+// The runner shrinks while orders are on their way, and guards nothing itself. Orders sent
+// for what was free before are turned down by the account, also while what runs takes more
+// than there is, and until what is being stopped has ended.
+func TestNoStartBeyondCapacityThatHasShrunk(t *testing.T) {
+	b := newBook(4)
+	var started []*Start
+	for i := range 3 {
+		started = append(started, mustStart(t, b, begin, entryA, order("j", i)))
+	}
+	shrink := func(n int64) { b.Describe(work.Amounts{CPUMilli: 1000 * n, MemoryMB: 64 * n}, nil, false) }
+	shrink(2)
+	assert.Assert(t, !b.HasFree())
+	assert.Equal(t, refusal(t, b, begin+ms, begin, entryB, order("k", 0)), Full)
+	shrink(0)
+	assert.Equal(t, refusal(t, b, begin+2*ms, begin, entryB, order("k", 0)), Full)
+	shrink(2)
+	name := func(s *Start) work.RunName { return s.Name }
+	b.Read(begin+10*ms, begin+9*ms, work.Account{Running: []work.RunName{name(started[1]), name(started[2])}, Ends: []work.End{{Seq: 1, Run: name(started[0]), How: work.Done}}})
+	assert.Equal(t, refusal(t, b, begin+11*ms, begin+10*ms, entryB, order("k", 0)), Full)
+	b.Cancel(begin+12*ms, entryA, order("j", 1).Run)
+	assert.Equal(t, refusal(t, b, begin+13*ms, begin+12*ms, entryB, order("k", 0)), Full, "what is being stopped still counts")
+	b.Read(begin+70*ms, begin+69*ms, work.Account{Running: []work.RunName{name(started[2])}, Ends: []work.End{{Seq: 2, Run: name(started[1]), How: work.Broken}}})
+	mustStart(t, b, begin+71*ms, entryB, order("k", 0))
+}
