dispatch/planner, guard/runs: a task that crashes its runners is given up

What callers would see: a job of which one task ends the process of every runner that starts it takes one runner after the other for as long as its caller waits, and all others are turned away meanwhile. Cause: a run that ended with its runner reached the planner as stopped, counted as no attempt and was started anew elsewhere, without end. Change: crashes have a report of their own (nothing listens any more, or another life is there without a word that the older leaves), with what else was there. The planner counts them by task, keeps such tasks apart, and fails the job after the second crash that can be nobody else's or the third. A rack or data centre that goes down as a whole counts against nobody.

--- a/bench/replay/arrivals.go
+++ b/bench/replay/arrivals.go
@@ -1,7 +1,9 @@
 package replay
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -24,6 +26,9 @@
 	// size is the run time of its tasks against the kind's mean, declared what the
 	// caller says of it.
 	size, declared float64
+	// crashAfter is the time after its start at which the job's first task crashes its
+	// runner; zero for a sound job.
+	crashAfter time.Duration
 }
 
 // arrivals draws a load's callers, in the order of their times.
@@ -37,13 +42,26 @@
 	for {
 		k := soonest(next)
 		if next[k] > begin+l.For {
-			return all
+			return l.withPoison(random, all)
 		}
 		all = append(all, l.draw(random, k, next[k]))
 		next[k] += l.gap(random, k, next[k]-begin)
 	}
 }
 
+// withPoison puts the jobs that crash runners among the others.
+func (l Load) withPoison(random *rand.Rand, all []arrival) []arrival {
+	for _, p := range l.Poison {
+		for range p.Jobs {
+			a := l.draw(random, p.Kind, begin+p.At+time.Duration(random.Int64N(int64(time.Second))))
+			a.crashAfter = p.After
+			all = append(all, a)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	return all
+}
+
 func soonest(next []time.Duration) int {
 	best := 0
 	for k := range next {
--- a/bench/replay/guard.go
+++ b/bench/replay/guard.go
@@ -115,6 +115,9 @@
 		}
 		g.running[name] = true
 		job.began++
+		if job.crashAfter > 0 && x.Run.Task.Index == 0 {
+			g.sim.after(job.crashAfter, func() { g.crash(life, job) })
+		}
 		if r, news := g.table.Started(g.sim.now, name); news {
 			g.deliver([]runs.Report{r})
 		}
@@ -131,6 +134,29 @@
 	return time.Duration(float64(g.sim.load.Kinds[j.kind].Run) * j.size * uneven * g.times)
 }
 
+// Times after a runner's crash.
+const (
+	// lapseTime until its leases have run out, backTime until its next life announces itself.
+	lapseTime = 700 * time.Millisecond
+	backTime  = 3 * time.Second
+)
+
+// crash ends a runner's life, unless it has ended or the task is over by then.
+func (g *guard) crash(life int, by *submitted) {
+	if g.life != life || g.wrong == Gone {
+		return
+	}
+	g.sim.result.crashed(by)
+	g.life++
+	g.wrong = Gone
+	g.running = map[work.RunName]bool{}
+	g.sim.after(lapseTime, func() { g.deliver(inOrder(g.table.Lapse(g.sim.now, true))) })
+	g.sim.after(backTime, func() {
+		g.wrong = 0
+		g.adopt()
+	})
+}
+
 func (g *guard) run(name work.RunName, d time.Duration) {
 	switch g.wrong {
 	case Hanging:
@@ -356,6 +382,10 @@
 func (e *entry) hear(guard string, sent time.Duration, reports []runs.Report, room *planner.Room) {
 	e.clocks[guard] = reading{sent, e.sim.now}
 	for _, r := range reports {
+		if r.State == runs.Crashed {
+			e.plan.Crash(e.sim.now, guard, r.Run, r.Ran(sent), planner.Crash{Others: r.Crash.Others, Newest: r.Crash.Newest})
+			continue
+		}
 		e.plan.Report(e.sim.now, guard, r.Run, changeOf(r), r.Ran(sent))
 	}
 	if room != nil {
--- a/bench/replay/load.go
+++ b/bench/replay/load.go
@@ -66,6 +66,15 @@
 	Times   float64
 }
 
+// Poison is Jobs of one kind, spread over a second, each of which has one task that crashes
+// every runner that starts it, After its start. The runner is back a few seconds later.
+type Poison struct {
+	At    time.Duration
+	Jobs  int
+	Kind  int
+	After time.Duration
+}
+
 // Held has the processors of all entries with a share of one run slower by Times.
 type Held struct {
 	At, For time.Duration
@@ -85,6 +94,7 @@
 	Bursts   []Burst
 	Troubles []Trouble
 	Held     []Held
+	Poison   []Poison
 }
 
 // runnerCPU is what the runner of a number has, thousandths of a core.
@@ -148,5 +158,5 @@
 	hanging.Troubles = []Trouble{{At: 4 * time.Second, For: 5 * time.Second, Wrong: Hanging, Runners: 1}}
 	gone := base("gone")
 	gone.Troubles = []Trouble{{At: 4 * time.Second, For: 3 * time.Second, Wrong: Gone, Runners: 3}}
-	return append([]Load{calm, burst, wave, slow, failing, hanging, gone}, slices.Concat(travel(), large(), thin())...)
+	return append([]Load{calm, burst, wave, slow, failing, hanging, gone}, slices.Concat(travel(), large(), thin(), poison())...)
 }
--- a/bench/replay/replay_test.go
+++ b/bench/replay/replay_test.go
@@ -207,3 +207,20 @@
 		assert.Check(t, thin.Share() > others.Share()-0.03, "%s: the data centre is not served like the others", w)
 	}
 }
+
+// Five jobs come within a second of which one task crashes every runner that starts it, at
+// full load and beside nine others. Started again without end, each would take six runners
+// while its caller waits, and the others' callers pay. Three at most each, and no job that
+// merely stood beside is failed.
+func TestPoisonousJobsAreGivenUp(t *testing.T) {
+	for _, name := range []string{"poison-5", "poison-late-5"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := play(t, name)
+			mean, most := r.CrashesEach()
+			t.Logf("runners crashed: %.2f by each, %d at most; sound jobs failed: %d", mean, most, r.GivenUp)
+			assert.Assert(t, most <= 3)
+			assert.Equal(t, r.GivenUp, 0)
+		})
+	}
+}
--- a/bench/replay/result.go
+++ b/bench/replay/result.go
@@ -47,22 +47,45 @@
 	Orders int
 	// Messages of guards to entries.
 	Messages int
-	kinds    []Kind
+	// Crashes are the lives of runners that jobs have crashed, by the number of jobs that
+	// crashed so many. GivenUp counts sound jobs that were given up for crashes.
+	Crashes map[*submitted]int
+	GivenUp int
+	kinds   []Kind
 }
 
 func newResult(l Load, way string) *Result {
 	return &Result{
 		Load: l.Name, Way: way, kinds: l.Kinds,
 		Kinds: map[string]*Count{}, Sizes: map[string]*Count{}, Zones: map[string]*Count{}, Windows: map[string]*Count{}, ZoneWindows: map[string]*Count{},
-		Misplaced: map[string]int{},
+		Misplaced: map[string]int{}, Crashes: map[*submitted]int{},
 	}
 }
 
 func (r *Result) misplaced(why runs.Refusal) { r.Misplaced[why.String()]++ }
 
+func (r *Result) crashed(by *submitted) { r.Crashes[by]++ }
+
+// CrashesEach is the mean and the largest number of runners that a poisonous job crashed.
+func (r *Result) CrashesEach() (mean float64, most int) {
+	sum := 0
+	for _, n := range r.Crashes {
+		sum += n
+		most = max(most, n)
+	}
+	return float64(sum) / float64(max(len(r.Crashes), 1)), most
+}
+
 // ended counts a job's outcome.
 func (r *Result) ended(s *sim, e *entry, d planner.Ended) {
 	j := e.jobs[d.Job]
+	if j.crashAfter > 0 {
+		// Nobody is owed anything for it.
+		return
+	}
+	if d.Outcome == planner.Failed {
+		r.GivenUp++
+	}
 	r.count(j.arrival, s.now, d.Outcome)
 	if d.Outcome == planner.Refused {
 		r.refused(s, j)
@@ -140,6 +163,10 @@
 		}
 		_, _ = fmt.Fprintf(t, "refused after, half and 99 of 100: %s, %s; with room somewhere: %d; denied though begun: %d\t\t\t\t\t\t\n",
 			quantile(r.RefusedIn, 0.5), quantile(r.RefusedIn, 0.99), r.RefusedWithRoom, r.Denied)
+		if len(r.Crashes) > 0 {
+			mean, most := r.CrashesEach()
+			_, _ = fmt.Fprintf(t, "runners crashed by each poisonous job: %.2f, %d at most; sound jobs failed: %d\t\t\t\t\t\t\n", mean, most, r.GivenUp)
+		}
 		_, _ = fmt.Fprintf(t, "orders turned down by guards: %s; messages to entries: %d\t\t\t\t\t\t\n", reasons(r.Misplaced), r.Messages)
 	}
 	return t.Flush()
--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -41,6 +41,8 @@
 	told   time.Duration
 	runs   map[work.TaskID]*task
 	health health
+	// suspects counts the open runs of tasks under which a runner has crashed.
+	suspects int
 }
 
 func (e *endpoint) free() work.Amounts { return e.total.Sub(e.used).Sub(e.ordered) }
--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -43,6 +43,11 @@
 	step, index int
 	attempt     int
 	failures    int
+	// crashes counts the runners that have crashed under the task, newest those of them at
+	// which it had begun last.
+	crashes, newest int
+	// suspect is true while the open run is one of a task with crashes.
+	suspect bool
 	// tooLong counts the runs that were stopped because they took too long.
 	tooLong int
 	done    bool
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -67,9 +67,12 @@
 			all = false
 			continue
 		}
-		if !p.placeStep(now, j, number) {
+		switch p.placeStep(now, j, number) {
+		case noRoom:
 			all = false
 			missed = append(missed, step)
+		case held:
+			all = false
 		}
 	}
 	if all {
@@ -90,7 +93,18 @@
 	return false
 }
 
-func (p *Planner) placeStep(now time.Duration, j *job, step int) bool {
+// placed is what became of the tasks of a step that may start.
+type placed int
+
+const (
+	allPlaced placed = iota
+	noRoom
+	// held: a task that may crash its runner waits for one where no other such runs; tasks
+	// that need as much may find room.
+	held
+)
+
+func (p *Planner) placeStep(now time.Duration, j *job, step int) placed {
 	var waiting []*task
 	for _, t := range j.tasks {
 		if t.step == step && t.waits() {
@@ -98,31 +112,38 @@
 		}
 	}
 	for len(waiting) > 0 {
-		e, n := p.pick(now, j, step, len(waiting), waiting[0].avoid)
+		e, n := p.pick(now, j, step, alike(waiting), waiting[0])
+		if e == nil && waiting[0].crashes > 0 {
+			return held
+		}
 		if e == nil {
-			return false
+			return noRoom
 		}
 		for _, t := range waiting[:n] {
 			p.start(now, t, e)
 		}
 		waiting = waiting[n:]
 	}
-	return true
+	return allPlaced
 }
 
-// pick returns the endpoint for the next tasks of a step, and how many it takes.
-func (p *Planner) pick(now time.Duration, j *job, step, want int, avoid *endpoint) (*endpoint, int) {
+// pick returns the endpoint for the next tasks of a step, of which first is one, and how
+// many it takes.
+func (p *Planner) pick(now time.Duration, j *job, step, want int, first *task) (*endpoint, int) {
 	s := j.service
 	var best *endpoint
 	var bestScore score
 	found := 0
 	consider := func(e *endpoint) {
 		sc := p.score(now, j, step, want, e)
+		if first.crashes > 0 {
+			sc = sc.forSuspect(e)
+		}
 		if sc.takes == 0 {
 			return
 		}
 		found++
-		sc.avoided = e == avoid
+		sc.avoided = e == first.avoid
 		if best == nil || sc.better(bestScore) {
 			best, bestScore = e, sc
 		}
@@ -233,6 +254,10 @@
 	free := e.free().CPUMilli
 	e.ordered = e.ordered.Add(need)
 	e.runs[t.id()] = t
+	if t.crashes > 0 {
+		t.suspect = true
+		e.suspects++
+	}
 	p.watchAt = min(p.watchAt, j.deadline-answerMargin)
 	if !j.begun {
 		j.begun = true
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -82,6 +82,8 @@
 	born time.Duration
 	// pausedUntil is until when nothing is started.
 	pausedUntil time.Duration
+	// crashes are those of the last seconds, oldest first.
+	crashes []*crash
 }
 
 // service is one service's endpoints and the jobs that wait for them.
--- a/dispatch/planner/planner_test.go
+++ b/dispatch/planner/planner_test.go
@@ -22,6 +22,8 @@
 	*Planner
 	t   *testing.T
 	now time.Duration
+	// lives counts the lives of runners after a crash.
+	lives int
 }
 
 func newFleet(t *testing.T, room ...int) *fleet {
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -22,6 +22,8 @@
 	NotTaken
 	// NotStarted: never started, the runner turned it down or left it unanswered.
 	NotStarted
+	// Crashed: its runner crashed under it; see Crash.
+	Crashed
 )
 
 // Report takes what a guard reports of a run, and returns how long it ran. ran is
@@ -57,7 +59,7 @@
 		if t.failures >= t.job.terms.MaxAttempts && t.job.outcome == 0 {
 			p.end(now, t.job, Failed, WhyTaskFailed)
 		}
-	case Stopped:
+	case Stopped, Crashed:
 		t.job.ran = true
 		if !stopping {
 			e.health.bad(now, e.service.failRate)
@@ -99,6 +101,10 @@
 		e.used = e.used.Sub(need)
 	}
 	delete(e.runs, t.id())
+	if t.suspect {
+		e.suspects--
+		t.suspect = false
+	}
 	t.endpoint = nil
 	t.stopping = false
 }
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -48,10 +48,12 @@
 const (
 	WhyDone       Why = "done"
 	WhyTaskFailed Why = "task_failed"
-	WhyTooLarge   Why = "fits_no_runner"
-	WhyNoRunner   Why = "no_runner"
-	WhyOverload   Why = "no_room_in_time"
-	WhyDeadline   Why = "caller_time_over"
+	// WhyCrashes: runners crashed under the same task.
+	WhyCrashes  Why = "crashes_runners"
+	WhyTooLarge Why = "fits_no_runner"
+	WhyNoRunner Why = "no_runner"
+	WhyOverload Why = "no_room_in_time"
+	WhyDeadline Why = "caller_time_over"
 	// WhyTooLittleTime: the caller would have left before the work could be done.
 	WhyTooLittleTime Why = "too_little_time"
 	WhyCallerGone    Why = "caller_gone"
--- a/e2e/fleet/fleet.go
+++ b/e2e/fleet/fleet.go
@@ -43,6 +43,8 @@
 	Dir      string
 	Entries  int
 	Guards   int
+	// Direct has guards call their runners without a network between.
+	Direct bool
 }
 
 // Fleet is a set of processes and stand-ins.
@@ -123,7 +125,9 @@
 		if err != nil {
 			return nil, err
 		}
-		r.Advertise = address
+		if !o.Direct {
+			r.Advertise = address
+		}
 		f.RunnerNets = append(f.RunnerNets, net)
 		f.Runners = append(f.Runners, r)
 		f.running.Go(func() { r.Run(ctx) })
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -22,9 +22,15 @@
 // startFleet starts a fleet that is ready, and holds the judge's word at the end.
 func startFleet(t *testing.T, entries, guards int) *fleet.Fleet {
 	t.Helper()
+	return startFleetOf(t, fleet.Options{Entries: entries, Guards: guards})
+}
+
+func startFleetOf(t *testing.T, o fleet.Options) *fleet.Fleet {
+	t.Helper()
+	o.Binaries, o.Dir = binaries, t.TempDir()
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
 	defer cancel()
-	f, err := fleet.New(t.Context(), fleet.Options{Binaries: binaries, Dir: t.TempDir(), Entries: entries, Guards: guards})
+	f, err := fleet.New(t.Context(), o)
 	assert.NilError(t, err)
 	t.Cleanup(func() {
 		f.Close()
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -274,6 +274,15 @@
 	// Ran is how long the run has lasted as its guard says; zero when that is not
 	// known.
 	Ran time.Duration
+	// Crash is set when the runner crashed under the run.
+	Crash *Crash
+}
+
+// Crash is what a guard knows of a run whose runner crashed.
+type Crash struct {
+	planner.Crash
+	// Beside names the jobs of some other runs that were there.
+	Beside []string
 }
 
 // Tell takes a guard's message, unless a newer session has taken over.
@@ -286,8 +295,7 @@
 	}
 	for _, r := range n.Reports {
 		e.metrics.change(r.Change)
-		ran := e.plan.Report(now, id, r.Run, r.Change, r.Ran)
-		logChange(e.logger, id, r, ran)
+		logChange(e.logger, id, r, e.report(now, id, r))
 	}
 	if n.Room != nil {
 		e.plan.Describe(now, id, *n.Room)
@@ -295,6 +303,15 @@
 	e.act(now)
 }
 
+// report gives the planner one report, and returns how long the run lasted. The lock is
+// held.
+func (e *Engine) report(now time.Duration, id string, r Report) time.Duration {
+	if r.Change == planner.Crashed && r.Crash != nil {
+		return e.plan.Crash(now, id, r.Run, r.Ran, r.Crash.Crash)
+	}
+	return e.plan.Report(now, id, r.Run, r.Change, r.Ran)
+}
+
 // Forget drops an endpoint that nobody reaches; false when it has open runs.
 func (e *Engine) Forget(id string) bool {
 	e.mu.Lock()
--- a/entry/jobs/log.go
+++ b/entry/jobs/log.go
@@ -44,8 +44,14 @@
 	default:
 		event = runWrong
 	}
-	event.Log(context.Background(), l, slog.String("job", r.Run.Task.Job), slog.Int("step", r.Run.Task.Step), slog.Int("index", r.Run.Task.Index),
-		slog.Int("attempt", r.Run.Attempt), slog.String("guard", guard), slog.String("change", changeNames[r.Change]), millis("ran_ms", ran))
+	attrs := []slog.Attr{
+		slog.String("job", r.Run.Task.Job), slog.Int("step", r.Run.Task.Step), slog.Int("index", r.Run.Task.Index),
+		slog.Int("attempt", r.Run.Attempt), slog.String("guard", guard), slog.String("change", changeNames[r.Change]), millis("ran_ms", ran),
+	}
+	if c := r.Crash; c != nil {
+		attrs = append(attrs, slog.Int("others", c.Others), slog.Bool("newest", c.Newest), slog.Any("beside", c.Beside))
+	}
+	event.Log(context.Background(), l, attrs...)
 }
 
 func logEnded(l *slog.Logger, d planner.Ended, t planner.Terms, took time.Duration) {
--- a/entry/jobs/metrics.go
+++ b/entry/jobs/metrics.go
@@ -32,6 +32,7 @@
 	planner.NoRoom:     "no_room",
 	planner.NotTaken:   "not_taken",
 	planner.NotStarted: "not_started",
+	planner.Crashed:    "crashed",
 }
 
 func newMetrics(scope tally.Scope) *metrics {
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -155,6 +155,7 @@
 				Run:    fleetwire.FromRun(r.GetTask(), r.GetAttempt()),
 				Change: c,
 				Ran:    time.Duration(r.GetRanUs()) * time.Microsecond,
+				Crash:  crashOf(r.GetCrash()),
 			})
 		}
 		s.mu.Lock()
@@ -342,6 +343,8 @@
 		return planner.Done
 	case wirev1.RunState_RUN_STATE_FAILED:
 		return planner.TaskFailed
+	case wirev1.RunState_RUN_STATE_CRASHED:
+		return planner.Crashed
 	case wirev1.RunState_RUN_STATE_NOT_STARTED:
 		return refusalOf(r.GetRefusal())
 	default:
@@ -349,6 +352,18 @@
 	}
 }
 
+// crashOf reads what a guard knows of a crash; nil for a run that ended otherwise.
+func crashOf(c *wirev1.Crash) *jobs.Crash {
+	if c == nil {
+		return nil
+	}
+	crash := &jobs.Crash{Crash: planner.Crash{Others: int(c.GetOthers()), Newest: c.GetNewest()}}
+	for _, t := range c.GetBeside() {
+		crash.Beside = append(crash.Beside, t.GetJob())
+	}
+	return crash
+}
+
 func refusalOf(r wirev1.Refusal) planner.Change {
 	switch r {
 	case wirev1.Refusal_REFUSAL_ROOM:
--- a/guard/host/events.go
+++ b/guard/host/events.go
@@ -31,6 +31,9 @@
 	reportMalformed = eventlog.Define(2210, "guard.report_malformed", slog.LevelWarn,
 		"A report came that is no runner's: it can't be read, lacks something or says what can't be. Nothing that is known of the runner has changed; at most one line in 5 s.",
 		"Find the program that writes to the guard's address for reports.")
+	runnerCrashed = eventlog.Define(2211, "guard.runner_crashed", slog.LevelWarn,
+		"The runner crashed: its process has ended, or another life answers, without its word that it leaves. runs are those that were there; newest is the job of the one that began last.",
+		"If the same job stands in several of these lines, its task crashes what starts it: its entry gives it up after two or three (job.not_completed, crashes_runners).")
 	orderRefused = eventlog.Define(2207, "guard.order_refused", slog.LevelInfo,
 		"An entry's order was turned down before it reached the runner.",
 		"reason full: the entry's knowledge was late, or load is high; stale: the network or the entry is slow; closed: the runner leaves or is not known yet.")
--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -371,7 +371,18 @@
 	}
 }
 
+// noteCrash logs and counts the runner's crash, once for all runs.
+func (h *Host) noteCrash(reports []runs.Report) {
+	for _, r := range reports {
+		if r.State == runs.Crashed && r.Crash.Newest {
+			runnerCrashed.Log(h.ctx, h.logger, slog.Int("runs", r.Crash.Others+1), slog.String("newest", r.Run.Task.Job))
+			h.opt.Metrics.crashes.Inc(1)
+		}
+	}
+}
+
 func (h *Host) deliver(reports []runs.Report) {
+	h.noteCrash(reports)
 	for _, r := range reports {
 		if r.State == runs.Running {
 			continue
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -203,9 +203,9 @@
 		h.answered(now - asked)
 		reports = h.table.Read(now, asked, account)
 	case errors.Is(err, runner.ErrReplaced):
-		reports = h.table.Lose(now)
+		reports = h.table.Replace(now)
 	case h.steady() > h.leased+lapseMargin:
-		reports = h.table.Lapse(now)
+		reports = h.table.Lapse(now, errors.Is(err, runner.ErrNobody))
 		again = silentPause
 	}
 	h.sendStops(now)
--- a/guard/host/metrics.go
+++ b/guard/host/metrics.go
@@ -18,6 +18,8 @@
 	refusals   map[runs.Refusal]tally.Counter
 	// malformed counts reports that are no runner's.
 	malformed tally.Counter
+	// crashes counts the runner's crashes under runs.
+	crashes tally.Counter
 }
 
 // NewMetrics returns metrics in the scope.
@@ -32,6 +34,7 @@
 		leasesLate:  s.Counter("runner_leases_late_total"),
 		leaseLeft:   s.Timer("runner_lease_left_seconds"),
 		malformed:   s.Counter("runner_reports_malformed_total"),
+		crashes:     s.Counter("runner_crashes_total"),
 		refusals:    map[runs.Refusal]tally.Counter{},
 	}
 	for _, why := range []runs.Refusal{runs.Full, runs.Late, runs.Closed, runs.Unwell, runs.Unknown} {
--- /dev/null
+++ b/guard/runs/crash.go
@@ -0,0 +1,85 @@
+package runs
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"almondstand.dev/dispatch/work"
+)
+
+// mostBeside bounds the tasks that a report on a crash names.
+const mostBeside = 16
+
+// Crash is what is known of a run whose runner crashed under it.
+type Crash struct {
+	// Others counts the other runs that were there, or may have begun.
+	Others int
+	// Newest is true for the run that began last: most tasks that crash their runner do
+	// so soon after their start.
+	Newest bool
+	// Beside names some of the others' tasks.
+	Beside []work.TaskID
+}
+
+// Replace takes note that another life of the runner is there. The older one has crashed
+// unless it was about to leave; what ended with an older guard's host is not told here, as
+// its runs are not in this account.
+func (b *Table) Replace(now time.Duration) []Report {
+	if b.draining {
+		return b.Lose(now)
+	}
+	reports := b.crashed(now)
+	b.Lose(now)
+	return reports
+}
+
+// crashed tells the owners of all runs that the runner crashed, also those who were told
+// that its lease had run out: that it crashed may show with its next life only. Which of the
+// runs did it, if one did, is for the entries to find out: each sees its own jobs only.
+func (b *Table) crashed(now time.Duration) []Report {
+	there := make([]*run, 0, len(b.runs))
+	for _, r := range b.runs {
+		there = append(there, r)
+	}
+	slices.SortFunc(there, func(a, b *run) int { return cmp.Compare(a.since(), b.since()) })
+	var reports []Report
+	for i, r := range there {
+		if r.blamed {
+			continue
+		}
+		r.blamed = true
+		crash := &Crash{Others: len(there) - 1, Newest: i == len(there)-1, Beside: besides(there, r)}
+		reports = append(reports, b.tellCrash(now, r, crash))
+	}
+	return reports
+}
+
+func (b *Table) tellCrash(now time.Duration, r *run, c *Crash) Report {
+	if !r.told {
+		r.told = true
+		b.order = append(b.order, r.id)
+	}
+	report := Report{Owner: r.owner, Run: r.id, State: Crashed, Began: r.began, Over: now, Crash: c}
+	b.ended[r.id] = fate{report, now}
+	return report
+}
+
+// since is when the run began, or was ordered when that isn't known: a task may crash its
+// runner before the start is answered.
+func (r *run) since() time.Duration {
+	if r.started {
+		return r.began
+	}
+	return r.entered
+}
+
+func besides(there []*run, r *run) []work.TaskID {
+	var tasks []work.TaskID
+	for _, o := range there {
+		if o != r && len(tasks) < mostBeside {
+			tasks = append(tasks, o.id.Task)
+		}
+	}
+	return tasks
+}
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -63,8 +63,9 @@
 	stopSent bool
 	// until is the runner's time up to which the start order was valid.
 	until time.Duration
-	// told is true once its owner has been told that it is over.
-	told bool
+	// told is true once its owner has been told that it is over, and blamed once it has been
+	// told of the runner's crash.
+	told, blamed bool
 }
 
 // fate is the last report on a run that is over.
@@ -133,7 +134,7 @@
 // Adopt takes a new life of the runner. The runs of the older one are over:
 // a life that answers in its place proves that the older has ended.
 func (b *Table) Adopt(now time.Duration, l Life) []Report {
-	reports := b.Lose(now)
+	reports := b.Replace(now)
 	b.life = &l
 	b.checked = false
 	b.draining = false
@@ -350,8 +351,12 @@
 // Lapse tells the owners of all runs that these are over: the lease of the
 // runner, which answers nothing, has run out. Their room stays taken until the
 // runner itself accounts for them. A start without an answer may have been carried
-// out before the runner went silent, so none is told as not started.
-func (b *Table) Lapse(now time.Duration) []Report {
+// out before the runner went silent, so none is told as not started. gone is true when
+// the runner's process has ended; a runner that is silent may go on and has not crashed.
+func (b *Table) Lapse(now time.Duration, gone bool) []Report {
+	if gone && !b.draining {
+		return b.crashed(now)
+	}
 	var reports []Report
 	for _, r := range b.runs {
 		reports = append(reports, b.tell(now, r, Stopped, Unwell)...)
--- a/guard/runs/types.go
+++ b/guard/runs/types.go
@@ -24,6 +24,8 @@
 	Stopped
 	// NotStarted: it never ran and never will.
 	NotStarted
+	// Crashed: its runner crashed under it.
+	Crashed
 )
 
 // Refusal says why a run was not started.
@@ -55,6 +57,8 @@
 	Began time.Duration
 	// Over is the uptime at which it was known to be over; zero while it lasts.
 	Over time.Duration
+	// Crash is set with the state Crashed.
+	Crash *Crash
 }
 
 // Ran is how long the run has lasted at an uptime; zero when it is not known to
@@ -132,5 +136,5 @@
 
 // String names the state for logs.
 func (s State) String() string {
-	return [...]string{"none", "running", "done", "failed", "stopped", "not_started"}[s]
+	return [...]string{"none", "running", "done", "failed", "stopped", "not_started", "crashed"}[s]
 }
--- a/guard/uplink/wire.go
+++ b/guard/uplink/wire.go
@@ -26,6 +26,7 @@
 	runs.Failed:     wirev1.RunState_RUN_STATE_FAILED,
 	runs.Stopped:    wirev1.RunState_RUN_STATE_STOPPED,
 	runs.NotStarted: wirev1.RunState_RUN_STATE_NOT_STARTED,
+	runs.Crashed:    wirev1.RunState_RUN_STATE_CRASHED,
 }
 
 var wireRefusals = map[runs.Refusal]wirev1.Refusal{
@@ -43,5 +44,17 @@
 		State:   wireStates[r.State],
 		Refusal: wireRefusals[r.Refusal],
 		RanUs:   r.Ran(now).Microseconds(),
+		Crash:   wireCrash(r.Crash),
 	}
 }
+
+func wireCrash(c *runs.Crash) *wirev1.Crash {
+	if c == nil {
+		return nil
+	}
+	m := &wirev1.Crash{Others: uint32(c.Others), Newest: c.Newest}
+	for _, t := range c.Beside {
+		m.Beside = append(m.Beside, fleetwire.Task(t))
+	}
+	return m
+}
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -16,6 +16,8 @@
 	Tasks int
 	// Ms is how long a task runs, and what the caller declares.
 	Ms int
+	// CrashMs has each task end its runner's process so long after its start; zero for none.
+	CrashMs int
 	// CPU of a task, thousandths of a core.
 	CPU   int64
 	Fails bool
@@ -23,7 +25,7 @@
 
 // Body is the job as it is sent.
 func (j Job) Body() []byte {
-	spec, _ := json.Marshal(worker.Spec{Ms: j.Ms, CPU: j.CPU, Fails: j.Fails})
+	spec, _ := json.Marshal(worker.Spec{Ms: j.Ms, CPU: j.CPU, Fails: j.Fails, CrashMs: j.CrashMs})
 	body, _ := json.Marshal(map[string]any{
 		"task_spec": string(spec), "best_effort": true,
 		"steps": []map[string]any{{"count": j.Tasks, "cpu": j.CPU, "mem_mb": 64, "est_runtime_ms": j.Ms}},
--- a/standin/worker/orders.go
+++ b/standin/worker/orders.go
@@ -146,8 +146,8 @@
 	x := &run{number: b.Run, cpu: spec.CPU}
 	r.runs[b.Task] = x
 	r.Judge.started(b.Task, r.where(x))
-	if used := r.used(); used > r.CPU {
-		r.Judge.Fault("runner %s has %d of %d thousandths of a core taken", r.instance, used, r.CPU)
+	if used, most := r.used(), r.binding(); used > most {
+		r.Judge.Fault("runner %s has %d of %d thousandths of a core taken", r.instance, used, most)
 	}
 	span := time.Duration(spec.Ms) * time.Millisecond
 	if r.fault.Slow > 0 {
@@ -161,6 +161,10 @@
 		how = Failed
 	}
 	x.timer = time.AfterFunc(span, func() { r.finish(b.Task, x, how) })
+	if spec.CrashMs > 0 {
+		x.timer.Stop()
+		x.timer = time.AfterFunc(time.Duration(spec.CrashMs)*time.Millisecond, r.fall)
+	}
 	return answer{status: http.StatusOK}
 }
 
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -37,8 +38,14 @@
 	CPU int64 `json:"cpu"`
 	// Fails has each run fail.
 	Fails bool `json:"fails"`
+	// CrashMs has the runner's process end so long after the start, milliseconds; zero for a
+	// sound task. It is back in another life after CrashBack.
+	CrashMs int `json:"crash_ms"`
 }
 
+// CrashBack is how long a runner is away that a task crashed.
+const CrashBack = 1500 * time.Millisecond
+
 // Fault of a runner.
 type Fault struct {
 	// LateShare of the orders get no answer and are carried out after LateBy.
@@ -79,7 +86,10 @@
 	// Advertise is the address that reports name; empty for the runner's own.
 	Advertise string
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// cpu is what the runner says that it has, and past what it had before.
+	cpu      int64
+	past     []said
 	address  string
 	server   *http.Server
 	began    time.Time
@@ -96,6 +106,8 @@
 	draining bool
 	seq      int64
 	dead     bool
+	crashes  int
+	closed   bool
 }
 
 // Listen opens the runner's address on the host.
@@ -106,14 +118,50 @@
 	}
 	r.address = l.Addr().String()
 	r.began = time.Now()
+	r.cpu = r.CPU
 	r.reset()
+	r.serve(l)
+	return nil
+}
+
+// shrunkIn is the time after which a smaller capacity binds whoever starts tasks: two
+// reports, one of which may be lost, and the way.
+const shrunkIn = 3 * beat
+
+// said is a capacity that the runner had until a moment.
+type said struct {
+	cpu   int64
+	until time.Time
+}
+
+// SetCapacity has the runner say that it has parts of its whole capacity; its next report
+// tells.
+func (r *Runner) SetCapacity(parts, whole int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.past = append(r.past, said{r.cpu, time.Now()})
+	r.cpu = r.CPU * int64(parts) / int64(whole)
+}
+
+// binding is what starts are held to: the most that the runner has had of late.
+func (r *Runner) binding() int64 {
+	r.past = slices.DeleteFunc(r.past, func(s said) bool { return time.Since(s.until) > shrunkIn })
+	most := r.cpu
+	for _, s := range r.past {
+		most = max(most, s.cpu)
+	}
+	return most
+}
+
+// serve takes orders. The lock is held, or nobody else is there yet.
+func (r *Runner) serve(l net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", r.order(r.start))
 	mux.HandleFunc("POST /run-stop", r.order(r.stop))
 	mux.HandleFunc("POST /hold", r.order(r.hold))
-	r.server = &http.Server{Handler: mux}
-	go func() { _ = r.server.Serve(l) }()
-	return nil
+	server := &http.Server{Handler: mux}
+	r.server = server
+	go func() { _ = server.Serve(l) }()
 }
 
 // Address takes orders.
@@ -127,7 +175,10 @@
 	for {
 		select {
 		case <-ctx.Done():
+			r.mu.Lock()
+			r.closed = true
 			_ = r.server.Close()
+			r.mu.Unlock()
 			return
 		case <-t.C:
 		}
@@ -172,6 +223,41 @@
 	r.runs = map[string]*run{}
 }
 
+// fall ends the runner's process: nothing listens until it is back in another life.
+func (r *Runner) fall() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.dead {
+		return
+	}
+	r.crashes++
+	r.crash()
+	_ = r.server.Close()
+	time.AfterFunc(CrashBack, r.back)
+}
+
+func (r *Runner) back() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
+	l, err := net.Listen("tcp", r.address)
+	if err != nil {
+		r.Judge.Fault("runner %s can't listen again: %v", r.address, err)
+		return
+	}
+	r.reset()
+	r.serve(l)
+}
+
+// Crashes counts the lives that tasks have ended.
+func (r *Runner) Crashes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashes
+}
+
 // Reborn begins a new life at the same address.
 func (r *Runner) Reborn() {
 	r.mu.Lock()
@@ -209,7 +295,7 @@
 	}
 	body, _ = json.Marshal(map[string]any{
 		"service": r.Service, "address": cmp.Or(r.Advertise, r.address), "zone": r.Zone, "version": "v1", "slots": 8, "state": state,
-		"capacity": map[string]int64{"cpu": r.CPU, "mem_mb": 1 << 20, "gpu": 0},
+		"capacity": map[string]int64{"cpu": r.cpu, "mem_mb": 1 << 20, "gpu": 0},
 		"labels":   []string{"a", "r1-1"}, "clock_ms": r.clock().Milliseconds(), "seq": r.seq,
 	})
 	return r.instance, body
