--- a/e2e/soak/inject.go
+++ b/e2e/soak/inject.go
@@ -43,6 +43,12 @@
 		r.fleet.Store.SetFault(metastore.Fault{})
 	case Configure:
 		r.configure(ctx)
+	case TaskCrashes:
+		job := fleet.NewJob(1, 60)
+		job.CrashMs = 1 + f.Which
+		r.fleet.Resubmit(ctx, f.Which, job, 1)
+	case RunnerShrink:
+		r.shrink(ctx, runner, f)
 	case Burst:
 		r.burst.Store(true)
 		uptime.Sleep(ctx, f.For)
@@ -52,6 +58,16 @@
 	}
 }
 
+// shrink takes a runner's capacity down by steps, to nothing at last, and gives it back.
+func (r *run) shrink(ctx context.Context, runner *worker.Runner, f Fault) {
+	const steps = 3
+	for left := steps - 1; left >= 0; left-- {
+		runner.SetCapacity(left, steps)
+		uptime.Sleep(ctx, f.For/steps)
+	}
+	runner.SetCapacity(steps, steps)
+}
+
 var runnerFaults = map[Kind]worker.Fault{
 	RunnerLate:  {LateShare: 0.3, LateBy: 1800 * time.Millisecond},
 	RunnerSlow:  {Slow: 4},
--- a/e2e/soak/schedule.go
+++ b/e2e/soak/schedule.go
@@ -3,8 +3,10 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -40,6 +42,8 @@
 	RunnerSilent Kind = "connections to a runner silent for good"
 	Configure    Kind = "configuration changed"
 	Burst        Kind = "many callers"
+	TaskCrashes  Kind = "a task that crashes what starts it"
+	RunnerShrink Kind = "a runner's capacity shrinks, by steps, and grows again"
 )
 
 var planned = []Kind{EntryTerm, EntryHangup, GuardTerm, GuardHangup, Configure, Configure}
@@ -86,5 +90,29 @@
 		})
 		at += least + time.Duration(r.Int64N(int64(most-least)))
 	}
+	if !Planned(seed) {
+		faults = append(faults, later(seed, length)...)
+	}
+	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return faults
+}
+
+// laterKinds are drawn from a stream of their own: the schedules of seeds that found a fault
+// stay as they were.
+var laterKinds = []Kind{TaskCrashes, RunnerShrink}
+
+// later returns the faults of laterKinds.
+func later(seed uint64, length time.Duration) []Fault {
+	const least, spread = 800 * time.Millisecond, 2500 * time.Millisecond
+	r := rand.New(rand.NewPCG(seed, 2))
+	var faults []Fault
+	for at := least; at < length; at += least + time.Duration(r.Int64N(int64(spread))) {
+		faults = append(faults, Fault{
+			At:    at,
+			Kind:  laterKinds[r.IntN(len(laterKinds))],
+			Which: r.IntN(64),
+			For:   least + time.Duration(r.Int64N(int64(spread))),
+		})
+	}
 	return faults
 }
