--- a/bench/replay/replay_test.go
+++ b/bench/replay/replay_test.go
@@ -104,7 +104,7 @@
 // The same seed gives the same run.
 func TestReplayRepeats(t *testing.T) {
 	t.Parallel()
-	for _, name := range []string{"hanging", "gone"} {
+	for _, name := range []string{"hanging", "gone", "poison-20", "thin-slow"} {
 		l, w := load(t, name), replay.Ways()[0]
 		l.For = 6 * time.Second
 		a, b := replay.Play(l, w, 7), replay.Play(l, w, 7)
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"almondstand.dev/dispatch/planner"
@@ -224,7 +225,7 @@
 	cpu    processor
 	// clocks are the guards' clocks as last read, by guard.
 	clocks map[string]reading
-	// confirmed are the newest clocks that the guards have been told of as read.
+	// confirmed are the newest clocks that the guards know to have been read.
 	confirmed map[string]time.Duration
 	// wake is the newest wake: older ones are void.
 	wake int
@@ -266,6 +267,8 @@
 func (e *entry) act() {
 	s := e.sim
 	out, next := e.plan.Act(s.now)
+	// The planner looks through its jobs in no order.
+	slices.SortStableFunc(out.Stops, func(a, b planner.Stop) int { return byTask(a.Run.Task, b.Run.Task) })
 	byGuard := map[string]*orders{}
 	var touched []string
 	of := func(id string) *orders {
@@ -310,8 +313,8 @@
 	e.cpu.spend(sendCost)
 	sent, read := e.date(g.id), e.clocks[g.id].clock
 	e.confirmed[g.id] = read
-	waits, wants := e.plan.Waiting(e.sim.now, g.id)
-	e.sim.after(messageTime, func() { g.receive(e, sent, read, waits, wants, o) })
+	pending, demand := e.plan.Waiting(e.sim.now, g.id)
+	e.sim.after(messageTime, func() { g.receive(e, sent, read, pending, demand, o) })
 }
 
 // date is the guard's clock as the entry knows it: what it read last, and the time since.
--- a/dispatch/planner/crash.go
+++ b/dispatch/planner/crash.go
@@ -84,7 +84,7 @@
 	return ran
 }
 
-// blameLate counts a crash of which the guard knew only after the run had been told as over.
+// blameLate counts a crash of which the guard knew only after the run had been reported as over.
 func (p *Planner) blameLate(now time.Duration, e *endpoint, run work.RunID, c Crash) {
 	j := p.jobs[run.Task.Job]
 	if j == nil || j.outcome != 0 {
--- a/dispatch/planner/crash_test.go
+++ b/dispatch/planner/crash_test.go
@@ -31,7 +31,7 @@
 }
 
 // A task crashes each runner that starts it. With nothing beside it at the second there is
-// nobody else to blame: its caller is told that the job failed, and no third runner is lost.
+// nobody else to blame: its caller learns that the job failed, and no third runner is lost.
 func TestTaskThatCrashesTwoRunnersAloneIsGivenUp(t *testing.T) {
 	f := newFleet(t, 8, 8, 8)
 	first := f.patient("poison", 1).Starts[0]
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -28,7 +28,7 @@
 	decidedAt time.Duration
 	// readClock is the clock of the newest message that was taken in.
 	readClock time.Duration
-	// confirmAt is when the guard is to be told of it at the latest, uptime; zero when a
+	// confirmAt is when a message is to confirm that at the latest, uptime; zero when a
 	// heartbeat is soon enough.
 	confirmAt time.Duration
 	// prompt is true when a message is to go out though there are no orders.
@@ -93,7 +93,7 @@
 }
 
 // takenIn takes note that a message has been read. Where capacity came and tasks are pending,
-// the guard is told soon, so that it sends what changes next.
+// that is confirmed soon, so that the guard sends what changes next.
 func (s *session) takenIn(m *wirev1.AttachRequest, age time.Duration) {
 	soon := false
 	if m.GetCapacity() != nil && age <= confirmAge {
--- a/guard/runs/crash.go
+++ b/guard/runs/crash.go
@@ -23,7 +23,7 @@
 }
 
 // Replace takes note that another life of the runner is there. The older one has crashed
-// unless it was about to leave; what ended with an older guard's host is not told here, as
+// unless it was about to leave; what ended with an older guard's host is not reported here, as
 // its runs are not in this account.
 func (b *Table) Replace(now time.Duration) []Report {
 	if b.draining {
@@ -34,15 +34,15 @@
 	return reports
 }
 
-// crashed tells the owners of all runs that the runner crashed, also those who were told
-// that its lease had run out: that it crashed may show with its next life only. Which of the
+// crashed reports to the owners of all runs that the runner crashed, also to those who know
+// already that its lease had run out: that it crashed may show with its next life only. Which of the
 // runs did it, if one did, is for the entries to find out: each sees its own jobs only.
 func (b *Table) crashed(now time.Duration) []Report {
 	there := make([]*run, 0, len(b.runs))
 	for _, r := range b.runs {
 		there = append(there, r)
 	}
-	slices.SortFunc(there, func(a, b *run) int { return cmp.Compare(a.since(), b.since()) })
+	slices.SortFunc(there, byBegin)
 	var reports []Report
 	for i, r := range there {
 		if r.blamed {
@@ -50,14 +50,14 @@
 		}
 		r.blamed = true
 		crash := &Crash{Others: len(there) - 1, Newest: i == len(there)-1, Beside: besides(there, r)}
-		reports = append(reports, b.tellCrash(now, r, crash))
+		reports = append(reports, b.reportCrash(now, r, crash))
 	}
 	return reports
 }
 
-func (b *Table) tellCrash(now time.Duration, r *run, c *Crash) Report {
-	if !r.told {
-		r.told = true
+func (b *Table) reportCrash(now time.Duration, r *run, c *Crash) Report {
+	if !r.reported {
+		r.reported = true
 		b.order = append(b.order, r.id)
 	}
 	report := Report{Owner: r.owner, Run: r.id, State: Crashed, Began: r.began, Over: now, Crash: c}
@@ -65,6 +65,13 @@
 	return report
 }
 
+// byBegin orders runs by when they began; those of one moment by name, so that the same
+// history gives the same reports.
+func byBegin(a, b *run) int {
+	x, y := a.id.Task, b.id.Task
+	return cmp.Or(cmp.Compare(a.since(), b.since()), cmp.Compare(x.Job, y.Job), cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index))
+}
+
 // since is when the run began, or was ordered when that isn't known: a task may crash its
 // runner before the start is answered.
 func (r *run) since() time.Duration {
--- a/guard/runs/crash_test.go
+++ b/guard/runs/crash_test.go
@@ -8,7 +8,7 @@
 	"almondstand.dev/dispatch/work"
 )
 
-// A runner crashes under three runs of two entries. Each owner is told once, with what else
+// A runner crashes under three runs of two entries. Each owner gets one report, with what else
 // was there; the start that was never answered counts, as a task may crash its runner before
 // the answer.
 func TestCrashNamesAllThatWasThere(t *testing.T) {
@@ -27,7 +27,7 @@
 	}
 	assert.Equal(t, len(got), 3)
 	assert.Assert(t, got["unanswered"].Crash.Newest && !got["old"].Crash.Newest && !got["other"].Crash.Newest)
-	assert.Equal(t, len(b.Adopt(begin+3000*ms, Life{Instance: "i2"})), 0, "told once")
+	assert.Equal(t, len(b.Adopt(begin+3000*ms, Life{Instance: "i2"})), 0, "reported once")
 	assert.Equal(t, b.Capacity().Used, work.Amounts{})
 }
 
@@ -47,7 +47,7 @@
 }
 
 // A host goes dark with its runner: nothing answers until the lease has run out, and the next
-// life shows that the older one crashed. The owner is told then, once: left out, a task that
+// life shows that the older one crashed. The owner learns of it then, once: left out, a task that
 // takes its runner's host down would never be suspected.
 func TestCrashThatLookedLikeSilenceIsToldLater(t *testing.T) {
 	b := newBook(1)
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -63,9 +63,9 @@
 	stopSent bool
 	// until is the runner's time up to which the start order was valid.
 	until time.Duration
-	// told is true once its owner has been told that it is over, and blamed once it has been
-	// told of the runner's crash.
-	told, blamed bool
+	// reported is true once its owner knows that it is over, and blamed once it knows of the
+	// runner's crash.
+	reported, blamed bool
 }
 
 // fate is the last report on a run that is over.
@@ -269,7 +269,7 @@
 		return Report{}, false
 	}
 	r.settled = now
-	if r.started || r.told {
+	if r.started || r.reported {
 		return Report{}, false
 	}
 	return r.begin(now), true
@@ -351,7 +351,7 @@
 // Lapse tells the owners of all runs that these are over: the lease of the
 // runner, which answers nothing, has run out. Their room stays taken until the
 // runner itself accounts for them. A start without an answer may have been carried
-// out before the runner went silent, so none is told as not started. gone is true when
+// out before the runner went silent, so none is reported as not started. gone is true when
 // the runner's process has ended; a runner that is silent may go on and has not crashed.
 func (b *Table) Lapse(now time.Duration, gone bool) []Report {
 	if gone && !b.draining {
@@ -359,7 +359,7 @@
 	}
 	var reports []Report
 	for _, r := range b.runs {
-		reports = append(reports, b.tell(now, r, Stopped, Unwell)...)
+		reports = append(reports, b.report(now, r, Stopped, Unwell)...)
 	}
 	return reports
 }
@@ -372,15 +372,15 @@
 func (b *Table) close(now time.Duration, r *run, s State, why Refusal) []Report {
 	delete(b.runs, r.id.Task)
 	b.used = b.used.Sub(r.need)
-	return b.tell(now, r, s, why)
+	return b.report(now, r, s, why)
 }
 
-// tell makes the last report on a run, once.
-func (b *Table) tell(now time.Duration, r *run, s State, why Refusal) []Report {
-	if r.told {
+// report makes the last report on a run, once.
+func (b *Table) report(now time.Duration, r *run, s State, why Refusal) []Report {
+	if r.reported {
 		return nil
 	}
-	r.told = true
+	r.reported = true
 	report := Report{Owner: r.owner, Run: r.id, State: s, Began: r.began, Over: now}
 	if s == NotStarted {
 		report.Refusal = why
--- a/guard/runs/runs_test.go
+++ b/guard/runs/runs_test.go
@@ -177,7 +177,7 @@
 	got := b.Lapse(begin+time.Second, false)
 	assert.Equal(t, len(got), 1)
 	assert.Equal(t, got[0].State, Stopped)
-	assert.Equal(t, len(b.Lapse(begin+time.Second, false)), 0, "told once")
+	assert.Equal(t, len(b.Lapse(begin+time.Second, false)), 0, "reported once")
 	assert.Equal(t, len(b.Stops(begin+2*time.Second)), 0, "a lapsed run needs no stop")
 	b.Alive(entryA, begin+time.Second)
 	assert.Equal(t, refusal(t, b, begin+time.Second, begin+time.Second, entryA, order("k", 0)), Full)
--- a/guard/runs/sweep.go
+++ b/guard/runs/sweep.go
@@ -74,7 +74,7 @@
 		}
 		return Report{}, false
 	}
-	if r.started || r.told {
+	if r.started || r.reported {
 		return Report{}, false
 	}
 	if r.settled == 0 {
@@ -108,7 +108,7 @@
 			b.stop(now, r)
 		}
 		// A run whose lease has run out with its runner silent needs no stop.
-		if r.stopping > 0 && !r.barred && !r.stopSent && !r.told {
+		if r.stopping > 0 && !r.barred && !r.stopSent && !r.reported {
 			r.stopSent = true
 			stops = append(stops, Stop{r.name})
 		}
