--- a/guard/advertise/advertise.go
+++ b/guard/advertise/advertise.go
@@ -71,10 +71,11 @@
 	// runs, and reading them would take all its processor time. With one message unread at
 	// most it is sent no more than it reads.
 	pending = slices.DeleteFunc(pending, func(s S) bool {
-		if s.Unread() {
+		unread := s.Unread()
+		if unread {
 			s.SendOnceRead()
 		}
-		return s.Unread()
+		return unread
 	})
 	if !free {
 		// Advertising zero capacity helps no scheduler.
