--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -1,7 +1,6 @@
 package replay
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -49,31 +48,6 @@
 	return t
 }
 
-// event of the simulation.
-type event struct {
-	at    time.Duration
-	order int
-	do    func()
-}
-
-type events []event
-
-func (q events) Len() int { return len(q) }
-func (q events) Less(i, j int) bool {
-	if q[i].at != q[j].at {
-		return q[i].at < q[j].at
-	}
-	return q[i].order < q[j].order
-}
-func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *events) Pop() any {
-	last := len(*q) - 1
-	e := (*q)[last]
-	*q = (*q)[:last]
-	return e
-}
-
 // sim is one run.
 type sim struct {
 	load    Load
@@ -110,7 +84,7 @@
 	}
 	last := begin + l.For
 	for len(s.queue) > 0 {
-		e := heap.Pop(&s.queue).(event)
+		e := s.queue.pop()
 		if e.at > last+settleFor {
 			break
 		}
@@ -127,7 +101,7 @@
 
 func (s *sim) at(t time.Duration, do func()) {
 	s.pushed++
-	heap.Push(&s.queue, event{max(t, s.now), s.pushed, do})
+	s.queue.push(event{max(t, s.now), s.pushed, do})
 }
 
 func (s *sim) build(seed uint64) {
--- a/bench/replay/yardstick.go
+++ b/bench/replay/yardstick.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"container/heap"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -105,7 +104,7 @@
 	for len(all) > 0 || len(y.ends) > 0 || len(y.waiting) > 0 {
 		now := y.next(all)
 		for len(y.ends) > 0 && y.ends[0].at <= now {
-			heap.Pop(&y.ends).(event).do()
+			y.ends.pop().do()
 		}
 		for len(all) > 0 && all[0].at <= now {
 			y.waiting = append(y.waiting, y.foresee(all[0]))
@@ -214,7 +213,7 @@
 	for i, r := range taken {
 		at := now + j.tasks[i]
 		y.pushed++
-		heap.Push(&y.ends, event{at, y.pushed, func() { y.end(at, r, j) }})
+		y.ends.push(event{at, y.pushed, func() { y.end(at, r, j) }})
 	}
 	return true
 }
