--- a/bench/replay/link.go
+++ b/bench/replay/link.go
@@ -34,8 +34,9 @@
 	// while capacity waits for that.
 	read time.Duration
 	owed bool
-	// flush is the newest flush that is planned: older ones are void.
-	flush int
+	// flush is the newest flush that is planned, for flushAt: older ones are void.
+	flush   int
+	flushAt time.Duration
 }
 
 // never is later than any event.
@@ -128,14 +129,19 @@
 
 // plan has the next message sent when it is due.
 func (l *link) plan() {
+	next := min(l.capacityDue, l.reportsDue)
+	if next == l.flushAt {
+		return
+	}
 	l.flush++
+	l.flushAt = next
 	mine := l.flush
-	next := min(l.capacityDue, l.reportsDue)
 	if next == never {
 		return
 	}
 	l.guard.sim.at(next, func() {
 		if l.flush == mine {
+			l.flushAt = 0
 			l.message()
 		}
 	})
