entry/engine, dispatch: a rejection for the backlog is logged with its inputs

Callers of a service on bare endpoints were rejected as backlog for a minute though nothing was pending, and no log or metric told why: the answer names the reason only.

Event 1205 engine.backlog_rejected carries what the rejection rests on: tasks pending and open, slots, the customer's rate, endpoints set aside, the job's work and longest task as estimated and whether these are learnt, the time to drain, the time allowed, Retry-After. At most one line a second and service, with the number of rejections that it stands for.

--- a/dispatch/admission/admission.go
+++ b/dispatch/admission/admission.go
@@ -114,13 +114,35 @@
 	if l.Waiting+d.Tasks > g.opts.MaxTasks || l.Bytes+d.Bytes > g.opts.MaxBytes {
 		return Full, g.retryAfter(now, d, rate, g.opts.MinRetry)
 	}
-	late := lateness(l, d, rate, g.opts.Margin)
+	late := g.Forecast(l, d).Lateness()
 	if late <= 0 || g.trial(l, d) {
 		return Admitted, 0
 	}
 	return TooLate, g.retryAfter(now, d, rate, late)
 }
 
+// Forecast is how long a job would take if it were taken now.
+type Forecast struct {
+	// Rate is the slots that serve the customer.
+	Rate float64
+	// Drain is the time to serve the job and all that goes before it, Allowed the
+	// time there is for that: zero or less when the longest task alone fills it.
+	Drain, Allowed time.Duration
+}
+
+// Lateness is how much too late the job would end, zero or less when it is in time.
+func (f Forecast) Lateness() time.Duration { return f.Drain - f.Allowed }
+
+// Forecast returns how long a job would take.
+func (g *Gate) Forecast(l Load, d Demand) Forecast {
+	rate := g.rate(l)
+	return Forecast{
+		Rate:    rate,
+		Drain:   drainTime(l, d, rate),
+		Allowed: time.Duration(g.opts.Margin*float64(d.AnswerTime)) - d.Longest,
+	}
+}
+
 // RetryAfterNone is for a service of which no endpoint is known: a random time
 // of up to a second, in which one may announce itself.
 func (g *Gate) RetryAfterNone() time.Duration { return g.spread(time.Second) }
@@ -132,20 +154,18 @@
 	return max(least, l.Slots*l.Share, l.Slots-l.OthersRate)
 }
 
-// lateness is how much too late the job would end. Smaller jobs of its customer
-// that wait go before it, and so do those that come while it waits: a large job
+// drainTime is the time to serve the job and what goes before it. Smaller jobs of its
+// customer that wait go before it, and so do those that come while it waits: a large job
 // gets only what the stream of small ones leaves. A rush of small ones is taken
 // to last for a part of the answer time. Jobs larger than it don't count, as it
 // overtakes them.
-func lateness(l Load, d Demand, rate, margin float64) time.Duration {
-	answerTime := d.AnswerTime.Seconds()
+func drainTime(l Load, d Demand, rate float64) time.Duration {
 	ahead := (l.Ahead + d.Work).Seconds()
-	drain := (ahead + l.SmallerRate*answerTime*rushPart) / rate
+	drain := (ahead + l.SmallerRate*d.AnswerTime.Seconds()*rushPart) / rate
 	if left := rate - l.SmallerRate; left > 0 {
 		drain = min(drain, ahead/left)
 	}
-	allowed := margin*answerTime - d.Longest.Seconds()
-	return time.Duration((drain - allowed) * float64(time.Second))
+	return time.Duration(drain * float64(time.Second))
 }
 
 // trial lets a job through against a guessed estimate when nothing of its
--- a/dispatch/scheduler/decide.go
+++ b/dispatch/scheduler/decide.go
@@ -97,7 +97,7 @@
 	case verdict == admission.Full:
 		return &Refusal{Err: ErrQueueFull, RetryAfter: retryAfter}
 	case verdict == admission.TooLate && !s.opts.AdmitAll:
-		return &Refusal{Err: ErrBacklog, RetryAfter: retryAfter}
+		return &Refusal{Err: ErrBacklog, RetryAfter: retryAfter, Assessment: s.assess(load, demand)}
 	}
 	s.jobs[job.ID] = state
 	s.admitted++
@@ -109,6 +109,25 @@
 	return nil
 }
 
+// assess describes why a job was rejected.
+func (s *Scheduler) assess(l admission.Load, d admission.Demand) *Assessment {
+	forecast := s.gate.Forecast(l, d)
+	return &Assessment{
+		Pending:    l.Waiting,
+		Open:       len(s.opens),
+		Slots:      l.Slots,
+		Rate:       forecast.Rate,
+		SetAside:   s.health.Aside(),
+		Work:       d.Work,
+		Longest:    d.Longest,
+		Ahead:      l.Ahead,
+		Learnt:     d.Learnt,
+		Drain:      forecast.Drain,
+		Allowed:    forecast.Allowed,
+		AnswerTime: d.AnswerTime,
+	}
+}
+
 // prepare estimates the job's tasks.
 func (s *Scheduler) prepare(now time.Time, job Job) (*jobState, admission.Demand) {
 	state := &jobState{
--- a/dispatch/scheduler/scheduler.go
+++ b/dispatch/scheduler/scheduler.go
@@ -140,6 +140,27 @@
 	Err error
 	// RetryAfter is when to come back, worked out from the backlog.
 	RetryAfter time.Duration
+	// Assessment is set for ErrBacklog.
+	Assessment *Assessment
+}
+
+// Assessment is what a rejection for the backlog rests on.
+type Assessment struct {
+	// Pending counts the tasks that wait, Open those that were started and have not
+	// ended.
+	Pending, Open int
+	// Slots is what this entry can count on, Rate the part of it that serves the
+	// customer, SetAside the endpoints that get probes only.
+	Slots, Rate float64
+	SetAside    int
+	// Work is the expected run time of the job's tasks together, Longest that of its
+	// longest one, Ahead that of the pending tasks that go first.
+	Work, Longest, Ahead time.Duration
+	// Learnt is true when these times were learnt from runs.
+	Learnt bool
+	// Drain is the time until the job is served, Allowed the time there is for that,
+	// AnswerTime what its contract gives.
+	Drain, Allowed, AnswerTime time.Duration
 }
 
 // Error implements error.
--- a/entry/engine/events.go
+++ b/entry/engine/events.go
@@ -22,4 +22,7 @@
 	eventBadDigest = eventlog.Define(1204, "engine.bad_digest", slog.LevelError,
 		"A task's answer did not match its digest; the task failed.",
 		"Look for faulty memory or network on the endpoint's host.")
+	eventBacklogRejected = eventlog.Define(1205, "engine.backlog_rejected", slog.LevelInfo,
+		"Jobs were rejected because they could not be answered in the answer time of their contract; the figures are those of the last one. At most one line a second and service.",
+		"With tasks pending or open: the service is short of slots. With none: the run times learnt from earlier tasks (longest_ms) leave no time; look whether endpoints were slow or this process was suspended.")
 )
--- /dev/null
+++ b/entry/engine/rejection.go
@@ -0,0 +1,54 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"almondstand.dev/dispatch/scheduler"
+)
+
+// rejectionInterval is the shortest time between two records of rejected jobs of a service.
+const rejectionInterval = time.Second
+
+// rejections bounds the records of a service's rejected jobs. Its owner locks.
+type rejections struct {
+	loggedAt time.Time
+	// count is the number of jobs rejected since then.
+	count int
+}
+
+// note counts a rejection; record is true when it is to be logged, with the number of
+// rejections that the record stands for.
+func (r *rejections) note(now time.Time) (count int, record bool) {
+	r.count++
+	if !r.loggedAt.IsZero() && now.Sub(r.loggedAt) < rejectionInterval {
+		return 0, false
+	}
+	count, r.count, r.loggedAt = r.count, 0, now
+	return count, true
+}
+
+// logRejection tells what the rejection of a job for the backlog rests on. Called with the
+// lock held.
+func (s *service) logRejection(j *job, err error) {
+	var r *scheduler.Refusal
+	if !errors.As(err, &r) || r.Assessment == nil {
+		return
+	}
+	count, record := s.rejections.note(j.accepted)
+	if !record {
+		return
+	}
+	a := r.Assessment
+	eventBacklogRejected.Log(context.Background(), s.engine.opts.Logger,
+		slog.String("service", s.name), slog.String("job", string(j.id)), slog.Int("jobs", count),
+		slog.Int("tasks", len(j.Tasks)), slog.Int("pending", a.Pending), slog.Int("open", a.Open),
+		slog.Float64("slots", a.Slots), slog.Float64("rate", a.Rate), slog.Int("set_aside", a.SetAside),
+		millis("work_ms", a.Work), millis("longest_ms", a.Longest), millis("ahead_ms", a.Ahead), slog.Bool("learnt", a.Learnt),
+		millis("drain_ms", a.Drain), millis("allowed_ms", a.Allowed), millis("answer_time_ms", a.AnswerTime),
+		millis("retry_after_ms", r.RetryAfter))
+}
+
+func millis(key string, d time.Duration) slog.Attr { return slog.Int64(key, d.Milliseconds()) }
--- a/entry/engine/service.go
+++ b/entry/engine/service.go
@@ -23,8 +23,9 @@
 	jobs    map[scheduler.JobID]*job
 	timer   *time.Timer
 	// armed is when the timer fires; zero when it is not set.
-	armed   time.Time
-	stopped bool
+	armed      time.Time
+	stopped    bool
+	rejections rejections
 	// ended holds jobs whose end is reported once the lock is released.
 	ended []*job
 }
@@ -59,6 +60,7 @@
 		return &scheduler.Refusal{Err: scheduler.ErrDuplicateJob, RetryAfter: s.engine.opts.DrainRetry}
 	}
 	if err := s.decider.Admit(j.accepted, j.forScheduler()); err != nil {
+		s.logRejection(j, err)
 		return err
 	}
 	s.jobs[j.id] = j
