dispatch/scheduler: learnt run times that reject every job are retested

Callers of a service on bare endpoints got 429 backlog for as long as they asked (a minute, some 180 tries a second), although nothing was pending or open and 11 slots were free. It began when an entry had been suspended for some seconds.

Cause: a state that feeds itself. The runs that were open during the suspension were learnt with run times of seconds (1,483 ms for tasks of 30 ms, mean deviation 1,317 ms). The longest task alone then filled the part of the answer time that admission allows (2,800 of 4,000 ms), so every job was rejected, nothing ran, and nothing was learnt anew. Cold kinds were let through on an idle service, learnt ones never.

Ruled out: slots or tasks that were never given back (open 0, slots 11), a backlog that counts jobs which are over (pending 0).

Change: where no load would let a job through (admission.Gate.Feasible), one job of its client account is taken after 1 s, and again with doubled intervals up to 32 s. The first run that completes replaces what was learnt of its kind. Retry-After of the others is the time to the next one; they no longer book appointments that defer later jobs, which had brought Retry-After to 60 to 72 s on an idle service.

Why it works: the state ends with the first run that completes, and can't last longer than the interval. Jobs that really take too long are still rejected, but for one in a growing interval.

--- a/dispatch/admission/admission.go
+++ b/dispatch/admission/admission.go
@@ -118,6 +118,10 @@
 	if late <= 0 || g.trial(l, d) {
 		return Admitted, 0
 	}
+	if !g.Feasible(l, d) {
+		// It waits for no other job, so an appointment would only defer later ones.
+		return TooLate, g.Spread(min(late, g.opts.MaxRetry))
+	}
 	return TooLate, g.retryAfter(now, d, rate, late)
 }
 
@@ -145,7 +149,7 @@
 
 // RetryAfterNone is for a service of which no endpoint is known: a random time
 // of up to a second, in which one may announce itself.
-func (g *Gate) RetryAfterNone() time.Duration { return g.spread(time.Second) }
+func (g *Gate) RetryAfterNone() time.Duration { return g.Spread(time.Second) }
 
 // rate is the slots that the customer can count on: its fair share, or what the
 // others leave when that is more.
@@ -154,6 +158,12 @@
 	return max(least, l.Slots*l.Share, l.Slots-l.OthersRate)
 }
 
+// Feasible reports whether the job could be answered in time if it had the whole service
+// for itself.
+func (g *Gate) Feasible(l Load, d Demand) bool {
+	return g.Forecast(Load{Slots: l.Slots, Share: 1}, d).Lateness() <= 0
+}
+
 // drainTime is the time to serve the job and what goes before it. Smaller jobs of its
 // customer that wait go before it, and so do those that come while it waits: a large job
 // gets only what the stream of small ones leaves. A rush of small ones is taken
@@ -190,12 +200,12 @@
 		at = latest
 	}
 	g.returns[d.Customer] = at
-	return g.spread(at.Sub(now))
+	return g.Spread(at.Sub(now))
 }
 
-// spread adds a random part, so that those told the same moment, by several
+// Spread adds a random part, so that those told the same moment, by several
 // entries or at the longest wait, don't come in the same one.
-func (g *Gate) spread(wait time.Duration) time.Duration {
+func (g *Gate) Spread(wait time.Duration) time.Duration {
 	const part = 0.2
 	return max(g.opts.MinRetry, time.Duration(float64(wait)*(1+part*g.rng.Float64())))
 }
--- a/dispatch/estimate/estimate.go
+++ b/dispatch/estimate/estimate.go
@@ -158,6 +158,15 @@
 	return s.samples == 1 || s.samples == learntFrom
 }
 
+// Forget drops what was learnt of a kind.
+func (t *Table) Forget(customer, name string) {
+	k := key{customer, name}
+	if element := t.kinds[k]; element != nil {
+		delete(t.kinds, k)
+		t.recent.Remove(element)
+	}
+}
+
 func (t *Table) find(k key) *stat {
 	element := t.kinds[k]
 	if element == nil {
--- a/dispatch/scheduler/decide.go
+++ b/dispatch/scheduler/decide.go
@@ -30,8 +30,10 @@
 	gate    *admission.Gate
 	learnt  *estimate.Table
 	guesses guesses
-	health  *health.Monitor
-	budget  *retry.Budget
+	// retest is by customer, for those of whom jobs were rejected for their run times.
+	retest map[string]*retest
+	health *health.Monitor
+	budget *retry.Budget
 
 	// capacity is the slots that this entry can count on and usable the
 	// endpoints that aren't leaving, as of capacityAt.
@@ -57,6 +59,8 @@
 	runLimit time.Duration
 	open     int
 	attempts map[int]int
+	// retested are the kinds whose learnt run times the job's first runs replace.
+	retested map[string]struct{}
 	// avoid is the endpoint of the last start that has to be repeated.
 	avoid *endpoint
 }
@@ -76,6 +80,7 @@
 		gate:      admission.New(o.Admission, rng),
 		learnt:    estimate.New(o.Estimate),
 		guesses:   guesses{},
+		retest:    map[string]*retest{},
 		health:    health.New(o.health(rng)),
 		budget:    retry.New(o.Retry),
 	}
@@ -97,7 +102,13 @@
 	case verdict == admission.Full:
 		return &Refusal{Err: ErrQueueFull, RetryAfter: retryAfter}
 	case verdict == admission.TooLate && !s.opts.AdmitAll:
-		return &Refusal{Err: ErrBacklog, RetryAfter: retryAfter, Assessment: s.assess(load, demand)}
+		retest, wait := s.retestDue(now, state, load, demand)
+		if wait > 0 {
+			retryAfter = wait
+		}
+		if !retest {
+			return &Refusal{Err: ErrBacklog, RetryAfter: retryAfter, Assessment: s.assess(load, demand)}
+		}
 	}
 	s.jobs[job.ID] = state
 	s.admitted++
--- a/dispatch/scheduler/guess.go
+++ b/dispatch/scheduler/guess.go
@@ -54,6 +54,7 @@
 // than can be answered. A kind does so twice at most.
 func (s *Scheduler) learn(now time.Time, job *jobState, index int, run time.Duration) {
 	k := kindKey{job.Customer, job.kinds[index]}
+	s.relearn(job, k.kind)
 	if !s.learnt.Learn(k.customer, k.kind, run) {
 		return
 	}
