dispatch/planner: learnt run times that reject every job of a contract are retested

After a slow spell in which callers with ten seconds had their tasks served in four, callers with a second and a half were rejected at once as too_little_time, without end: the least run time is half of what was learnt, no job of the contract ran, so nothing was learnt anew.

Change: where learnt run times leave a caller no time and no run of the contract was learnt for 1 s, one job is taken, and again with doubled intervals up to 32 s. Its first run replaces what was learnt. While other jobs of the contract run, the rejection stands as before. Of 600 jobs that can't be done, 2 to 8 are started in a minute.

--- a/dispatch/planner/estimate.go
+++ b/dispatch/planner/estimate.go
@@ -15,12 +15,20 @@
 	// contract differ by a factor of two. What can't be done in the caller's time by
 	// this measure is not started: its caller would wait for nothing.
 	leastPart = 0.5
+	// firstRetest and maxRetest bound the interval between two jobs of a contract that are
+	// taken against its learnt run times.
+	firstRetest = time.Second
+	maxRetest   = 32 * time.Second
 )
 
 // estimate learns the run times of one contract's tasks.
 type estimate struct {
 	// ran and declared are means in seconds; zero before the first run.
 	ran, declared float64
+	// learntAt is when a run was last learnt.
+	learntAt time.Duration
+	// retestAt is the earliest time of the next retest, retestInterval the one after it.
+	retestAt, retestInterval time.Duration
 }
 
 func (p *Planner) estimate(contract string) *estimate {
@@ -56,7 +64,23 @@
 	return time.Duration(leastPart * float64(min(e.expect(declared), seconds(e.ran))))
 }
 
-func (e *estimate) learn(ran, declared time.Duration) {
+// retestDue reports whether a job is to be taken although the learnt run times leave its
+// caller no time, and takes note of it. While all such jobs are rejected nothing runs that
+// could correct what was learnt.
+func (e *estimate) retestDue(now time.Duration) bool {
+	if now-e.learntAt < firstRetest || now < e.retestAt {
+		return false
+	}
+	e.retestInterval = min(max(2*e.retestInterval, firstRetest), maxRetest)
+	e.retestAt = now + e.retestInterval
+	return true
+}
+
+// forget drops what was learnt.
+func (e *estimate) forget() { *e = estimate{} }
+
+func (e *estimate) learn(now, ran, declared time.Duration) {
+	e.learntAt = now
 	e.ran = mean(e.ran, ran.Seconds())
 	if declared > 0 {
 		e.declared = mean(e.declared, declared.Seconds())
--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -24,6 +24,8 @@
 	// longest chain of steps.
 	least      []time.Duration
 	leastChain time.Duration
+	// retest is true until the first run of a job that was taken against learnt run times.
+	retest bool
 	// begun is true once a start was ordered, ran once one has begun.
 	begun, ran bool
 	firstStart time.Duration
@@ -113,6 +115,13 @@
 	j.keepUntil = max(j.keepUntil, j.startBy)
 }
 
+// retestRunTimes has the job started whatever was learnt of its run times.
+func (j *job) retestRunTimes() {
+	j.retest = true
+	clear(j.least)
+	j.leastChain = 0
+}
+
 // lastStart is the latest start of work that takes at least so long and is done while
 // the caller waits.
 func (j *job) lastStart(least time.Duration) time.Duration {
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -177,7 +177,11 @@
 	}
 	j := newJob(now, deadline, w, t)
 	j.service = p.service(t.Service)
-	j.predict(p.estimate(t.Contract))
+	estimate := p.estimate(t.Contract)
+	j.predict(estimate)
+	if now > j.lastStart(j.leastChain) && estimate.retestDue(now) {
+		j.retestRunTimes()
+	}
 	p.jobs[w.ID] = j
 	j.service.inflow.add(now, j.coreTime()/milli)
 	switch fit := j.service.fits(j); {
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -125,7 +125,7 @@
 	e.service.pace += learnShare * (min(ratio, 4) - e.service.pace)
 	if e.health.speed() <= slowPace*e.service.pace {
 		// A slow runner's times say nothing of the tasks.
-		p.estimate(j.terms.Contract).learn(ran, j.work.Steps[t.step].Declared)
+		p.learn(now, j, ran, j.work.Steps[t.step].Declared)
 	}
 	if j.outcome != 0 {
 		return
@@ -142,6 +142,16 @@
 	p.end(now, j, Completed, WhyDone)
 }
 
+// learn takes the run time of a task. The first of a retest replaces what was learnt.
+func (p *Planner) learn(now time.Duration, j *job, ran, declared time.Duration) {
+	e := p.estimate(j.terms.Contract)
+	if j.retest {
+		j.retest = false
+		e.forget()
+	}
+	e.learn(now, ran, declared)
+}
+
 func (p *Planner) rate(s *service, wrong float64) {
 	s.failRate += learnShare * (wrong - s.failRate)
 }
--- /dev/null
+++ b/dispatch/planner/retest_test.go
@@ -0,0 +1,63 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"almondstand.dev/dispatch/work"
+)
+
+// slowSpell has runs of four seconds learnt, of callers who wait for ten, where one second
+// was usual.
+func (f *fleet) slowSpell() {
+	f.runFor("usual", time.Second)
+	for n := range 100 {
+		f.runFor(fmt.Sprint("slow", n), 4*time.Second)
+	}
+}
+
+func (f *fleet) runFor(id string, run time.Duration) {
+	w := work.Job{ID: id, Steps: []work.Step{{Count: 1, Need: core}}}
+	assert.Equal(f.t, f.Submit(f.now, f.now+10*time.Second, w, terms), Taken)
+	start := f.act().Starts[0]
+	f.now += run
+	f.Report(f.now, start.Endpoint, start.Run, Done, run)
+	f.act()
+}
+
+// Guards against rejecting all jobs of a contract for good once its run times, learnt in a
+// slow spell, leave its callers no time.
+func TestContractIsServedAgainAfterASlowSpell(t *testing.T) {
+	f := newFleet(t, 4)
+	f.slowSpell()
+	for n := range 40 {
+		f.now += 100 * ms
+		a := f.submit(fmt.Sprint(n), 1, 0)
+		if len(a.Starts) == 0 {
+			assert.Assert(t, n < 10, "job %d is still rejected", n)
+			continue
+		}
+		f.Report(f.now+50*ms, a.Starts[0].Endpoint, a.Starts[0].Run, Done, 50*ms)
+		f.act()
+	}
+}
+
+// Guards against starting job after job that can't end while its caller waits.
+func TestRetestsOfAContractThatTakesTooLongAreFew(t *testing.T) {
+	f := newFleet(t, 4)
+	f.slowSpell()
+	started := 0
+	for n := range 600 {
+		f.now += 100 * ms
+		a := f.submit(fmt.Sprint(n), 1, 0)
+		for _, s := range a.Starts {
+			started++
+			f.Cancel(f.now, s.Run.Task.Job)
+			f.Report(f.now, s.Endpoint, s.Run, Stopped, 0)
+		}
+	}
+	assert.Assert(t, started >= 2 && started <= 8, "%d started", started)
+}
