entry/fleet: time for which the entry did not run is no run time of a task

Suspended for two seconds or more it learnt these as the run time of every task that was open, here 1,483 ms for tasks of 30 ms, also above the run limit of 1,500 ms that it keeps itself.

telemetry/stall reads the clock every 50 ms and counts what a reading comes late beyond 50 ms, the part that no reading has seen yet included, so that whoever runs first after a resume has it too. A bare call's run time leaves that out.

Guards measure the run times of their runners by their own clocks; that the same happens there is suspected and not shown.

--- a/entry/fleet/bare/client.go
+++ b/entry/fleet/bare/client.go
@@ -60,6 +60,8 @@
 	keepAliveInterval  = time.Second
 	keepAliveCount     = 2
 	maxMessage         = 256
+	// leastRunTime is that of a call that ended within a stall: zero would mean unknown.
+	leastRunTime = time.Microsecond
 )
 
 // Options describe a client. Zero values take the defaults.
@@ -76,6 +78,8 @@
 	Idle time.Duration
 	// MaxAnswer bounds an answer in bytes.
 	MaxAnswer int64
+	// Stalled is the time for which this process has not run; nil counts none.
+	Stalled func() time.Duration
 }
 
 func (o Options) withDefaults() Options {
@@ -91,6 +95,9 @@
 	if o.MaxAnswer == 0 {
 		o.MaxAnswer = defaultMaxAnswer
 	}
+	if o.Stalled == nil {
+		o.Stalled = func() time.Duration { return 0 }
+	}
 	return o
 }
 
@@ -108,7 +115,9 @@
 type Answer struct {
 	Payload []byte
 	// Digest is the SHA-256 of the payload.
-	Digest  [sha256.Size]byte
+	Digest [sha256.Size]byte
+	// RunTime is the time that the call took, without the time for which this process did
+	// not run.
 	RunTime time.Duration
 }
 
@@ -116,6 +125,7 @@
 type Client struct {
 	url       string
 	maxAnswer int64
+	stalled   func() time.Duration
 	transport *http.Transport
 }
 
@@ -144,6 +154,7 @@
 	return &Client{
 		url:       "http://" + o.Address + "/v1/run",
 		maxAnswer: o.MaxAnswer,
+		stalled:   o.Stalled,
 		transport: transport,
 	}
 }
@@ -165,14 +176,14 @@
 	if err != nil {
 		return Answer{}, eris.Wrap(ErrNotSent, err.Error())
 	}
-	began := time.Now()
+	began, stalled := time.Now(), c.stalled()
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
 		return Answer{}, broken(ctx, connected.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	answer, err := c.read(ctx, resp)
-	answer.RunTime = time.Since(began)
+	answer.RunTime = max(time.Since(began)-(c.stalled()-stalled), leastRunTime)
 	return answer, err
 }
 
--- a/entry/fleet/bareendpoint.go
+++ b/entry/fleet/bareendpoint.go
@@ -121,6 +121,7 @@
 		Address:     e.address,
 		Connections: connections,
 		MaxAnswer:   int64(e.f.o.MaxMessage),
+		Stalled:     e.f.o.Stalled,
 	}))
 	if old != nil {
 		old.Close()
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -66,6 +66,8 @@
 	Control *telemetry.Control
 	// Now is the wall clock that stamps and expires bare endpoints.
 	Now func() time.Time
+	// Stalled is the time for which this process has not run; nil counts none.
+	Stalled func() time.Duration
 	// Rand returns a number in [0,1) that spreads retries and pings.
 	Rand func() float64
 }
@@ -105,6 +107,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.Stalled == nil {
+		o.Stalled = func() time.Duration { return 0 }
+	}
 	if o.Rand == nil {
 		o.Rand = rand.Float64
 	}
--- a/entry/node/node.go
+++ b/entry/node/node.go
@@ -24,6 +24,7 @@
 	"almondstand.dev/entry/submission"
 	"almondstand.dev/platform/etcd"
 	"almondstand.dev/telemetry"
+	"almondstand.dev/telemetry/stall"
 )
 
 // ErrStart means that the entry could not start; the wrapped error says why.
@@ -46,6 +47,7 @@
 	metrics *telemetry.Metrics
 	control *telemetry.Control
 	ready   telemetry.Ready
+	stalls  *stall.Meter
 
 	store     *etcd.Client
 	members   *member.Table
@@ -76,6 +78,7 @@
 		logger:      o.Logger,
 		incarnation: uint64(now.UnixNano()),
 		metrics:     telemetry.NewMetrics("almondstand"),
+		stalls:      stall.New(),
 		recorder:    burn.NewRecorder(now),
 	}
 	n.control = telemetry.NewControl(n.metrics.Scope)
@@ -208,6 +211,7 @@
 		Scope:   n.metrics.Scope,
 		Now:     time.Now,
 		Rand:    rand.Float64,
+		Stalled: n.stalls.Total,
 	})
 	starter.Starter = n.fleet
 }
--- a/entry/node/run.go
+++ b/entry/node/run.go
@@ -62,6 +62,7 @@
 // addLoops adds the parts that run by themselves. Each is stopped when the
 // first actor returns, which in a graceful shutdown is the drain.
 func (n *Node) addLoops(g *run.Group) {
+	n.addLoop(g, "stalls", n.stalls.Run)
 	n.addLoop(g, "registrar", n.registrar.Run)
 	n.addLoop(g, "contracts", n.registry.Run)
 	n.addLoop(g, "peers", n.peers.Run)
