entry/quota: a suspended share resumes with the replies of several peers

Client accounts got 429 over_quota from an entry with a third of a limit of 20,000 tasks a second while some hundred were asked for. The entry had heard neither the store nor a peer for the isolation time, for instance because it was suspended, and had suspended its share. With two live peers or more it never resumed it: it lived on loans from then on.

Cause: a reply counted only if it was asked no earlier than the newest contact, and each reply is a contact. Replies of two peers never begin in the same instant, so each made the other one too old.

Change: a reply counts if it was asked after the last contact before the isolation and no longer ago than the isolation, which also leaves out those from before a second isolation and those that lay in a socket during a pause. The field that held the newest contact goes.

TestSuspendedShareResumesWithRepliesOfAllPeers fails before.

--- a/entry/quota/holder.go
+++ b/entry/quota/holder.go
@@ -78,10 +78,8 @@
 	suspended bool
 	// lastContact is the contact before the isolation.
 	lastContact time.Time
-	// resumed is the first contact after it.
-	resumed time.Time
-	settled bool
-	replies map[PeerID]Confirmation
+	settled     bool
+	replies     map[PeerID]Confirmation
 }
 
 // NewHolder returns a holder of nothing.
@@ -113,6 +111,10 @@
 // Holding reports whether this entry holds a share and may use it.
 func (h *Holder) Holding() bool { return h.holding && !h.suspended }
 
+// Suspended reports whether this entry holds a share that it may not use until its peers
+// have confirmed it anew.
+func (h *Holder) Suspended() bool { return h.holding && h.suspended }
+
 // Cold reports whether this entry has no share and knows of no entry that has one
 // to lend.
 func (h *Holder) Cold() bool { return !h.Holding() && !h.hearsHolder() }
@@ -206,31 +208,33 @@
 	// Either the share was suspended, or this entry was paused through the whole of
 	// its isolation and only now looks again.
 	h.suspend(h.lastContact)
-	if h.resumed.IsZero() {
-		h.resumed = s.Contact
-	}
-	h.resume(s)
+	h.resume(now, s)
 }
 
 func (h *Holder) suspend(contact time.Time) {
-	if !h.suspended {
-		h.suspended = true
-		h.lastContact = contact
-		eventSuspended.Log(context.Background(), h.logger)
-	}
-	if !contact.After(h.lastContact) {
-		h.resumed = time.Time{}
+	if h.suspended {
+		return
 	}
+	h.suspended = true
+	h.lastContact = contact
+	eventSuspended.Log(context.Background(), h.logger)
+}
+
+// confirmedSince reports whether the peer has replied to a question that was asked since
+// the last contact, and a short while ago: one that lay in a socket while this entry was
+// paused does not count, as the peer may have counted it out since.
+func (h *Holder) confirmedSince(now time.Time, p PeerID) bool {
+	c, known := h.replies[p]
+	return known && c.AskedAt.After(h.lastContact) && now.Sub(c.AskedAt) <= h.isolation
 }
 
-// resume waits for a reply of every peer that answers, begun after the isolation;
+// resume waits for a reply of every peer that answers, begun after the last contact;
 // where none does, for a list of the store: an entry that was alone may have been
 // joined by others meanwhile.
-func (h *Holder) resume(s Surroundings) {
+func (h *Holder) resume(now time.Time, s Surroundings) {
 	heard := 0
 	for _, p := range s.Peers {
-		c, known := h.replies[p]
-		fresh := known && !c.AskedAt.Before(h.resumed)
+		fresh := h.confirmedSince(now, p)
 		if !fresh && s.Live[p] {
 			return
 		}
@@ -238,8 +242,8 @@
 			continue
 		}
 		heard++
-		if !c.Counted || c.AskedAt.Add(-c.CountedFor).After(h.lastContact) {
-			h.rejoin(s)
+		if c := h.replies[p]; !c.Counted || c.AskedAt.Add(-c.CountedFor).After(h.lastContact) {
+			h.rejoin(now, s)
 			return
 		}
 	}
@@ -247,19 +251,19 @@
 		return
 	}
 	if heard == 0 && len(s.Peers) > 0 {
-		h.rejoin(s)
+		h.rejoin(now, s)
 		return
 	}
 	h.endIsolation(s)
 }
 
-func (h *Holder) rejoin(s Surroundings) {
+func (h *Holder) rejoin(now time.Time, s Surroundings) {
 	h.holding = false
 	h.settled = false
 	h.rooted = false
 	h.root(s.Rooted, s.Contact)
 	for p, c := range h.replies {
-		if c.AskedAt.Before(h.resumed) {
+		if !h.confirmedSince(now, p) {
 			delete(h.replies, p)
 			continue
 		}
@@ -271,6 +275,5 @@
 
 func (h *Holder) endIsolation(s Surroundings) {
 	h.suspended = false
-	h.resumed = time.Time{}
 	h.lastContact = s.Contact
 }
--- a/entry/quota/holder_test.go
+++ b/entry/quota/holder_test.go
@@ -75,6 +75,40 @@
 	assert.Assert(t, h.Decide(thaw, s).Holding)
 }
 
+// Guards against a suspended share that is never resumed because the replies of several
+// peers don't begin in the same instant.
+func TestSuspendedShareResumesWithRepliesOfAllPeers(t *testing.T) {
+	h := NewHolder(0, nil)
+	h.Confirm(peerA, counted(start, time.Minute))
+	h.Confirm(peerB, counted(start, time.Minute))
+	assert.Assert(t, h.Decide(start, around(start, peerA, peerB)).Holding)
+	now := start.Add(DefaultIsolation + time.Second)
+	assert.Assert(t, !h.Decide(now, around(start, peerA, peerB)).Holding)
+	first, second := now.Add(time.Millisecond), now.Add(2*time.Millisecond)
+	h.Confirm(peerA, counted(first, 2*time.Minute))
+	assert.Assert(t, !h.Decide(first, around(first, peerA, peerB)).Holding, "one of two replies")
+	h.Confirm(peerB, counted(second, 2*time.Minute))
+	assert.Assert(t, h.Decide(second, around(second, peerA, peerB)).Holding)
+}
+
+// Guards against a share that is resumed by replies from before a second isolation.
+func TestRepliesBeforeASecondIsolationDoNotCount(t *testing.T) {
+	h := NewHolder(0, nil)
+	h.Confirm(peerA, counted(start, time.Minute))
+	h.Confirm(peerB, counted(start, time.Minute))
+	assert.Assert(t, h.Decide(start, around(start, peerA, peerB)).Holding)
+	now := start.Add(DefaultIsolation + time.Second)
+	assert.Assert(t, !h.Decide(now, around(start, peerA, peerB)).Holding)
+	h.Confirm(peerA, counted(now, 2*time.Minute))
+	assert.Assert(t, !h.Decide(now, around(now, peerA, peerB)).Holding)
+	again := now.Add(DefaultIsolation + time.Second)
+	assert.Assert(t, !h.Decide(again, around(now, peerA, peerB)).Holding)
+	h.Confirm(peerB, counted(again, 2*time.Minute))
+	assert.Assert(t, !h.Decide(again, around(again, peerA, peerB)).Holding)
+	h.Confirm(peerA, counted(again, 2*time.Minute))
+	assert.Assert(t, h.Decide(again, around(again, peerA, peerB)).Holding)
+}
+
 // A lender is replaced by a new process of its id, which joins with a full share
 // and does not know what its predecessor lent. The borrower drops the loan before
 // it counts the new one.
