entry/peer: an entry that was suspended rechecks before it rejects

Cause: contact counts from the beginning of the last exchange that was answered. A round that found the exchange of an earlier one under way left the peer out; when that exchange then timed out, at both peers at once as the entry itself was late, the next came with the next round, 0.8 to 1 s later.

Change: an exchange that a round found under way is followed by another at once. New work at an entry that is isolated, or whose share is suspended, by what it has heard so far waits for one immediate round, 150 ms at most, at most once in the interval of the rounds; all of it waits for the same round. An entry that really hears nobody rejects as before. What a suspended entry gives up first stays: the share is suspended and confirmed anew.

--- /dev/null
+++ b/e2e/suspend_test.go
@@ -0,0 +1,29 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"almondstand.dev/e2e/harness"
+	"almondstand.dev/standin/store"
+)
+
+// Guards against an entry that takes the time for which it was suspended for the silence of
+// the store and of its peers.
+func TestSuspendedEntryRejectsNobody(t *testing.T) {
+	const suspended, between = 1700 * time.Millisecond, 700 * time.Millisecond
+	sideBySide(t)
+	c, _ := startCluster(t, harness.Options{Entries: 3, Guards: 2, EntrySettings: hasty})
+	v := underLoad(t, c, c.Entries, func() {
+		c.Store.SetMode(store.Refuse)
+		c.Store.CutWatches()
+		for range 5 {
+			c.Entries[0].Freeze()
+			time.Sleep(suspended)
+			c.Entries[0].Thaw()
+			time.Sleep(between)
+		}
+		c.Store.SetMode(store.Up)
+	})
+	assertAllComplete(t, v)
+}
--- a/entry/api/api_test.go
+++ b/entry/api/api_test.go
@@ -84,7 +84,9 @@
 	return f.forward(r)
 }
 
-func (f *fakes) MayServe(time.Time) (bool, time.Duration) { return !f.closed, 1500 * time.Millisecond }
+func (f *fakes) AwaitServe(context.Context) (bool, time.Duration) {
+	return !f.closed, 1500 * time.Millisecond
+}
 
 func (f *fakes) Record(_ time.Time, o burn.Observation) {
 	f.mu.Lock()
--- a/entry/api/auth.go
+++ b/entry/api/auth.go
@@ -22,7 +22,7 @@
 		// An entry that starts during an outage, or is cut off, may lack the
 		// caller's contract. A 401 would tell a customer in good standing that its
 		// token is wrong for good; it comes back instead, here or elsewhere.
-		if f := s.checkGate(); f != nil {
+		if f := s.checkGate(r.Context()); f != nil {
 			return contract.Contract{}, f
 		}
 	}
--- a/entry/api/handlers.go
+++ b/entry/api/handlers.go
@@ -31,7 +31,7 @@
 		s.writeFailure(w, "", notRun(http.StatusBadRequest, CodeBadRequest, "%s", err))
 		return
 	}
-	if f := s.checkServing(c); f != nil {
+	if f := s.checkServing(r.Context(), c); f != nil {
 		s.writeFailure(w, "", f)
 		return
 	}
--- a/entry/api/owner.go
+++ b/entry/api/owner.go
@@ -109,7 +109,7 @@
 	if !known {
 		return notNow(http.StatusServiceUnavailable, CodeBusy, s.opts.RetryAfter, "the contract is not known here yet").answer(j.text), burn.RefusedWithin
 	}
-	if f := s.checkServing(c); f != nil {
+	if f := s.checkServing(ctx, c); f != nil {
 		return f.answer(j.text), refusedKind(f)
 	}
 	request, f := s.decode(c, j.body.bytes)
@@ -137,19 +137,19 @@
 }
 
 // checkServing refuses new work that this entry may not take now.
-func (s *Server) checkServing(c contract.Contract) *failure {
+func (s *Server) checkServing(ctx context.Context, c contract.Contract) *failure {
 	if f := checkActive(c); f != nil {
 		return f
 	}
 	if s.opts.Engine.Draining() {
 		return s.draining()
 	}
-	return s.checkGate()
+	return s.checkGate(ctx)
 }
 
 // checkGate refuses while this entry may have missed a change of configuration.
-func (s *Server) checkGate() *failure {
-	if ok, retryAfter := s.opts.Gate.MayServe(s.now()); !ok {
+func (s *Server) checkGate(ctx context.Context) *failure {
+	if ok, retryAfter := s.opts.Gate.AwaitServe(ctx); !ok {
 		return notNow(http.StatusServiceUnavailable, CodeIsolated, max(retryAfter, time.Millisecond),
 			"this entry hears neither the store nor another entry")
 	}
--- a/entry/api/server.go
+++ b/entry/api/server.go
@@ -42,7 +42,8 @@
 // Gate says whether this entry may take new work. It may not when it may be the
 // only one that missed a change of configuration.
 type Gate interface {
-	MayServe(now time.Time) (ok bool, retryAfter time.Duration)
+	// AwaitServe may take a moment when the answer is in doubt.
+	AwaitServe(ctx context.Context) (ok bool, retryAfter time.Duration)
 }
 
 // Recorder takes one observation for each job that ended. Jobs that their
--- a/entry/peer/exchange.go
+++ b/entry/peer/exchange.go
@@ -14,14 +14,24 @@
 	"almondstand.dev/wire/wirev1/wirev1connect"
 )
 
-// exchangeWith asks one peer once.
+// exchangeWith asks one peer. A round that finds the exchange of an earlier one under way
+// is made up for when that ends: an answer counts from the time of its question, and after
+// a time-out the next round may come too late.
 func (p *Peers) exchangeWith(ctx context.Context, target member.Info) {
-	id := quota.PeerID{ID: target.ID, Incarnation: target.Incarnation}
-	s := p.state(id)
+	s := p.state(quota.PeerID{ID: target.ID, Incarnation: target.Incarnation})
 	if !s.begin() {
 		return
 	}
-	defer s.end()
+	p.exchangeOnce(ctx, target, s)
+	for s.end() {
+		if ctx.Err() == nil {
+			p.exchangeOnce(ctx, target, s)
+		}
+	}
+}
+
+func (p *Peers) exchangeOnce(ctx context.Context, target member.Info, s *state) {
+	id := quota.PeerID{ID: target.ID, Incarnation: target.Incarnation}
 	from, err := p.exchange(ctx, p.pool.client(target.Address), id, s)
 	if err == nil && from == id {
 		return
--- a/entry/peer/peer.go
+++ b/entry/peer/peer.go
@@ -165,8 +165,11 @@
 	decided atomic.Pointer[time.Time]
 	// cold: this entry has no share, and knows of nobody to borrow from.
 	cold atomic.Bool
-	gate gate
-	left atomic.Bool
+	// suspended: the share is, until the peers have confirmed it anew.
+	suspended atomic.Bool
+	recheck   recheck
+	gate      gate
+	left      atomic.Bool
 	// guards is how far the joining has got with the peers' guards.
 	guards guardJoin
 
--- a/entry/peer/share.go
+++ b/entry/peer/share.go
@@ -34,6 +34,7 @@
 	p.shares = present
 	p.decided.Store(&s.Contact)
 	p.cold.Store(p.holder.Cold())
+	p.suspended.Store(p.holder.Suspended())
 }
 
 func (p *Peers) surroundings(now time.Time) quota.Surroundings {
--- a/entry/peer/state.go
+++ b/entry/peer/state.go
@@ -12,8 +12,8 @@
 // peer.
 type state struct {
 	mu sync.Mutex
-	// busy: an exchange is under way.
-	busy bool
+	// busy: an exchange is under way. again: a round has found it so.
+	busy, again bool
 	// sendAll: the peer counts other entries than this one; tell it all.
 	sendAll bool
 	// bare holds the newest stamp of each bare endpoint that the peer has told or
@@ -53,21 +53,25 @@
 	}
 }
 
-// begin reports whether no exchange was under way.
+// begin reports whether no exchange was under way. One that is has another follow it.
 func (s *state) begin() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.busy {
+		s.again = true
 		return false
 	}
 	s.busy = true
 	return true
 }
 
-func (s *state) end() {
+// end reports whether another exchange is to follow at once, which is then under way.
+func (s *state) end() (again bool) {
 	s.mu.Lock()
-	s.busy = false
-	s.mu.Unlock()
+	defer s.mu.Unlock()
+	again, s.again = s.again, false
+	s.busy = again
+	return again
 }
 
 // leavingFor is how long a peer is told again and again that an endpoint leaves.
