entry/fleet: first handshakes keep to what the entry's processor time allows

Callers of an entry that joined on a host short of processor time met guards that were missing from it although they lived, and tasks that waited for sessions opened anew.

Cause: 64 first handshakes, each a new connection, were started at once. On a late entry all were late together: answers came after the deadline, each handshake was repeated over a new connection and opened a second session, and after the silence limit the guard was dropped. Answers that stayed away let more start after 250 ms. The entry's own lateness counted as the guards' silence.

Change: a limit on the first handshakes under way that adapts to how long answers take (4 at first, one more with each fast answer, half after a slow one, 2 to 64). It holds for guards that announce themselves as for those that a peer has named. A silent guard gives its place back after 250 ms as before and leaves the limit as it is. The time for an answer has four times the usual time of answers added, and it, the ping's and the silence after which a guard is given up leave out the time for which the entry itself did not run (telemetry/stall, read every 20 ms now), for at most four times their length.

Why it works: the handshakes under way fit what the entry gets done in time, so that the time an answer takes is the guard's, and what is left of the entry's lateness is measured.

Alternatives considered: a late answer is taken while a second handshake is under way (two sessions at the guard); more handshakes where answers stay away (what was there).

--- a/entry/fleet/announce.go
+++ b/entry/fleet/announce.go
@@ -123,9 +123,9 @@
 }
 
 // add starts keeping a guard; f.mu is held.
-func (f *Fleet) add(r *wirev1.AnnounceRequest, greeting *greeting) *guard {
+func (f *Fleet) add(r *wirev1.AnnounceRequest, h *handshake) *guard {
 	g := newGuard(f, r)
-	g.greeting = greeting
+	g.handshake = h
 	f.newest[g.name] = g
 	f.addEndpoint(g.id, g)
 	f.guards.Add(1)
@@ -143,9 +143,9 @@
 	f.mu.Unlock()
 	f.guards.Add(-1)
 	g.withdraw()
-	g.greeting.settle()
+	g.handshake.settle()
 	if g.named() {
-		g.droppedUnmet()
+		g.droppedUnconfirmed()
 		return
 	}
 	if f.ctx.Err() == nil && !g.isLeaving() && !g.superseded.Load() {
--- a/entry/fleet/fleet.go
+++ b/entry/fleet/fleet.go
@@ -19,8 +19,10 @@
 
 	"almondstand.dev/dispatch/scheduler"
 	"almondstand.dev/entry/fleet/attach"
+	"almondstand.dev/entry/fleet/limit"
 	"almondstand.dev/entry/task"
 	"almondstand.dev/telemetry"
+	"almondstand.dev/telemetry/stall"
 	"almondstand.dev/wire/wirev1"
 )
 
@@ -66,7 +68,7 @@
 	Control *telemetry.Control
 	// Now is the wall clock that stamps and expires bare endpoints.
 	Now func() time.Time
-	// Stalled is the time for which this process has not run; nil counts none.
+	// Stalled is the time for which this process has not run; nil has the fleet measure it.
 	Stalled func() time.Duration
 	// Rand returns a number in [0,1) that spreads retries and pings.
 	Rand func() float64
@@ -107,9 +109,6 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
-	if o.Stalled == nil {
-		o.Stalled = func() time.Duration { return 0 }
-	}
 	if o.Rand == nil {
 		o.Rand = rand.Float64
 	}
@@ -139,6 +138,10 @@
 	// endpoints is read on the path of every start and replaced under mu.
 	endpoints atomic.Pointer[endpointMap]
 	guards    atomic.Int64
+	// handshakes bounds the first handshakes with guards that are under way.
+	handshakes *limit.Limit
+	// stalls is nil when the owner measures them.
+	stalls *stall.Meter
 
 	mu     sync.Mutex
 	closed bool
@@ -160,6 +163,11 @@
 		cancel: cancel,
 		newest: map[string]*guard{},
 	}
+	if o.Stalled == nil {
+		f.stalls = stall.New()
+		f.o.Stalled = f.stalls.Total
+	}
+	f.handshakes = newHandshakeLimit(o.Timing.CallTimeout)
 	f.endpoints.Store(&endpointMap{})
 	f.bare = newBareTable(f)
 	return f
@@ -168,6 +176,9 @@
 // Run keeps the fleet until ctx ends, then closes every connection. Starts that
 // are open then end as lost: drain them first.
 func (f *Fleet) Run(ctx context.Context) error {
+	if f.stalls != nil {
+		f.wg.Go(func() { _ = f.stalls.Run(f.ctx) })
+	}
 	sweep := time.NewTicker(f.o.Timing.Sweep)
 	defer sweep.Stop()
 	divide := time.NewTicker(f.o.Timing.Divide)
--- a/entry/fleet/greet.go
+++ b/entry/fleet/greet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondstand.dev/entry/fleet/attach"
+	"almondstand.dev/entry/fleet/limit"
 	"almondstand.dev/wire/wirev1"
 )
 
@@ -16,26 +17,72 @@
 	MaxNamed = 10_000
 	// maxNamedText bounds each text of a name, bytes.
 	maxNamedText = 256
-	// greetAtOnce bounds the greetings under way: each opens a connection.
+	// greetAtOnce bounds the first handshakes under way: each opens a connection.
 	greetAtOnce = 64
+	// greetFirst and greetLeast are the bound at the beginning, and the least to which
+	// slow answers take it.
+	greetFirst, greetLeast = 4, 2
 	// greetHold is how long one that gets no answer counts as under way, so that
 	// the silent guards of a lost rack do not hold up the others.
 	greetHold = 250 * time.Millisecond
+	// timeoutFactor times the usual time of an answer is added to CallTimeout.
+	timeoutFactor = 4
+	// Parts of CallTimeout within which an answer is fast, and above which it is slow.
+	fastPart, slowPart = 8, 4
 )
 
-// greeting is the first Hello to a guard that a peer named.
-type greeting struct {
-	// vouched: the guard answered as it was named, or announced itself.
-	vouched atomic.Bool
-	once    sync.Once
+func newHandshakeLimit(callTimeout time.Duration) *limit.Limit {
+	return limit.New(limit.Options{
+		First: greetFirst, Least: greetLeast, Most: greetAtOnce,
+		Fast: callTimeout / fastPart, Slow: callTimeout / slowPart,
+	})
+}
+
+// helloTimeout is longer than CallTimeout while all answers take long: the entry is late
+// then, and a handshake that is repeated opens a second session.
+func (f *Fleet) helloTimeout() time.Duration {
+	t := &f.o.Timing
+	return min(t.CallTimeout+timeoutFactor*f.handshakes.Typical(), max(t.Lost, t.CallTimeout))
+}
+
+// handshakeTurn is the place of one first handshake among those under way.
+type handshakeTurn struct {
+	limit *limit.Limit
+	hold  *time.Timer
+}
+
+// handshakeTurn waits for a place; false when ctx ended first.
+func (f *Fleet) handshakeTurn(ctx context.Context) (handshakeTurn, bool) {
+	if !f.handshakes.Acquire(ctx) {
+		return handshakeTurn{}, false
+	}
+	return handshakeTurn{f.handshakes, time.AfterFunc(greetHold, f.handshakes.Release)}, true
+}
+
+// end gives the place back, unless it was held for too long.
+func (t handshakeTurn) end(answered bool, took time.Duration) {
+	switch {
+	case !t.hold.Stop():
+	case answered:
+		t.limit.Answered(took)
+	default:
+		t.limit.Release()
+	}
+}
+
+// handshake is the first Hello to a guard that a peer named.
+type handshake struct {
+	// confirmed: the guard answered as it was named, or announced itself.
+	confirmed atomic.Bool
+	once      sync.Once
 	// settled is closed when the guard takes work or was dropped.
 	settled chan struct{}
 }
 
-// settle is for any guard: a nil greeting is none.
-func (g *greeting) settle() {
-	if g != nil {
-		g.once.Do(func() { close(g.settled) })
+// settle is for any guard: a nil handshake is none.
+func (h *handshake) settle() {
+	if h != nil {
+		h.once.Do(func() { close(h.settled) })
 	}
 }
 
@@ -91,7 +138,7 @@
 }
 
 // Greet opens sessions with guards that a peer named and returns when each has
-// answered or was dropped, or ctx ends. The order is random, and few are greeted
+// answered or was dropped, or ctx ends. The order is random, and few are called
 // at a time: entries that join together would else call the guards in step.
 func (f *Fleet) Greet(ctx context.Context, named []*wirev1.GuardHint) {
 	named = slices.Clone(named[:min(len(named), MaxNamed)])
@@ -99,36 +146,18 @@
 		j := i + int(f.o.Rand()*float64(len(named)-i))
 		named[i], named[j] = named[j], named[i]
 	}
-	slots := make(chan struct{}, greetAtOnce)
-	var greetings sync.WaitGroup
-	defer greetings.Wait()
+	var taken []*guard
 	for _, h := range named {
+		if g := f.takeNamed(h); g != nil {
+			taken = append(taken, g)
+		}
+	}
+	for _, g := range taken {
 		select {
-		case slots <- struct{}{}:
+		case <-g.handshake.settled:
 		case <-ctx.Done():
 			return
 		}
-		g := f.takeNamed(h)
-		if g == nil {
-			<-slots
-			continue
-		}
-		greetings.Go(func() {
-			g.greeting.await(ctx, greetHold)
-			<-slots
-			g.greeting.await(ctx, f.o.Timing.Lost+f.o.Timing.CallTimeout)
-		})
-	}
-}
-
-// await waits until the greeting is settled, the time has passed or ctx ended.
-func (g *greeting) await(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-g.settled:
-	case <-timer.C:
-	case <-ctx.Done():
 	}
 }
 
@@ -156,10 +185,10 @@
 	if f.closed || f.newest[r.GetGuardId()] != nil {
 		return nil
 	}
-	return f.add(r, &greeting{settled: make(chan struct{})})
+	return f.add(r, &handshake{settled: make(chan struct{})})
 }
 
-// overNamed makes way for an announcement: it stands above a peer's word, whose
+// overNamed makes way for an announcement: it overrides a hint from a peer, whose
 // incarnation may be made up and would shut the guard out. It returns the guard
 // that counts as known; f.mu is held.
 func (f *Fleet) overNamed(newest *guard, r *wirev1.AnnounceRequest) *guard {
@@ -169,20 +198,20 @@
 	same := newest.incarnation == r.GetGuardIncarnation() && newest.address == r.GetAddress() &&
 		newest.service == r.GetService() && newest.zone == r.GetZone()
 	if same {
-		newest.greeting.vouched.Store(true)
+		newest.handshake.confirmed.Store(true)
 		return newest
 	}
 	newest.supersede()
 	return nil
 }
 
-// named reports whether only a peer's word stands for the guard.
-func (g *guard) named() bool { return g.greeting != nil && !g.greeting.vouched.Load() }
+// named reports whether only a hint from a peer stands for the guard.
+func (g *guard) named() bool { return g.handshake != nil && !g.handshake.confirmed.Load() }
 
-// vouched takes the guard's own answer to Hello, which alone decides; false when
+// confirmed takes the guard's own answer to Hello, which alone decides; false when
 // the guard is another than was named, or leaves.
-func (g *guard) vouched(r *wirev1.HelloResponse) bool {
-	if g.greeting == nil {
+func (g *guard) confirmed(r *wirev1.HelloResponse) bool {
+	if g.handshake == nil {
 		return true
 	}
 	g.f.mu.Lock()
@@ -193,16 +222,16 @@
 	if g.superseded.Load() || r.GetLoad().GetLeaving() || r.GetService() != g.service || r.GetZone() != g.zone {
 		return false
 	}
-	g.greeting.vouched.Store(true)
+	g.handshake.confirmed.Store(true)
 	return true
 }
 
-// namedInVain reports whether nothing listens where a peer said the guard was. It
+// hintUnreachable reports whether nothing listens where a peer said the guard was. It
 // is not waited for: a guard that lives announces itself.
-func (g *guard) namedInVain(err error) bool { return g.named() && refusesConnections(err) }
+func (g *guard) hintUnreachable(err error) bool { return g.named() && refusesConnections(err) }
 
-// droppedUnmet ends a guard that never answered as it was named.
-func (g *guard) droppedUnmet() {
+// droppedUnconfirmed ends a guard that never answered as it was named.
+func (g *guard) droppedUnconfirmed() {
 	if g.f.ctx.Err() == nil {
 		eventNamedDropped.Log(g.f.ctx, g.f.logger, g.attrs()...)
 	}
--- a/entry/fleet/guard.go
+++ b/entry/fleet/guard.go
@@ -33,15 +33,17 @@
 	superseded atomic.Bool
 	// suspect is true from a failed ping to the next answer.
 	suspect atomic.Bool
-	// silentSince is when it became suspect (monotonic); the keeper's own.
+	// silentSince is when it became suspect (Fleet.awake); the keeper's own.
 	silentSince time.Duration
 	// alarmed asks the keeper for a ping at once.
 	alarmed atomic.Bool
 	// inflight counts the open starts of every session.
 	inflight atomic.Int64
 
-	// greeting is nil unless a peer named the guard before it announced itself.
-	greeting *greeting
+	// handshake is nil unless a peer named the guard before it announced itself.
+	handshake *handshake
+	// met is true once a handshake has begun; the keeper's own.
+	met bool
 
 	// wake interrupts the keeper's pause; dozing tells whether that is long.
 	wake   chan struct{}
--- a/entry/fleet/keeper.go
+++ b/entry/fleet/keeper.go
@@ -99,7 +99,7 @@
 
 // keep holds the session until the guard is lost or ctx ends.
 func (g *guard) keep(ctx context.Context) {
-	for g.hello(ctx) && g.watch(ctx) {
+	for g.meet(ctx) && g.watch(ctx) {
 		g.session.Store(nil)
 	}
 	g.session.Store(nil)
@@ -122,9 +122,25 @@
 	g.closeRescue()
 }
 
+// meet is hello; the first with a guard waits for its turn.
+func (g *guard) meet(ctx context.Context) bool {
+	if g.met {
+		return g.hello(ctx)
+	}
+	g.met = true
+	turn, ok := g.f.handshakeTurn(ctx)
+	if !ok {
+		return false
+	}
+	began := monotonic()
+	opened := g.hello(ctx)
+	turn.end(opened, monotonic()-began)
+	return opened
+}
+
 // hello opens a session; false when the guard is lost or another incarnation.
 func (g *guard) hello(ctx context.Context) bool {
-	began := monotonic()
+	began := g.f.awake()
 	pauses := g.f.newBackoff()
 	for ctx.Err() == nil {
 		resp, sent, err := g.sayHello(ctx)
@@ -133,7 +149,7 @@
 		}
 		eventHelloFailed.Log(ctx, g.f.logger, append(g.attrs(), slog.Any("error", err))...)
 		g.failing()
-		if g.superseded.Load() || g.namedInVain(err) || monotonic()-began > g.f.o.Timing.Lost {
+		if g.superseded.Load() || g.hintUnreachable(err) || g.f.awake()-began > g.f.o.Timing.Lost {
 			return false
 		}
 		if !uptime.Sleep(ctx, pauses.pause()) {
@@ -144,7 +160,7 @@
 }
 
 func (g *guard) sayHello(ctx context.Context) (*wirev1.HelloResponse, time.Duration, error) {
-	ctx, cancel := context.WithTimeout(ctx, g.f.o.Timing.CallTimeout)
+	ctx, cancel := g.f.withTimeout(ctx, g.f.helloTimeout())
 	defer cancel()
 	req := &wirev1.HelloRequest{
 		EntryId:          g.f.o.EntryID,
@@ -168,14 +184,14 @@
 		// The address belongs to another process by now, which announces itself.
 		return false
 	}
-	if !g.vouched(r) {
+	if !g.confirmed(r) {
 		return false
 	}
 	g.suspect.Store(false)
 	g.session.Store(newSession(r, sent))
 	g.publish(r.GetLoad())
 	g.noteAnnounced()
-	g.greeting.settle()
+	g.handshake.settle()
 	if !g.resting.Swap(false) {
 		eventGuardJoined.Log(g.f.ctx, g.f.logger, g.attrs()...)
 	}
@@ -332,7 +348,7 @@
 		return pingUnknown
 	}
 	g.failing()
-	if g.superseded.Load() || monotonic()-g.silentSince > g.f.o.Timing.Lost {
+	if g.superseded.Load() || g.f.awake()-g.silentSince > g.f.o.Timing.Lost {
 		return pingLost
 	}
 	return pingSilent
@@ -342,7 +358,7 @@
 var errUnknownSession = errors.New("guard does not know the session")
 
 func (g *guard) pingOnce(ctx context.Context, s *session) error {
-	ctx, cancel := context.WithTimeout(ctx, g.f.o.Timing.PingTimeout)
+	ctx, cancel := g.f.withTimeout(ctx, g.f.o.Timing.PingTimeout)
 	defer cancel()
 	req := &wirev1.PingRequest{
 		Session:          s.id,
@@ -372,7 +388,7 @@
 // bounded silence and comes back with its first answer.
 func (g *guard) failing() {
 	if g.suspect.CompareAndSwap(false, true) {
-		g.silentSince = monotonic()
+		g.silentSince = g.f.awake()
 	}
 	g.withdraw()
 }
--- a/entry/fleet/rest.go
+++ b/entry/fleet/rest.go
@@ -76,7 +76,7 @@
 // awaken has a resting guard greeted and returns the new session; nil when none
 // came. Several starts may wait for the same one.
 func (g *guard) awaken(ctx context.Context, deadline time.Time) *session {
-	// The greeting itself ends within CallTimeout.
+	// The handshake itself ends within CallTimeout.
 	until := time.Now().Add(g.f.o.Timing.CallTimeout + g.f.o.Timing.PingTimeout)
 	if deadline.Before(until) {
 		until = deadline
--- a/telemetry/stall/stall.go
+++ b/telemetry/stall/stall.go
@@ -13,9 +13,9 @@
 
 const (
 	// beatInterval paces the readings of the clock.
-	beatInterval = 50 * time.Millisecond
+	beatInterval = 20 * time.Millisecond
 	// tolerance is the lateness of a reading that does not count as a stall.
-	tolerance = 50 * time.Millisecond
+	tolerance = 10 * time.Millisecond
 )
 
 // Meter counts the stalls of this process while Run runs. It is safe for concurrent use.
--- a/telemetry/stall/stall_test.go
+++ b/telemetry/stall/stall_test.go
@@ -16,11 +16,11 @@
 	m := &Meter{now: func() time.Duration { return now }}
 	assert.Equal(t, m.Total(), time.Duration(0))
 	m.beat()
-	now += 2050 * ms
+	now += beatInterval + 2000*ms
 	assert.Equal(t, m.Total(), 2000*ms)
 	m.beat()
 	assert.Equal(t, m.Total(), 2000*ms)
-	now += 40 * ms
+	now += beatInterval
 	assert.Equal(t, m.Total(), 2000*ms)
 }
 
@@ -30,7 +30,7 @@
 	m := &Meter{now: func() time.Duration { return now }}
 	for range 100 {
 		m.beat()
-		now += 90 * ms
+		now += beatInterval + tolerance
 	}
 	assert.Equal(t, m.Total(), time.Duration(0))
 }
