e2e: a guard that is held back sends each order once

The suspicion left by the incident of thin data centres: a guard short of processor time hedges orders and polls up to three times. The stand-in runner counts the orders and polls that reach it.

--- /dev/null
+++ b/e2e/fleet_held_test.go
@@ -0,0 +1,58 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"almondstand.dev/e2e/fleet"
+)
+
+// heldBack suspends and resumes a node by turns until stop is called.
+func heldBack(n *fleet.Node, suspended, running time.Duration) (stop func()) {
+	end, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		p := n.Process()
+		defer p.Thaw()
+		for {
+			select {
+			case <-end:
+				return
+			default:
+			}
+			p.Freeze()
+			time.Sleep(suspended)
+			p.Thaw()
+			time.Sleep(running)
+		}
+	}()
+	return func() {
+		close(end)
+		<-ended
+	}
+}
+
+// Guards against a guard short of processor time that sends each order and each poll several
+// times, taking its own lateness for a lost answer.
+func TestGuardHeldBackSendsOrdersOnce(t *testing.T) {
+	parallel(t)
+	f := startFleet(t, 1, 2)
+	release := heldBack(f.Guards[0], 60*time.Millisecond, 20*time.Millisecond)
+	ordersBefore, pollsBefore := f.Runners[0].Calls()
+	startsBefore := f.Judge.Starts()
+	otherBefore, otherPollsBefore := f.Runners[1].Calls()
+	stop := load(t, f, 20*time.Millisecond, 4, 40)
+	time.Sleep(4 * time.Second)
+	got := stop()
+	release()
+	orders, polls := f.Runners[0].Calls()
+	other, otherPolls := f.Runners[1].Calls()
+	orders, polls, other, otherPolls = orders-ordersBefore, polls-pollsBefore, other-otherBefore, otherPolls-otherPollsBefore
+	starts := f.Judge.Starts() - startsBefore
+	t.Logf("%d starts, answers %v; held back: %d orders, %d polls; the other: %d orders, %d polls", starts, got, orders, polls, other, otherPolls)
+	assert.Assert(t, starts > 200 && orders > 100)
+	assert.Assert(t, (orders+other)*10 <= starts*11, "%d orders for %d starts", orders+other, starts)
+	assert.Assert(t, polls*other <= 2*otherPolls*orders, "more than twice the polls of the other guard for each order")
+}
--- a/standin/worker/orders.go
+++ b/standin/worker/orders.go
@@ -127,6 +127,7 @@
 func (r *Runner) start(b orderBody) answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.orders++
 	if r.dead || !r.fence(b.Token) {
 		return answer{status: http.StatusConflict, reason: "fence"}
 	}
@@ -204,6 +205,7 @@
 func (r *Runner) hold(b orderBody) answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.polls++
 	if r.dead || !r.fence(b.Token) {
 		return answer{status: http.StatusConflict, reason: "fence"}
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -108,6 +108,9 @@
 	dead     bool
 	crashes  int
 	closed   bool
+	// orders counts the start orders that have come, also those for a run that is there,
+	// polls the reads of what runs.
+	orders, polls int
 }
 
 // Listen opens the runner's address on the host.
@@ -207,6 +210,14 @@
 	r.mu.Unlock()
 }
 
+// Calls is how many start orders have come, also those for a run that was there, and how
+// many reads of what runs.
+func (r *Runner) Calls() (orders, polls int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.orders, r.polls
+}
+
 // Crash ends this life: nothing answers until Reborn.
 func (r *Runner) Crash() {
 	r.mu.Lock()
