dispatch/planner: suspects and attribution in the field's words, counted in metrics

New for operators: almondstand_crash_suspects, and almondstand_runner_crashes by cause (counted against tasks, or one cause with others), which no metric showed.

TestCrashesAndSuspectsAreCounted; the rack's test also holds its count.

--- a/dispatch/planner/crash_test.go
+++ b/dispatch/planner/crash_test.go
@@ -138,4 +138,15 @@
 	for _, j := range f.jobs {
 		assert.Equal(t, j.tasks[0].crashes, 0, "%s is blamed", j.work.ID)
 	}
+	assert.Equal(t, f.CrashCounts(), CrashCounts{Common: 4})
+}
+
+// Guards against suspects and crashes that no metric shows.
+func TestCrashesAndSuspectsAreCounted(t *testing.T) {
+	f := newFleet(t, 8, 8, 8)
+	s := f.patient("crashing", 1).Starts[0]
+	a := f.crash(s, Crash{Others: 1})
+	assert.Equal(t, f.CrashCounts(), CrashCounts{Attributed: 1, Suspects: 1})
+	f.crash(a.Starts[0], Crash{})
+	assert.Equal(t, f.CrashCounts(), CrashCounts{Attributed: 2})
 }
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -83,7 +83,8 @@
 	// pausedUntil is until when nothing is started.
 	pausedUntil time.Duration
 	// crashes are those of the last seconds, oldest first.
-	crashes []*crash
+	crashes     []*crash
+	crashCounts CrashCounts
 }
 
 // service is one service's endpoints and the jobs that wait for them.
--- a/entry/edge/gauges.go
+++ b/entry/edge/gauges.go
@@ -25,6 +25,9 @@
 	waiting := scope.Gauge("jobs_waiting")
 	running := scope.Gauge("jobs_running")
 	lines := scope.Gauge("log_lines_left_out")
+	suspects := scope.Gauge("crash_suspects")
+	attributed := scope.Tagged(map[string]string{"cause": "task"}).Gauge("runner_crashes")
+	common := scope.Tagged(map[string]string{"cause": "common"}).Gauge("runner_crashes")
 	tick := time.NewTicker(gaugeEvery)
 	defer tick.Stop()
 	for {
@@ -44,6 +47,10 @@
 		waiting.Update(float64(count.Waiting))
 		oldest.Update(count.Oldest.Seconds())
 		running.Update(float64(count.Running))
+		crashes := e.jobs.Crashes()
+		suspects.Update(float64(crashes.Suspects))
+		attributed.Update(float64(crashes.Attributed))
+		common.Update(float64(crashes.Common))
 		lines.Update(float64(e.opt.Metrics.LinesLeftOut()))
 	}
 }
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -254,6 +254,13 @@
 	return e.plan.Endpoints(uptime.Now())
 }
 
+// Crashes returns what became of the crashes that guards have reported.
+func (e *Engine) Crashes() planner.CrashCounts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.plan.CrashCounts()
+}
+
 // Reachable counts the endpoints that take starts.
 func (e *Engine) Reachable() int {
 	e.mu.Lock()
