--- a/entry/quota/holder_test.go
+++ b/entry/quota/holder_test.go
@@ -75,15 +75,22 @@
 	assert.Assert(t, h.Decide(thaw, s).Holding)
 }
 
-// Guards against a suspended share that is never resumed because the replies of several
-// peers don't begin in the same instant.
-func TestSuspendedShareResumesWithRepliesOfAllPeers(t *testing.T) {
+// isolatedHolder is one with two peers that has suspended its share at the time returned.
+func isolatedHolder(t *testing.T) (*Holder, time.Time) {
+	t.Helper()
 	h := NewHolder(0, nil)
 	h.Confirm(peerA, counted(start, time.Minute))
 	h.Confirm(peerB, counted(start, time.Minute))
 	assert.Assert(t, h.Decide(start, around(start, peerA, peerB)).Holding)
 	now := start.Add(DefaultIsolation + time.Second)
 	assert.Assert(t, !h.Decide(now, around(start, peerA, peerB)).Holding)
+	return h, now
+}
+
+// Guards against a suspended share that is never resumed because the replies of several
+// peers don't begin in the same instant.
+func TestSuspendedShareResumesWithRepliesOfAllPeers(t *testing.T) {
+	h, now := isolatedHolder(t)
 	first, second := now.Add(time.Millisecond), now.Add(2*time.Millisecond)
 	h.Confirm(peerA, counted(first, 2*time.Minute))
 	assert.Assert(t, !h.Decide(first, around(first, peerA, peerB)).Holding, "one of two replies")
@@ -93,12 +100,7 @@
 
 // Guards against a share that is resumed by replies from before a second isolation.
 func TestRepliesBeforeASecondIsolationDoNotCount(t *testing.T) {
-	h := NewHolder(0, nil)
-	h.Confirm(peerA, counted(start, time.Minute))
-	h.Confirm(peerB, counted(start, time.Minute))
-	assert.Assert(t, h.Decide(start, around(start, peerA, peerB)).Holding)
-	now := start.Add(DefaultIsolation + time.Second)
-	assert.Assert(t, !h.Decide(now, around(start, peerA, peerB)).Holding)
+	h, now := isolatedHolder(t)
 	h.Confirm(peerA, counted(now, 2*time.Minute))
 	assert.Assert(t, !h.Decide(now, around(now, peerA, peerB)).Holding)
 	again := now.Add(DefaultIsolation + time.Second)
