e2e: a start carried out late, after its job was cancelled, is stopped

Four cases on real processes, the start left unanswered and carried out 450 ms later: all processes alive, both guards replaced, the entry gone, both. Within 3.05 s nothing runs on. A start that is carried out later than its own lease is rejected by the runner and not played here.

--- /dev/null
+++ b/e2e/fleet_cancel_test.go
@@ -0,0 +1,80 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"almondstand.dev/e2e/fleet"
+	"almondstand.dev/standin/worker"
+)
+
+// Bounds of the platform for a task of a cancelled job, from its start on.
+const (
+	cancelBound = 3 * time.Second
+	stopGrace   = 50 * time.Millisecond
+)
+
+// Guards against a task that runs on after its job was cancelled, because its runner left the
+// start request unanswered and carries it out late: with all processes alive, with the
+// guard's or the entry's process replaced, and with both.
+func TestLateStartAfterCancelIsStopped(t *testing.T) {
+	guards := func(t *testing.T, f *fleet.Fleet) {
+		for _, g := range f.Guards {
+			g.Process().Kill()
+			assert.NilError(t, g.Start())
+		}
+	}
+	entry := func(_ *testing.T, f *fleet.Fleet) { f.Entries[0].Process().Kill() }
+	for name, replace := range map[string]func(*testing.T, *fleet.Fleet){
+		"all alive":       func(*testing.T, *fleet.Fleet) {},
+		"guards replaced": guards,
+		"entry gone":      entry,
+		"both":            func(t *testing.T, f *fleet.Fleet) { entry(t, f); guards(t, f) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			parallel(t)
+			lateStartAfterCancel(t, replace)
+		})
+	}
+}
+
+func lateStartAfterCancel(t *testing.T, replace func(*testing.T, *fleet.Fleet)) {
+	const late, unanswered, cancelAfter = 450 * time.Millisecond, 150 * time.Millisecond, 300 * time.Millisecond
+	f := startFleet(t, 2, 2)
+	// Other runs keep the runners' leases, which a late start needs to begin.
+	stop := load(t, f, 50*time.Millisecond, 2, 200)
+	time.Sleep(300 * time.Millisecond)
+	for _, r := range f.Runners {
+		r.SetFault(worker.Fault{LateShare: 1, LateBy: late})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	left := make(chan struct{})
+	go func() {
+		defer close(left)
+		j := fleet.NewJob(4, 20_000)
+		j.Deadline = 30 * time.Second
+		f.Try(ctx, f.Entries[0], fleet.Prefix, j)
+	}()
+	time.Sleep(unanswered)
+	for _, r := range f.Runners {
+		r.SetFault(worker.Fault{})
+	}
+	time.Sleep(cancelAfter - unanswered)
+	cancel()
+	<-left
+	replace(t, f)
+	time.Sleep(late)
+	stop()
+	ctx, cancel = context.WithTimeout(t.Context(), cancelBound+stopGrace)
+	defer cancel()
+	assert.NilError(t, eventually(ctx, func() error {
+		if n := f.Judge.Running(); n > 0 {
+			return fmt.Errorf("%d tasks run on", n)
+		}
+		return nil
+	}))
+}
