telemetry/stall: the clock of the spans that it corrects

Stalls were read on the clock that counts a host's suspension, the spans they are taken off on the one that doesn't. After a suspended virtual machine the run times of calls would have come out as nothing, and a silent guard would have been kept longer by as much. Found by reading; both are on the monotonic clock now. Tests of telemetry and entry/fleet pass.

--- a/telemetry/stall/stall.go
+++ b/telemetry/stall/stall.go
@@ -7,8 +7,6 @@
 	"context"
 	"sync/atomic"
 	"time"
-
-	"almondstand.dev/telemetry/uptime"
 )
 
 const (
@@ -28,8 +26,12 @@
 // reading is the stalled time at one beat.
 type reading struct{ at, total time.Duration }
 
-// New returns a Meter.
-func New() *Meter { return &Meter{now: uptime.Now} }
+// New returns a Meter. It reads the monotonic clock, as the spans do that it corrects: that
+// clock leaves out the time for which the host was suspended.
+func New() *Meter {
+	began := time.Now()
+	return &Meter{now: func() time.Duration { return time.Since(began) }}
+}
 
 // Run measures until the context ends.
 func (m *Meter) Run(ctx context.Context) error {
@@ -50,7 +52,7 @@
 	m.last.Store(&reading{at: now, total: m.until(now)})
 }
 
-// Total is the time for which this process has not run, also the part of a stall that has
+// Total is the time for which this process has not run, including the part of a stall that has
 // just ended and that no beat has seen yet.
 func (m *Meter) Total() time.Duration { return m.until(m.now()) }
 
