entry/fleet: answers that come after their place was given back lower the limit

With the default time-outs the limit on first handshakes never fell: an answer counts as slow from 250 ms on, and after 250 ms its handshake had given its place back. On a host so late that all answers take longer, four were started every 250 ms whatever came of them.

TestAnswersAfterTheReleaseLowerTheLimit.

--- a/entry/fleet/greet.go
+++ b/entry/fleet/greet.go
@@ -59,14 +59,16 @@
 	return handshakeTurn{f.handshakes, time.AfterFunc(greetHold, f.handshakes.Release)}, true
 }
 
-// end gives the place back, unless it was held for too long.
+// end gives the place back, unless that was done when the hold ended.
 func (t handshakeTurn) end(answered bool, took time.Duration) {
+	held := t.hold.Stop()
 	switch {
-	case !t.hold.Stop():
-	case answered:
+	case held && answered:
 		t.limit.Answered(took)
-	default:
+	case held:
 		t.limit.Release()
+	case answered:
+		t.limit.AnsweredLate(took)
 	}
 }
 
--- a/entry/fleet/limit/limit.go
+++ b/entry/fleet/limit/limit.go
@@ -89,6 +89,20 @@
 func (l *Limit) Answered(took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.adapt(took)
+	l.held--
+	l.admit()
+}
+
+// AnsweredLate takes note of the answer to a call that was released before.
+func (l *Limit) AnsweredLate(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.adapt(took)
+}
+
+// adapt follows the time of one answer; l.mu is held.
+func (l *Limit) adapt(took time.Duration) {
 	if l.typical == 0 {
 		l.typical = took
 	}
@@ -99,8 +113,6 @@
 	case took >= l.opts.Slow:
 		l.limit = max(l.limit*decrease, float64(l.opts.Least))
 	}
-	l.held--
-	l.admit()
 }
 
 // Release releases a call that has no answer. That says nothing of the caller: whoever was
--- a/entry/fleet/limit/limit_test.go
+++ b/entry/fleet/limit/limit_test.go
@@ -58,6 +58,20 @@
 	assert.Assert(t, full(l))
 }
 
+// Guards against more calls being started because the answers of a late process come only
+// after their places were given back.
+func TestAnswersAfterTheReleaseLowerTheLimit(t *testing.T) {
+	l := newLimit()
+	acquire(t, l, 4)
+	for range 4 {
+		l.Release()
+		l.AnsweredLate(300 * ms)
+	}
+	assert.Equal(t, l.Value(), 2)
+	acquire(t, l, 2)
+	assert.Assert(t, full(l))
+}
+
 // Guards against a caller that has left and is given room which nobody gives back.
 func TestWhoeverLeavesHoldsNothing(t *testing.T) {
 	l := newLimit()
