guard/runs: the lease of orphans is left to lapse

What callers could see: a task that its job's cancel should have ended, or that waits to be started anew, runs on at a runner whose guard was replaced, for as long as the runner leaves the successor's stops unanswered.

Cause: a guard that finds runs of its predecessor polls the runner, and each poll extended the lease by 600 ms, though the account held no run of its own and nothing could start before these were over.

Change: where only orphans run the lease isn't extended. It ends them within what the predecessor gave, 600 ms, whatever becomes of the stops.

TestLeaseOfOrphansIsNotExtended fails before.

--- a/guard/runs/runs_test.go
+++ b/guard/runs/runs_test.go
@@ -141,6 +141,22 @@
 	mustStart(t, b, begin+60*ms, entryA, order("j", 0))
 }
 
+// Guards against an orphan that runs on for as long as its stops go unanswered, since the
+// guard that found it extends its lease.
+func TestLeaseOfOrphansIsNotExtended(t *testing.T) {
+	b := New(Options{})
+	b.Adopt(begin, Life{Instance: "i1"})
+	b.Describe(work.Amounts{CPUMilli: 4000, MemoryMB: 256}, nil, false)
+	orphan := work.RunName{Task: work.TaskID{Job: "old"}, Number: 1}
+	b.Read(begin, begin, work.Account{Running: []work.RunName{orphan}})
+	for n := range 20 {
+		at := begin + time.Duration(n)*30*ms
+		assert.DeepEqual(t, b.Stops(at), []Stop{{orphan}})
+		b.StopFailed(orphan)
+		assert.Assert(t, b.HoldUntil(at) <= at)
+	}
+}
+
 // An entry attaches again after its stream broke. Its runs that are here are
 // confirmed, those that ended meanwhile are told, those that never came are
 // denied for good, and runs that it no longer wants are stopped.
--- a/guard/runs/sweep.go
+++ b/guard/runs/sweep.go
@@ -139,8 +139,12 @@
 
 // HoldUntil is the uptime to which the runner's lease may be extended now. A
 // lease is the runner's as a whole: while a run's end is due and its stop isn't
-// acknowledged, the lease of all ends with it.
+// acknowledged, the lease of all ends with it. Where only orphans run it is left to lapse,
+// which ends them also if their stops go unanswered.
 func (b *Table) HoldUntil(now time.Duration) time.Duration {
+	if len(b.runs) == 0 && len(b.strays) > 0 {
+		return now
+	}
 	until := now + b.opt.Hold
 	for _, r := range b.runs {
 		if !r.barred {
