--- /dev/null
+++ b/guard/host/restart_test.go
@@ -0,0 +1,249 @@
+package host
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/guard/runs"
+	"almondstand.dev/platform/runner"
+	"almondstand.dev/standin/worker"
+	"almondstand.dev/telemetry/uptime"
+)
+
+
+// restarting is a host with a stand-in runner that speaks over HTTP.
+type restarting struct {
+	t      *testing.T
+	host   *Host
+	sink   *told
+	runner *worker.Runner
+	// next numbers the tasks.
+	next int
+}
+
+func startRestarting(t *testing.T, r *worker.Runner) *restarting {
+	t.Helper()
+	h := New(Options{
+		MaxLease: time.Second,
+		Dial:     func(address string) Runner { return runner.New(address) },
+		Logger:   slog.New(slog.NewJSONHandler(io.Discard, nil)),
+		Metrics:  NewMetrics(tally.NoopScope),
+	})
+	x := &restarting{t: t, host: h, sink: &told{}, runner: r}
+	server := httptest.NewServer(runner.Handler(h))
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run(ctx, x.sink) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-ended)
+		server.Close()
+	})
+	x.until("the host runs", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.ctx != nil
+	})
+	r.Service, r.Zone, r.CPU, r.Judge = "s", "a", 32000, worker.NewJudge()
+	r.Control = strings.TrimPrefix(server.URL, "http://")
+	assert.NilError(t, r.Listen("127.0.0.1"))
+	go r.Run(ctx)
+	keepAlive(t, h)
+	x.until("the guard is open", func() bool { return h.Capacity().Open })
+	return x
+}
+
+func (x *restarting) until(what string, done func() bool) {
+	x.t.Helper()
+	poll.WaitOn(x.t, func(poll.LogT) poll.Result {
+		if done() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+}
+
+// order asks for a run of a task and returns its id.
+func (x *restarting) order(index, attempt int, spec string) work.RunID {
+	id := work.RunID{Task: work.TaskID{Job: "0123456789abcdef", Index: index}, Attempt: attempt}
+	x.host.Order(uptime.Now(), owner, []runs.Order{{Run: id, Spec: spec, Need: work.Amounts{CPUMilli: 1000}, Life: 5 * time.Second}}, nil)
+	return id
+}
+
+// last waits for the last report on a run.
+func (x *restarting) last(id work.RunID) runs.Report {
+	x.t.Helper()
+	var last runs.Report
+	x.until("the run's end is reported", func() bool {
+		x.sink.mu.Lock()
+		defer x.sink.mu.Unlock()
+		for _, r := range x.sink.reports {
+			if r.Run == id && r.State != runs.Running {
+				last = r
+				return true
+			}
+		}
+		return false
+	})
+	return last
+}
+
+// run has a new task run, ordered again while it is known not to have started, and returns
+// what became of it.
+func (x *restarting) run(ms string) runs.State {
+	x.t.Helper()
+	x.next++
+	for attempt := 1; ; attempt++ {
+		state := x.last(x.order(x.next, attempt, `{"ms":`+ms+`,"cpu":1000}`)).State
+		if state != runs.NotStarted {
+			return state
+		}
+		assert.Assert(x.t, attempt < 200, "never started")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// restart has the runner start again under its id and report.
+func (x *restarting) restart() {
+	x.runner.Restart()
+	x.runner.Report(x.t.Context())
+}
+
+// Guards against: callers told "not run" of a task that ran on a runner which restarted under
+// its id.
+func TestUnansweredStartMayHaveRunAfterRestart(t *testing.T) {
+	x := startRestarting(t, &worker.Runner{})
+	x.runner.SetFault(worker.Fault{LateShare: 1})
+	id := x.order(0, 1, `{"ms":5000,"cpu":1000}`)
+	x.until("the run begins", func() bool { return x.runner.Judge.Starts() == 1 })
+	x.runner.Kill()
+	x.runner.SetFault(worker.Fault{})
+	time.Sleep(startTimeout)
+	x.restart()
+	assert.Equal(t, x.last(id).State, runs.Crashed)
+}
+
+// Guards against: starts at a restarted runner that has said that it leaves.
+func TestRestartedRunnerThatLeavesGetsNoStarts(t *testing.T) {
+	x := startRestarting(t, &worker.Runner{})
+	for range 40 {
+		x.runner.Report(t.Context())
+	}
+	x.restart()
+	assert.Equal(t, x.run("10"), runs.Done)
+	x.runner.Leave()
+	x.runner.Report(t.Context())
+	assert.Assert(t, !x.host.Capacity().Open, "open after a report that the runner leaves")
+}
+
+// Guards against: a task that is done on a restarted runner is taken as stopped and runs again.
+func TestEndsOfRestartedRunnerAreRead(t *testing.T) {
+	x := startRestarting(t, &worker.Runner{})
+	for range 20 {
+		assert.Equal(t, x.run("5"), runs.Done)
+	}
+	x.restart()
+	assert.Equal(t, x.run("5"), runs.Done)
+	id := x.order(99, 1, `{"ms":100,"cpu":1000}`)
+	x.until("the run begins", func() bool { return x.runner.Judge.Running() == 1 })
+	// The run ends while no poll waits for it.
+	x.runner.SetFault(worker.Fault{Mute: true})
+	time.Sleep(150 * time.Millisecond)
+	x.runner.SetFault(worker.Fault{})
+	assert.Equal(t, x.last(id).State, runs.Done)
+}
+
+// Guards against: a start sent to the process before a restart is carried out by the one after it.
+func TestLateStartIsFencedAfterRestart(t *testing.T) {
+	x := startRestarting(t, &worker.Runner{})
+	x.runner.SetFault(worker.Fault{LateShare: 1, LateBy: 500 * time.Millisecond})
+	id := x.order(0, 1, `{"ms":2000,"cpu":1000}`)
+	time.Sleep(4 * hedgeStartAfter)
+	x.runner.Kill()
+	x.runner.SetFault(worker.Fault{})
+	x.restart()
+	assert.Equal(t, x.last(id).State, runs.Crashed)
+	time.Sleep(700 * time.Millisecond)
+	assert.Equal(t, x.runner.Judge.Starts(), 0)
+}
+
+// Guards against: a late report of the process before a restart takes the one after it out of use.
+func TestLateReportOfOlderProcessChangesNothing(t *testing.T) {
+	x := startRestarting(t, &worker.Runner{})
+	x.runner.Leave()
+	late := x.runner.Held(t.Context())
+	x.restart()
+	assert.Equal(t, x.run("10"), runs.Done)
+	late()
+	time.Sleep(startTimeout)
+	assert.Assert(t, x.host.Capacity().Open)
+	assert.Equal(t, x.run("10"), runs.Done)
+}
+
+// Guards against: a late report of the process before a restart opens a runner that leaves.
+func TestLateReportOfOlderProcessOpensNothing(t *testing.T) {
+	x := startRestarting(t, &worker.Runner{})
+	late := x.runner.Held(t.Context())
+	x.restart()
+	assert.Equal(t, x.run("10"), runs.Done)
+	x.runner.Leave()
+	x.runner.Report(t.Context())
+	late()
+	time.Sleep(startTimeout)
+	assert.Assert(t, !x.host.Capacity().Open)
+}
+
+// Guards against: a late word that the process before a restart has ended ends the runs of the one after it.
+func TestLateDeregistrationOfOlderProcessEndsNoRuns(t *testing.T) {
+	x := startRestarting(t, &worker.Runner{})
+	x.restart()
+	assert.Equal(t, x.run("10"), runs.Done)
+	id := x.order(99, 1, `{"ms":1000,"cpu":1000}`)
+	x.until("the run begins", func() bool { return x.runner.Judge.Running() == 1 })
+	x.runner.Deregister(t.Context(), x.runner.Instance())
+	assert.Equal(t, x.last(id).State, runs.Done)
+}
+
+// Guards against: leases of an hour at a restarted runner, whose clock starts anew.
+func TestLeaseFollowsTheClockOfTheRestartedRunner(t *testing.T) {
+	x := startRestarting(t, &worker.Runner{})
+	time.Sleep(300 * time.Millisecond)
+	x.restart()
+	assert.Equal(t, x.run("200"), runs.Done)
+	assert.Assert(t, x.runner.LongestLease() <= runs.DefaultHold+50*time.Millisecond, "%v", x.runner.LongestLease())
+}
+
+// Guards against: a task that crashes its runner, back under its id, is never suspected.
+func TestCrashIsReportedAfterRestartUnderTheSameID(t *testing.T) {
+	x := startRestarting(t, &worker.Runner{})
+	id := x.order(0, 1, `{"ms":5000,"cpu":1000}`)
+	x.until("the run begins", func() bool { return x.runner.Judge.Running() == 1 })
+	time.Sleep(startTimeout)
+	x.runner.Kill()
+	x.restart()
+	report := x.last(id)
+	assert.Equal(t, report.State, runs.Crashed)
+	assert.Assert(t, report.Crash != nil && report.Crash.Newest)
+}
+
+// Guards against: a runner that doesn't say when it was started gets no work.
+func TestRunnerWithoutStartTimeIsServed(t *testing.T) {
+	x := startRestarting(t, &worker.Runner{Unborn: true})
+	assert.Equal(t, x.run("10"), runs.Done)
+	id := x.order(99, 1, `{"ms":5000,"cpu":1000}`)
+	x.until("the run begins", func() bool { return x.runner.Judge.Running() == 1 })
+	x.runner.Reborn()
+	x.runner.Report(t.Context())
+	assert.Equal(t, x.last(id).State, runs.Crashed)
+	assert.Equal(t, x.run("10"), runs.Done)
+}
--- a/standin/worker/judge.go
+++ b/standin/worker/judge.go
@@ -25,7 +25,9 @@
 type Where struct {
 	Runner   string
 	Instance string
-	Run      int
+	// Born is when the runner's process was started.
+	Born time.Time
+	Run  int
 }
 
 // NewJudge returns a judge that has seen nothing.
--- a/standin/worker/orders.go
+++ b/standin/worker/orders.go
@@ -71,6 +71,7 @@
 		reply["reason"] = a.reason
 	}
 	if a.view {
+		r.nameBorn(reply)
 		running, ends := [][]any{}, [][]any{}
 		for task, x := range r.runs {
 			running = append(running, []any{task, x.number, "", 100})
@@ -116,6 +117,7 @@
 }
 
 func (r *Runner) extend(until int64) bool {
+	r.longest = max(r.longest, time.Duration(until)*time.Millisecond-r.clock())
 	u := min(time.Duration(until)*time.Millisecond, r.clock()+maxHold)
 	if u <= r.clock() {
 		return false
@@ -124,6 +126,10 @@
 	return true
 }
 
+// drainBound is the time after the acknowledgement of a report that the runner leaves from
+// which nothing may start there: the platform's drain_ms.
+const drainBound = 2 * time.Second
+
 func (r *Runner) start(b orderBody) answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -137,6 +143,9 @@
 	if x := r.runs[b.Task]; x != nil && x.number == b.Run {
 		return answer{status: http.StatusOK}
 	}
+	if !r.leavingAt.IsZero() && time.Since(r.leavingAt) > drainBound {
+		r.Judge.Fault("runner %s starts %s, %v after its guard knew that it leaves", r.instance, b.Task, time.Since(r.leavingAt))
+	}
 	if b.Run <= r.barred[b.Task] || r.runs[b.Task] != nil {
 		return answer{status: http.StatusConflict, reason: "old"}
 	}
@@ -169,7 +178,7 @@
 	return answer{status: http.StatusOK}
 }
 
-func (r *Runner) where(x *run) Where { return Where{r.address, r.instance, x.number} }
+func (r *Runner) where(x *run) Where { return Where{r.address, r.instance, r.began, x.number} }
 
 // finish ends a run, unless it has ended or its life is over.
 func (r *Runner) finish(task string, x *run, how string) {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -75,7 +75,7 @@
 	how    string
 }
 
-// Runner is one stand-in; Reborn gives it a new life.
+// Runner is one stand-in; Reborn and Restart give it a new process.
 type Runner struct {
 	Service string
 	Zone    string
@@ -85,6 +85,10 @@
 	Control string
 	// Advertise is the address that reports name; empty for the runner's own.
 	Advertise string
+	// Unborn leaves out when the process was started.
+	Unborn bool
+	// KeepsID has the runner come back under its id after a task crashed it.
+	KeepsID bool
 
 	mu sync.Mutex
 	// cpu is what the runner says that it has, and past what it had before.
@@ -98,16 +102,20 @@
 	fault    Fault
 	token    int64
 	lease    time.Duration
+	// longest is the longest lease asked for.
+	longest  time.Duration
 	runs     map[string]*run
 	barred   map[string]int
 	ends     []end
 	lastEnd  int64
 	news     chan struct{}
 	draining bool
-	seq      int64
-	dead     bool
-	crashes  int
-	closed   bool
+	// leavingAt is when the first report that the runner leaves was acknowledged.
+	leavingAt time.Time
+	seq       int64
+	dead      bool
+	crashes   int
+	closed    bool
 	// orders counts the start orders that have come, also those for a run that is there,
 	// polls the reads of what runs.
 	orders, polls int
@@ -120,8 +128,8 @@
 		return fmt.Errorf("worker stand-in: %w", err)
 	}
 	r.address = l.Addr().String()
-	r.began = time.Now()
 	r.cpu = r.CPU
+	r.life = 1
 	r.reset()
 	r.serve(l)
 	return nil
@@ -193,14 +201,15 @@
 	}
 }
 
-// reset begins a new life. The lock is held, or nobody else is there yet.
+// reset begins a process that knows nothing of those before it. The lock is held, or nobody
+// else is there yet.
 func (r *Runner) reset() {
-	r.life++
+	r.began = time.Now()
 	r.instance = fmt.Sprintf("i-%s-%d", strings.ReplaceAll(r.address, ":", "-"), r.life)
 	r.token, r.lease, r.lastEnd, r.seq = 0, 0, 0, 0
 	r.runs, r.barred, r.ends = map[string]*run{}, map[string]int{}, nil
 	r.news = make(chan struct{})
-	r.draining, r.dead = false, false
+	r.draining, r.leavingAt, r.dead = false, time.Time{}, false
 }
 
 // SetFault changes how orders and runs are treated from now on.
@@ -218,6 +227,13 @@
 	return r.orders, r.polls
 }
 
+// LongestLease is the longest lease that any process of the runner was asked for.
+func (r *Runner) LongestLease() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.longest
+}
+
 // Crash ends this life: nothing answers until Reborn.
 func (r *Runner) Crash() {
 	r.mu.Lock()
@@ -242,15 +258,26 @@
 		return
 	}
 	r.crashes++
+	r.kill()
+	time.AfterFunc(CrashBack, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !r.KeepsID {
+			r.life++
+		}
+		r.back()
+	})
+}
+
+// kill ends the process: nothing listens. The lock is held.
+func (r *Runner) kill() {
 	r.crash()
 	_ = r.server.Close()
-	time.AfterFunc(CrashBack, r.back)
 }
 
+// back begins a process at the same address. The lock is held.
 func (r *Runner) back() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.closed {
+	if r.closed || !r.dead {
 		return
 	}
 	l, err := net.Listen("tcp", r.address)
@@ -262,6 +289,28 @@
 	r.serve(l)
 }
 
+// Kill ends the process: nothing listens until Restart.
+func (r *Runner) Kill() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kill()
+}
+
+// Restart begins a process at the same address and under the same id.
+func (r *Runner) Restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kill()
+	r.back()
+}
+
+// Leave has the runner say that it leaves, until its process ends; its next report tells.
+func (r *Runner) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining = true
+}
+
 // Crashes counts the lives that tasks have ended.
 func (r *Runner) Crashes() int {
 	r.mu.Lock()
@@ -274,6 +323,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.crash()
+	r.life++
 	r.reset()
 }
 
@@ -292,52 +342,92 @@
 	return sum
 }
 
-// reportBody is the runner's report of a life.
-func (r *Runner) reportBody() (instance string, body []byte) {
+// report is one of a process of the runner.
+type report struct {
+	instance string
+	body     []byte
+	began    time.Time
+	leaving  bool
+}
+
+// reportBody is the runner's report of its process.
+func (r *Runner) reportBody() report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.dead {
-		return "", nil
+		return report{}
 	}
 	r.seq++
 	state := "ready"
 	if r.draining {
 		state = "draining"
 	}
-	body, _ = json.Marshal(map[string]any{
+	text := map[string]any{
 		"service": r.Service, "address": cmp.Or(r.Advertise, r.address), "zone": r.Zone, "version": "v1", "slots": 8, "state": state,
 		"capacity": map[string]int64{"cpu": r.cpu, "mem_mb": 1 << 20, "gpu": 0},
 		"labels":   []string{"a", "r1-1"}, "clock_ms": r.clock().Milliseconds(), "seq": r.seq,
-	})
-	return r.instance, body
+	}
+	r.nameBorn(text)
+	body, _ := json.Marshal(text)
+	return report{r.instance, body, r.began, r.draining}
+}
+
+// nameBorn adds when the process was started to what the runner says of itself. The lock is
+// held.
+func (r *Runner) nameBorn(text map[string]any) {
+	if !r.Unborn {
+		text["born"] = r.began.UnixMilli()
+	}
 }
 
 // Report sends one report.
 func (r *Runner) Report(ctx context.Context) {
-	if instance, body := r.reportBody(); body != nil {
-		r.Send(ctx, instance, body)
+	if x := r.reportBody(); x.body != nil {
+		r.send(ctx, x)
 	}
 }
 
 // Held returns a report that is sent only when it is called, also after its
-// life has ended.
+// process has ended.
 func (r *Runner) Held(ctx context.Context) func() {
-	instance, body := r.reportBody()
-	return func() { r.Send(ctx, instance, body) }
+	x := r.reportBody()
+	return func() { r.send(ctx, x) }
 }
 
-// Send sends a report.
-func (r *Runner) Send(ctx context.Context, instance string, body []byte) {
+// send sends a report, and takes note of when one that the runner leaves is acknowledged.
+func (r *Runner) send(ctx context.Context, x report) {
+	acknowledged := r.Send(ctx, x.instance, x.body)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if acknowledged && x.leaving && x.began.Equal(r.began) && r.leavingAt.IsZero() {
+		r.leavingAt = time.Now()
+	}
+}
+
+// Deregister says that the instance has ended as planned, whatever runs.
+func (r *Runner) Deregister(ctx context.Context, instance string) {
+	r.call(ctx, http.MethodDelete, instance, nil)
+}
+
+// Send sends a report and returns whether it was acknowledged.
+func (r *Runner) Send(ctx context.Context, instance string, body []byte) bool {
+	return r.call(ctx, http.MethodPut, instance, body)
+}
+
+func (r *Runner) call(ctx context.Context, method, instance string, body []byte) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+r.Control+"/instances/"+instance, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+r.Control+"/instances/"+instance, bytes.NewReader(body))
 	if err != nil {
-		return
+		return false
 	}
-	if res, err := http.DefaultClient.Do(req); err == nil {
-		_ = res.Body.Close()
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
 	}
+	_ = res.Body.Close()
+	return res.StatusCode == http.StatusOK
 }
 
-// clock is the runner's own; the lock needn't be held.
+// clock is the runner's own, of its process. The lock is held.
 func (r *Runner) clock() time.Duration { return time.Since(r.began) + time.Hour }
