--- a/bench/replay/guard.go
+++ b/bench/replay/guard.go
@@ -48,14 +48,16 @@
 	g.life++
 	g.ends = 0
 	g.running = map[work.RunName]bool{}
-	g.deliver(g.table.Adopt(g.sim.now, runs.Life{
-		Instance: fmt.Sprint(g.id, "-", g.life),
-		Service:  service,
-		Total:    work.Amounts{CPUMilli: g.cpu},
-	}))
+	g.deliver(g.table.Adopt(g.sim.now, runs.Process{Incarnation: g.incarnation(), Service: service}))
+	g.table.Describe(work.Amounts{CPUMilli: g.cpu}, nil, false)
 	g.read(nil)
 }
 
+// incarnation names the runner's process: every other one keeps the id of the one before.
+func (g *guard) incarnation() work.Incarnation {
+	return work.Incarnation{ID: fmt.Sprint(g.id, "-", g.life/2), Born: 1 + int64(g.life)}
+}
+
 func (g *guard) suffer(t Trouble) {
 	g.wrong, g.times = t.Wrong, max(t.Times, 1)
 	if t.Wrong == Gone {
--- a/dispatch/planner/crash.go
+++ b/dispatch/planner/crash.go
@@ -35,6 +35,8 @@
 
 // Crash is what a guard reports of a run on a runner that crashed.
 type Crash struct {
+	// Runner is the process that crashed; empty from guards that don't say.
+	Runner work.Incarnation
 	// Others counts the other runs that were there.
 	Others int
 	// Newest is true for the run that began last.
@@ -45,7 +47,7 @@
 type crash struct {
 	at          time.Duration
 	endpoint    *endpoint
-	incarnation string
+	incarnation work.Incarnation
 	suspects    []suspect
 	// common is true once it is known to have one cause with others.
 	common bool
@@ -121,7 +123,7 @@
 
 // attribute counts a crash against a task, and gives its job up when that is conclusive.
 func (p *Planner) attribute(now time.Duration, t *task, e *endpoint, c Crash) {
-	x := p.crashOf(now, e)
+	x := p.crashOf(now, e, c.Runner)
 	x.suspects = append(x.suspects, suspect{t, c.Newest})
 	if x.common {
 		p.crashCounts.Common++
@@ -151,15 +153,19 @@
 	return t.crashes >= sureCrashes && (c.Others == 0 || t.newest == t.crashes)
 }
 
-// crashOf returns the crash of the runner's present incarnation at an endpoint.
-func (p *Planner) crashOf(now time.Duration, e *endpoint) *crash {
+// crashOf returns the crash of an incarnation at an endpoint: of the one that the entry knows of
+// where the guard doesn't say.
+func (p *Planner) crashOf(now time.Duration, e *endpoint, runner work.Incarnation) *crash {
+	if runner.ID == "" {
+		runner = e.runner
+	}
 	p.crashes = slices.DeleteFunc(p.crashes, func(c *crash) bool { return now-c.at > commonWindow })
 	for _, c := range p.crashes {
-		if c.endpoint == e && c.incarnation == e.runner {
+		if c.endpoint == e && c.incarnation == runner {
 			return c
 		}
 	}
-	c := &crash{at: now, endpoint: e, incarnation: e.runner}
+	c := &crash{at: now, endpoint: e, incarnation: runner}
 	p.crashes = append(p.crashes, c)
 	return c
 }
--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -10,11 +10,12 @@
 // Room is what an endpoint's guard says of it.
 type Room struct {
 	Service string
-	Runner  string
-	Open    bool
-	Total   work.Amounts
-	Used    work.Amounts
-	Labels  []string
+	// Runner is its present process; empty while there is none.
+	Runner work.Incarnation
+	Open   bool
+	Total  work.Amounts
+	Used   work.Amounts
+	Labels []string
 	// Cleared is true once nothing that an older life of the guard ordered runs or
 	// can begin any more.
 	Cleared bool
@@ -25,12 +26,12 @@
 	id      string
 	zone    string
 	service *service
-	runner  string
+	runner  work.Incarnation
 	// attached is false while its guard can't be reached.
 	attached bool
 	open     bool
 	total    work.Amounts
-	// most is the most that this life of the runner has had: capacity that has shrunk may
+	// most is the most that this process of the runner has had: capacity that has shrunk may
 	// grow again.
 	most work.Amounts
 	// used is what the guard says is taken, of all entries; ordered is what this
--- /dev/null
+++ b/dispatch/planner/restart_test.go
@@ -0,0 +1,27 @@
+package planner
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"almondstand.dev/dispatch/work"
+)
+
+// Guards against: two crashes of processes under one id, moments apart, count as one.
+func TestCrashesUnderOneIDAreToldApart(t *testing.T) {
+	f := newFleet(t, 8)
+	s := f.patient("poison", 1).Starts[0]
+	for born := int64(1); born <= 2; born++ {
+		p := work.Incarnation{ID: "i", Born: born}
+		f.Crash(f.now, s.Endpoint, s.Run, 0, Crash{Runner: p, Others: 7, Newest: true})
+		f.Describe(f.now, s.Endpoint, Room{Service: "teardown", Runner: work.Incarnation{ID: "i", Born: born + 1}, Open: true, Total: work.Amounts{CPUMilli: 8000, MemoryMB: 512}})
+		assert.Equal(t, len(f.crashes), int(born))
+		a := f.after(300 * ms)
+		if born == 1 {
+			s = a.Starts[0]
+		} else {
+			assert.Equal(t, a.Ended[0].Why, WhyCrashes)
+		}
+	}
+}
--- a/dispatch/work/account.go
+++ b/dispatch/work/account.go
@@ -19,15 +19,17 @@
 	Failed
 )
 
-// End of a run. Seq rises in one life of the runner.
+// End of a run. Seq rises in one process of the runner.
 type End struct {
 	Seq int64
 	Run RunName
 	How How
 }
 
-// Account is a runner's word on what runs and what ended.
+// Account is the word of a runner's process on what runs and what ended.
 type Account struct {
+	// Born is when the process was started, Unix milliseconds; zero where it doesn't say.
+	Born int64
 	// Clock is the runner's own, when it answered.
 	Clock   time.Duration
 	Running []RunName
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -326,7 +326,7 @@
 	}
 	return &planner.Room{
 		Service: r.GetService(),
-		Runner:  r.GetRunner(),
+		Runner:  work.Incarnation{ID: r.GetRunner(), Born: r.GetRunnerBornMs()},
 		Open:    r.GetOpen(),
 		Total:   fleetwire.FromAmounts(r.GetTotal()),
 		Used:    fleetwire.FromAmounts(r.GetAllocated()),
@@ -357,7 +357,11 @@
 	if c == nil {
 		return nil
 	}
-	crash := &jobs.Crash{Crash: planner.Crash{Others: int(c.GetOthers()), Newest: c.GetNewest()}}
+	crash := &jobs.Crash{Crash: planner.Crash{
+		Runner: work.Incarnation{ID: c.GetRunner(), Born: c.GetRunnerBornMs()},
+		Others: int(c.GetOthers()),
+		Newest: c.GetNewest(),
+	}}
 	for _, t := range c.GetBeside() {
 		crash.Beside = append(crash.Beside, t.GetJob())
 	}
--- a/guard/host/events.go
+++ b/guard/host/events.go
@@ -8,12 +8,12 @@
 
 var (
 	runnerAdopted = eventlog.Define(2201, "guard.runner_adopted", slog.LevelInfo,
-		"A runner that announced itself answered, and gets work once what an older guard left running is over.",
+		"A process of the runner that announced itself answered, and gets work once what an older guard left running is over. born_ms is when it was started, zero where it doesn't say: the same id with another start time is a restart.",
 		"None.")
 	runnerLeft = eventlog.Define(2202, "guard.runner_left", slog.LevelInfo,
 		"The runner said that it ends; its runs are over.", "None.")
 	confirmFailed = eventlog.Define(2203, "guard.greet_failed", slog.LevelWarn,
-		"A runner that announced itself did not answer, or another life of it did.",
+		"A process of the runner that announced itself did not answer, or another one did: its report was held up since a process that is over.",
 		"If it goes on, look at the runner: it announces an address at which nobody answers.")
 	startFailed = eventlog.Define(2204, "guard.start_failed", slog.LevelWarn,
 		"A start was turned down or got no answer. Without an answer the run is barred, and its room stays taken until that is sure.",
--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -69,11 +69,13 @@
 	lapseMargin = 150 * time.Millisecond
 )
 
-// Runner takes orders; see platform/runner.
+// Runner takes orders for one process of the runner; see platform/runner.
 type Runner interface {
-	Start(ctx context.Context, instance string, token int64, run work.RunName, spec string, until time.Duration) (time.Duration, error)
-	Stop(ctx context.Context, instance string, token int64, run work.RunName) (time.Duration, error)
-	Poll(ctx context.Context, instance string, token int64, until time.Duration, seen int64, wait time.Duration) (work.Account, error)
+	Start(ctx context.Context, run work.RunName, spec string, until time.Duration) (time.Duration, error)
+	Stop(ctx context.Context, run work.RunName) (time.Duration, error)
+	Poll(ctx context.Context, until time.Duration, seen int64, wait time.Duration) (work.Account, error)
+	// Close closes the connections that no call uses.
+	Close()
 }
 
 // Sink takes what the entries are to be told.
@@ -89,8 +91,8 @@
 	Runs runs.Options
 	// MaxLease is the longest lease that a runner grants.
 	MaxLease time.Duration
-	// Dial returns the runner at an address.
-	Dial    func(address string) Runner
+	// Dial returns a process of the runner.
+	Dial    func(runner.Target) Runner
 	Logger  *slog.Logger
 	Metrics *Metrics
 }
@@ -104,30 +106,18 @@
 
 	mu    sync.Mutex
 	table *runs.Table
-	api   Runner
-	// heard is the newest report number of the current life.
-	heard int64
-	// candidate is a life that has announced itself and is not adopted yet.
+	// process is the runner's present one, nil while there is none.
+	process *process
+	// candidate is a process that has announced itself and is not adopted yet.
 	candidate *runner.Report
 	adopting  bool
-	clock     sample
-	// leased is the steady time by which every lease given has run out.
-	leased time.Duration
-	// acked is the highest end that the runner knows to be taken note of.
-	acked int64
+	fence     fence
 	// foreignAt is when a report that is no runner's was last written of; zero for never.
 	foreignAt time.Duration
 	// pollTakes is the mean time until a poll is answered.
 	pollTakes time.Duration
-	// silent is true while the runner answers no polls.
-	silent bool
-	// polledAt is the uptime at which the newest account read was asked for.
-	polledAt time.Duration
 	// lostAt is the uptime at which a poll was last known to be lost; zero for never.
 	lostAt time.Duration
-	// readAt is the uptime at which the newest account was read, and accountAt the
-	// runner's clock in it.
-	readAt, accountAt time.Duration
 
 	sweep chan struct{}
 	poll  chan struct{}
@@ -135,12 +125,6 @@
 	calls sync.WaitGroup
 }
 
-// sample ties the runner's clock to this host's steady clock.
-type sample struct {
-	runner time.Duration
-	steady time.Duration
-}
-
 // New returns a host without a runner.
 func New(o Options) *Host {
 	return &Host{
@@ -170,10 +154,6 @@
 	return nil
 }
 
-// steady is the clock by which leases are measured: like the runner's, it
-// stands still while the host is suspended.
-func (h *Host) steady() time.Duration { return time.Since(h.began) }
-
 func signal(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -277,52 +257,29 @@
 	h.opt.Metrics.refused(r.Refusal)
 }
 
-// lease returns the runner's time to which its lease may be extended now.
-func (h *Host) lease(now time.Duration) time.Duration {
-	span := h.table.HoldUntil(now) - now
-	if span <= 0 {
-		return 0
-	}
-	steady := h.steady()
-	h.leased = max(h.leased, steady+span)
-	return h.clock.at(steady + span)
-}
-
-// at is the least that the runner's clock shows at a steady time.
-func (s sample) at(steady time.Duration) time.Duration {
-	return s.runner + time.Duration(float64(steady-s.steady)*slowClock)
-}
-
-// read notes the runner's clock from an answer.
-func (h *Host) read(clock time.Duration) {
-	if clock == 0 {
-		return
-	}
-	steady := h.steady()
-	if clock > h.clock.at(steady) {
-		h.clock = sample{clock, steady}
-	}
+// lease returns the process's time to which its lease may be extended now. The lock is held.
+func (h *Host) lease(p *process, now time.Duration) time.Duration {
+	return p.lease(h.table.HoldUntil(now)-now, h.steady())
 }
 
 // launch sends a start. The lock is held.
 func (h *Host) launch(now time.Duration, s *runs.Start) {
-	life := h.table.Life()
-	api := h.api
-	until := h.lease(now)
+	p := h.process
+	until := h.lease(p, now)
 	h.table.ValidUntil(s.Name, until)
 	h.calls.Go(func() {
-		h.started(s, h.send(startTimeout, func(ctx context.Context) (time.Duration, error) {
-			return api.Start(ctx, life.Instance, life.Token, s.Name, s.Spec, until)
+		h.started(p, s, h.send(startTimeout, func(ctx context.Context) (time.Duration, error) {
+			return p.api.Start(ctx, s.Name, s.Spec, until)
 		}))
 	})
 }
 
 // started takes the answer of a start.
-func (h *Host) started(s *runs.Start, answer reply) {
+func (h *Host) started(p *process, s *runs.Start, answer reply) {
 	now := uptime.Now()
 	err := answer.err
 	h.mu.Lock()
-	h.read(answer.clock)
+	p.read(answer.clock, h.steady())
 	var reports []runs.Report
 	switch why, known := declined(err); {
 	case err == nil:
--- a/guard/runs/crash.go
+++ b/guard/runs/crash.go
@@ -13,6 +13,8 @@
 
 // Crash is what is known of a run whose runner crashed under it.
 type Crash struct {
+	// Runner is the process that crashed.
+	Runner work.Incarnation
 	// Others counts the other runs that were there, or may have begun.
 	Others int
 	// Newest is true for the run that began last: most tasks that crash their runner do
@@ -22,22 +24,26 @@
 	Beside []work.TaskID
 }
 
-// Replace takes note that another life of the runner is there. The older one has crashed
-// unless it was about to leave; what ended with an older guard's host is not reported here, as
-// its runs are not in this account.
+// Replace takes note that a process is there that carries out no start sent to the one before.
+// The older one has crashed unless it was about to leave; what ended with an older guard's host
+// is not reported here, as its runs are not in this account.
 func (b *Table) Replace(now time.Duration) []Report {
-	if b.draining {
-		return b.Lose(now)
+	var reports []Report
+	if b.runner != nil && !b.runner.draining {
+		reports = b.crashed(now, func(*run) bool { return false })
+	}
+	for _, r := range b.runs {
+		reports = append(reports, b.over(now, r, Stopped)...)
 	}
-	reports := b.crashed(now)
-	b.Lose(now)
+	b.runner = nil
 	return reports
 }
 
 // crashed reports to the owners of all runs that the runner crashed, also to those who know
-// already that its lease had run out: that it crashed may show with its next life only. Which of the
+// already that its lease had run out: that it crashed may show with its next process only. Those
+// withheld are reported on later. Which of the
 // runs did it, if one did, is for the entries to find out: each sees its own jobs only.
-func (b *Table) crashed(now time.Duration) []Report {
+func (b *Table) crashed(now time.Duration, withheld func(*run) bool) []Report {
 	there := make([]*run, 0, len(b.runs))
 	for _, r := range b.runs {
 		there = append(there, r)
@@ -45,11 +51,11 @@
 	slices.SortFunc(there, byBegin)
 	var reports []Report
 	for i, r := range there {
-		if r.blamed {
+		if r.blamed || withheld(r) {
 			continue
 		}
 		r.blamed = true
-		crash := &Crash{Others: len(there) - 1, Newest: i == len(there)-1, Beside: besides(there, r)}
+		crash := &Crash{Runner: b.runner.Incarnation, Others: len(there) - 1, Newest: i == len(there)-1, Beside: besides(there, r)}
 		reports = append(reports, b.reportCrash(now, r, crash))
 	}
 	return reports
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -66,6 +66,9 @@
 	// reported is true once its owner knows that it is over, and blamed once it knows of the
 	// runner's crash.
 	reported, blamed bool
+	// inDoubt is true once the process that its start was sent to is over or silent, and the
+	// start may still be carried out by another under the same id.
+	inDoubt bool
 }
 
 // fate is the last report on a run that is over.
@@ -74,27 +77,38 @@
 	at     time.Duration
 }
 
-// Table is the account of what runs. It is not safe for concurrent use.
-type Table struct {
-	opt  Options
-	life *Life
-	// draining is set by the runner, leaving by the guard's own end.
+// known is what the runner's present process has said. It is replaced as a whole, so that nothing
+// of one process is taken for another's.
+type known struct {
+	Process
+	// described is true once the process has said what it has.
+	described bool
+	// draining is set by the runner.
 	draining bool
-	leaving  bool
-	// checked is true once an account of this life has been read: what an older
+	// checked is true once an account of the process has been read: what an older
 	// guard left there is known from then on.
 	checked bool
-	used    work.Amounts
-	runs    map[work.TaskID]*run
 	// strays are runs at the runner that this account doesn't hold; true while a
 	// stop of one is under way.
 	strays map[work.RunName]bool
+	// seen is the highest end taken note of.
+	seen int64
+}
+
+// Table is the account of what runs. It is not safe for concurrent use.
+type Table struct {
+	opt Options
+	// runner is nil while there is none.
+	runner *known
+	// leaving is set by the guard's own end.
+	leaving bool
+	used    work.Amounts
+	runs    map[work.TaskID]*run
 	// numbers are the highest run numbers used, by task.
 	numbers map[work.TaskID]numbered
 	alive   map[Owner]time.Duration
 	ended   map[work.RunID]fate
 	order   []work.RunID
-	seen    int64
 	// asked is what the newest order needed.
 	asked work.Amounts
 }
@@ -121,83 +135,141 @@
 	return &Table{
 		opt:     o,
 		runs:    map[work.TaskID]*run{},
-		strays:  map[work.RunName]bool{},
 		numbers: map[work.TaskID]numbered{},
 		alive:   map[Owner]time.Duration{},
 		ended:   map[work.RunID]fate{},
 	}
 }
 
-// Life returns the runner's life, nil when there is none.
-func (b *Table) Life() *Life { return b.life }
+// Process returns the runner's process, nil when there is none.
+func (b *Table) Process() *Process {
+	if b.runner == nil {
+		return nil
+	}
+	return &b.runner.Process
+}
 
-// Adopt takes a new life of the runner. The runs of the older one are over:
-// a life that answers in its place proves that the older has ended.
-func (b *Table) Adopt(now time.Duration, l Life) []Report {
+// Adopt takes a new process of the runner, which has been fenced with a token above that of
+// the one before. The runs of the older process are over, but for those that the new one
+// lists: their starts reached it before the fence did.
+func (b *Table) Adopt(now time.Duration, p Process, listed ...work.RunName) []Report {
+	moved := b.take(listed)
 	reports := b.Replace(now)
-	b.life = &l
-	b.checked = false
-	b.draining = false
-	b.seen = 0
+	for _, r := range moved {
+		b.enterAgain(r)
+	}
+	b.runner = &known{Process: p, strays: map[work.RunName]bool{}}
 	return reports
 }
 
-// Lose ends the runner's life without a successor; its runs are over.
+// take takes the runs of the names out of the account. One that has been reported as over
+// stays: its task may have been started elsewhere, so it is an orphan at the next process.
+func (b *Table) take(names []work.RunName) []*run {
+	var taken []*run
+	for _, n := range names {
+		if r := b.find(n); r != nil && !r.reported {
+			delete(b.runs, n.Task)
+			b.used = b.used.Sub(r.need)
+			taken = append(taken, r)
+		}
+	}
+	return taken
+}
+
+// enterAgain takes a run into the account that has begun at another process than its start
+// was sent to.
+func (b *Table) enterAgain(r *run) {
+	r.settled, r.until = 0, 0
+	r.barred, r.stopSent, r.inDoubt = false, false, false
+	b.runs[r.id.Task] = r
+	b.used = b.used.Add(r.need)
+}
+
+// Lose ends the runner's process without a successor; its runs are over, but for starts
+// without an answer where the runner may come back under its id.
 func (b *Table) Lose(now time.Duration) []Report {
 	var reports []Report
 	for _, r := range b.runs {
-		reports = append(reports, b.over(now, r, Stopped)...)
+		if !b.doubt(r) {
+			reports = append(reports, b.over(now, r, Stopped)...)
+		}
 	}
-	clear(b.strays)
-	b.used = work.Amounts{}
-	b.life = nil
+	b.runner = nil
 	return reports
 }
 
-// Describe takes what the current life says of itself.
+// doubt reports whether a process that is started under the id of this one may carry out the
+// run's start. Where processes don't say when they were started, each has an id of its own.
+func (b *Table) doubt(r *run) bool {
+	r.inDoubt = r.inDoubt || b.runner != nil && b.runner.Born > 0 && !r.started
+	return r.inDoubt
+}
+
+// Describe takes what the current process says of itself.
 func (b *Table) Describe(total work.Amounts, labels []string, draining bool) {
-	if b.life == nil {
+	if b.runner == nil {
 		return
 	}
-	b.life.Total = total
-	b.life.Labels = labels
-	// A runner that leaves never comes back in the same life, so an older report
-	// that arrives late must not open it again.
-	b.draining = b.draining || draining
+	b.runner.described = true
+	b.runner.Total = total
+	b.runner.Labels = labels
+	// A process that leaves never comes back, so an older report that arrives late must
+	// not open it again.
+	b.runner.draining = b.runner.draining || draining
+}
+
+// Serves takes the service that the current process says it is of.
+func (b *Table) Serves(service string) {
+	if b.runner != nil {
+		b.runner.Service = service
+	}
 }
 
 // Leave closes the guard for good.
 func (b *Table) Leave() { b.leaving = true }
 
 // Open reports whether starts are taken.
-func (b *Table) Open() bool {
-	return b.life != nil && b.checked && !b.draining && !b.leaving && len(b.strays) == 0
-}
+func (b *Table) Open() bool { return !b.leaving && b.runner != nil && b.runner.open() }
+
+func (k *known) open() bool { return k.described && k.checked && !k.draining && len(k.strays) == 0 }
 
 // Capacity returns what the runner has and what is taken.
 func (b *Table) Capacity() Capacity {
-	if b.life == nil {
+	if b.runner == nil {
 		return Capacity{}
 	}
-	return Capacity{Life: *b.life, Open: b.Open(), Cleared: b.checked && len(b.strays) == 0, Used: b.used}
+	return Capacity{Process: b.runner.Process, Open: b.Open(), Cleared: b.runner.checked && len(b.runner.strays) == 0, Used: b.used}
 }
 
 // HasFree reports whether there is room for another run like the newest asked for.
 func (b *Table) HasFree() bool {
-	return b.Open() && b.asked.Fits(b.life.Total.Sub(b.used))
+	return b.Open() && b.asked.Fits(b.runner.Total.Sub(b.used))
 }
 
 // Idle reports whether nothing is at the runner.
-func (b *Table) Idle() bool { return len(b.runs) == 0 && len(b.strays) == 0 }
+func (b *Table) Idle() bool { return len(b.runs) == 0 && b.orphans() == 0 }
+
+// orphans counts the runs at the runner that this account doesn't hold.
+func (b *Table) orphans() int {
+	if b.runner == nil {
+		return 0
+	}
+	return len(b.runner.strays)
+}
 
 // Holds reports whether runs of this account are at the runner.
 func (b *Table) Holds() bool { return len(b.runs) > 0 }
 
 // Checked reports whether an account of this life has been read.
-func (b *Table) Checked() bool { return b.checked }
+func (b *Table) Checked() bool { return b.runner != nil && b.runner.checked }
 
-// Seen is the highest end taken note of.
-func (b *Table) Seen() int64 { return b.seen }
+// Seen is the highest end of the process taken note of.
+func (b *Table) Seen() int64 {
+	if b.runner == nil {
+		return 0
+	}
+	return b.runner.seen
+}
 
 // Alive takes note that the owner lived at the uptime given.
 func (b *Table) Alive(o Owner, at time.Duration) {
@@ -249,7 +321,7 @@
 		return Closed
 	}
 	b.asked = o.Need
-	if !o.Need.Fits(b.life.Total.Sub(b.used)) {
+	if !o.Need.Fits(b.runner.Total.Sub(b.used)) {
 		return Full
 	}
 	return NoRefusal
@@ -277,7 +349,7 @@
 
 // begin takes note that the run goes on.
 func (r *run) begin(now time.Duration) Report {
-	r.started, r.began = true, now
+	r.started, r.began, r.inDoubt = true, now, false
 	return Report{Owner: r.owner, Run: r.id, State: Running, Began: now}
 }
 
@@ -316,8 +388,11 @@
 	if r := b.find(name); r != nil {
 		r.stopSent = false
 	}
-	if _, stray := b.strays[name]; stray {
-		b.strays[name] = false
+	if b.runner == nil {
+		return
+	}
+	if _, stray := b.runner.strays[name]; stray {
+		b.runner.strays[name] = false
 	}
 }
 
@@ -351,14 +426,34 @@
 // Lapse tells the owners of all runs that these are over: the lease of the
 // runner, which answers nothing, has run out. Their room stays taken until the
 // runner itself accounts for them. A start without an answer may have been carried
-// out before the runner went silent, so none is reported as not started. gone is true when
+// out before the runner went silent, so none is reported as not started, and one that a
+// process under the same id may carry out is reported on later. gone is true when
 // the runner's process has ended; a runner that is silent may go on and has not crashed.
 func (b *Table) Lapse(now time.Duration, gone bool) []Report {
-	if gone && !b.draining {
-		return b.crashed(now)
+	if gone && b.runner != nil && !b.runner.draining {
+		return b.crashed(now, b.doubt)
 	}
 	var reports []Report
 	for _, r := range b.runs {
+		if !b.doubt(r) {
+			reports = append(reports, b.report(now, r, Stopped, Unwell)...)
+		}
+	}
+	return reports
+}
+
+// Expire reports on the starts in doubt whose callers no longer wait: no other start of their
+// tasks comes after that.
+func (b *Table) Expire(now time.Duration) []Report {
+	var reports []Report
+	for _, r := range b.runs {
+		if !r.inDoubt || now < r.expires {
+			continue
+		}
+		if b.runner == nil {
+			reports = append(reports, b.over(now, r, Stopped)...)
+			continue
+		}
 		reports = append(reports, b.report(now, r, Stopped, Unwell)...)
 	}
 	return reports
--- a/guard/runs/sweep.go
+++ b/guard/runs/sweep.go
@@ -15,10 +15,13 @@
 // what became of runs. Accounts must be read in the order in which they were asked for, one at a time; they may be of
 // moments in another order.
 func (b *Table) Read(now, asked time.Duration, v work.Account) []Report {
+	if b.runner == nil {
+		return nil
+	}
 	var reports []Report
 	for _, e := range v.Ends {
-		b.seen = max(b.seen, e.Seq)
-		delete(b.strays, e.Run)
+		b.runner.seen = max(b.runner.seen, e.Seq)
+		delete(b.runner.strays, e.Run)
 		if r := b.find(e.Run); r != nil {
 			reports = append(reports, b.over(now, r, stateOf(e.How))...)
 		}
@@ -33,9 +36,9 @@
 	if v.More {
 		return reports
 	}
-	for n := range b.strays {
+	for n := range b.runner.strays {
 		if !present[n] {
-			delete(b.strays, n)
+			delete(b.runner.strays, n)
 		}
 	}
 	for _, r := range b.runs {
@@ -48,7 +51,7 @@
 		}
 		reports = append(reports, b.over(now, r, state)...)
 	}
-	b.checked = true
+	b.runner.checked = true
 	return reports
 }
 
@@ -69,8 +72,8 @@
 	if r == nil {
 		// Left by an older guard, whose account is lost: what it takes is not
 		// known, so nothing else is started until it is over.
-		if _, known := b.strays[n]; !known {
-			b.strays[n] = false
+		if _, listed := b.runner.strays[n]; !listed {
+			b.runner.strays[n] = false
 		}
 		return Report{}, false
 	}
@@ -113,9 +116,12 @@
 			stops = append(stops, Stop{r.name})
 		}
 	}
-	for n, sent := range b.strays {
+	if b.runner == nil {
+		return stops
+	}
+	for n, sent := range b.runner.strays {
 		if !sent {
-			b.strays[n] = true
+			b.runner.strays[n] = true
 			stops = append(stops, Stop{n})
 		}
 	}
@@ -142,7 +148,7 @@
 // acknowledged, the lease of all ends with it. Where only orphans run it is left to lapse,
 // which ends them also if their stops go unanswered.
 func (b *Table) HoldUntil(now time.Duration) time.Duration {
-	if len(b.runs) == 0 && len(b.strays) > 0 {
+	if len(b.runs) == 0 && b.orphans() > 0 {
 		return now
 	}
 	until := now + b.opt.Hold
--- a/guard/runs/types.go
+++ b/guard/runs/types.go
@@ -83,20 +83,20 @@
 	Life time.Duration
 }
 
-// Life is what is known of one life of the runner.
-type Life struct {
-	Instance string
-	Service  string
-	Address  string
-	Labels   []string
-	Total    work.Amounts
+// Process is what is known of one process of the runner.
+type Process struct {
+	work.Incarnation
+	Service string
+	Address string
+	Labels  []string
+	Total   work.Amounts
 	// Token fences the orders of older guards off.
 	Token int64
 }
 
 // Capacity is what the runner has and what is taken.
 type Capacity struct {
-	Life
+	Process
 	// Open is false while no starts are taken.
 	Open bool
 	// Cleared is true once nothing that an older guard ordered runs or can begin.
--- a/guard/side/side.go
+++ b/guard/side/side.go
@@ -65,7 +65,7 @@
 			Hold:     share(s.Bounds.MaxLease.Std(), leaseShare),
 		},
 		MaxLease: s.Bounds.MaxLease.Std(),
-		Dial:     func(address string) host.Runner { return runner.New(address) },
+		Dial:     func(t runner.Target) host.Runner { return runner.New(t) },
 		Logger:   o.Logger,
 		Metrics:  host.NewMetrics(o.Metrics.Scope),
 	})
--- a/guard/uplink/outbox.go
+++ b/guard/uplink/outbox.go
@@ -211,5 +211,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.sentCapacity
-	return s.retiring != s.sentRetiring || t.Open != r.Open || t.Cleared != r.Cleared || t.Instance != r.Instance || t.Total != r.Total
+	return s.retiring != s.sentRetiring || t.Open != r.Open || t.Cleared != r.Cleared || t.Incarnation != r.Incarnation || t.Total != r.Total
 }
--- a/guard/uplink/wire.go
+++ b/guard/uplink/wire.go
@@ -11,12 +11,14 @@
 func wireCapacity(r runs.Capacity) *wirev1.Capacity {
 	return &wirev1.Capacity{
 		Service:   r.Service,
-		Runner:    r.Instance,
+		Runner:    r.ID,
 		Open:      r.Open,
 		Total:     fleetwire.Amounts(r.Total),
 		Allocated: fleetwire.Amounts(r.Used),
 		Labels:    r.Labels,
 		Cleared:   r.Cleared,
+
+		RunnerBornMs: r.Born,
 	}
 }
 
@@ -52,7 +54,7 @@
 	if c == nil {
 		return nil
 	}
-	m := &wirev1.Crash{Others: uint32(c.Others), Newest: c.Newest}
+	m := &wirev1.Crash{Others: uint32(c.Others), Newest: c.Newest, Runner: c.Runner.ID, RunnerBornMs: c.Runner.Born}
 	for _, t := range c.Beside {
 		m.Beside = append(m.Beside, fleetwire.Task(t))
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -51,6 +51,8 @@
 	// LateShare of the orders get no answer and are carried out after LateBy.
 	LateShare float64
 	LateBy    time.Duration
+	// LateStarts has only orders to start be late.
+	LateStarts bool
 	// Slow times the run times, 0 means 1; Hang lets nothing end; FailShare of the
 	// runs fail.
 	Slow      float64
@@ -167,7 +169,7 @@
 // serve takes orders. The lock is held, or nobody else is there yet.
 func (r *Runner) serve(l net.Listener) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /run-start", r.order(r.start))
+	mux.HandleFunc("POST "+startPath, r.order(r.start))
 	mux.HandleFunc("POST /run-stop", r.order(r.stop))
 	mux.HandleFunc("POST /hold", r.order(r.hold))
 	server := &http.Server{Handler: mux}
