--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -20,12 +20,19 @@
 	NoRoom
 	// NotTaken: never started, for a reason that says nothing of the runner.
 	NotTaken
+	// Unknown: the guard has no such run. It never started, unless it ended longer ago than
+	// the guard keeps.
+	Unknown
 	// NotStarted: never started, the runner turned it down or left it unanswered.
 	NotStarted
 	// Crashed: its runner crashed under it; see Crash.
 	Crashed
 )
 
+// endsKept is how long a guard is sure to keep the end of a run: a run that it doesn't know of
+// has not ended there in that time.
+const endsKept = 9 * time.Second
+
 // Report takes what a guard reports of a run, and returns how long it ran. ran is
 // what the guard says of that, zero when it says nothing: the times of its messages
 // stand for it then.
@@ -72,6 +79,9 @@
 		t.avoid = e
 	case NoRoom, NotTaken:
 		t.avoid = e
+	case Unknown:
+		t.job.ran = t.job.ran || now-t.ordered >= endsKept
+		t.avoid = e
 	}
 	p.again(t)
 	return ran
--- a/dispatch/planner/restart_test.go
+++ b/dispatch/planner/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -25,3 +26,14 @@
 		}
 	}
 }
+
+// Guards against: "not run" of a task that ran so long ago that its guard has forgotten it.
+func TestRunThatItsGuardHasForgottenMayHaveRun(t *testing.T) {
+	for after, ran := range map[time.Duration]bool{time.Second: false, 10 * time.Second: true} {
+		f := newFleet(t, 8)
+		s := f.patient("j", 1).Starts[0]
+		f.now += after
+		f.report(s, Unknown)
+		assert.Equal(t, f.jobs["j"].ran, ran, "%v", after)
+	}
+}
--- a/entry/jobs/metrics.go
+++ b/entry/jobs/metrics.go
@@ -31,6 +31,7 @@
 	planner.Stopped:    "stopped",
 	planner.NoRoom:     "no_room",
 	planner.NotTaken:   "not_taken",
+	planner.Unknown:    "unknown",
 	planner.NotStarted: "not_started",
 	planner.Crashed:    "crashed",
 }
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -148,7 +148,7 @@
 			if c != planner.Running {
 				over++
 			}
-			if c == planner.NotTaken {
+			if c == planner.NotTaken || c == planner.Unknown {
 				s.server.opt.Lag.Stale()
 			}
 			news.Reports = append(news.Reports, jobs.Report{
@@ -374,6 +374,8 @@
 		return planner.NoRoom
 	case wirev1.Refusal_REFUSAL_RUNNER:
 		return planner.NotStarted
+	case wirev1.Refusal_REFUSAL_UNKNOWN:
+		return planner.Unknown
 	default:
 		return planner.NotTaken
 	}
