--- a/e2e/fleet/fleet.go
+++ b/e2e/fleet/fleet.go
@@ -117,8 +117,8 @@
 	if err := f.plan(ctx); err != nil {
 		return nil, err
 	}
-	for _, g := range f.Guards {
-		r := &worker.Runner{Service: Service, Zone: "a", CPU: cpuOf, Judge: f.Judge, Control: g.Control}
+	for i, g := range f.Guards {
+		r := &worker.Runner{Service: Service, Zone: "a", CPU: cpuOf, Judge: f.Judge, Control: g.Control, KeepsID: i%2 == 1}
 		if err := r.Listen(g.IP); err != nil {
 			return nil, err
 		}
--- /dev/null
+++ b/e2e/fleet_restart_test.go
@@ -0,0 +1,35 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"almondstand.dev/e2e/fleet"
+	"almondstand.dev/standin/worker"
+)
+
+// Guards against: "not run" of tasks that ran, tasks that run twice and starts at a runner that
+// leaves, when runners restart under their ids while starts are late and unanswered.
+func TestFleetRunnersRestartUnderTheirIDs(t *testing.T) {
+	f := startFleetOf(t, fleet.Options{Entries: 2, Guards: 2, Direct: true})
+	stop := load(t, f, 25*time.Millisecond, 4, 60)
+	for turn := range 6 {
+		r := f.Runners[turn%2]
+		r.SetFault(worker.Fault{LateShare: 0.5, LateBy: time.Duration(turn%3) * 300 * time.Millisecond, LateStarts: true})
+		time.Sleep(300 * time.Millisecond)
+		report := r.Held(t.Context())
+		r.Kill()
+		r.SetFault(worker.Fault{})
+		time.Sleep(300 * time.Millisecond)
+		r.Restart()
+		time.Sleep(300 * time.Millisecond)
+		report()
+		r.Deregister(t.Context(), r.Instance())
+	}
+	f.Runners[0].Leave()
+	time.Sleep(2800 * time.Millisecond)
+	got := stop()
+	assert.Assert(t, got[200] > 40, "%v", got)
+}
--- a/e2e/soak/inject.go
+++ b/e2e/soak/inject.go
@@ -33,6 +33,12 @@
 		runner.Crash()
 		uptime.Sleep(ctx, f.For)
 		runner.Reborn()
+	case RunnerRestart:
+		restartRunner(ctx, runner, f)
+	case RunnerLeaves:
+		runner.Leave()
+		uptime.Sleep(ctx, leavesFor+f.For/2)
+		runner.Restart()
 	case RunnerLate, RunnerSlow, RunnerHang, RunnerFails:
 		runner.SetFault(runnerFault(f))
 		uptime.Sleep(ctx, f.For)
@@ -58,6 +64,24 @@
 	}
 }
 
+// leavesFor is how long a runner that leaves serves: longer than starts may still come.
+const leavesFor = 2200 * time.Millisecond
+
+// restartRunner ends a runner and starts it under its id. A report of the older process, every
+// other one saying that it leaves, and its deregistration come when the newer is at work.
+func restartRunner(ctx context.Context, runner *worker.Runner, f Fault) {
+	if f.Which%2 == 0 {
+		runner.Leave()
+	}
+	report, id := runner.Held(ctx), runner.Instance()
+	runner.Kill()
+	uptime.Sleep(ctx, f.For/4)
+	runner.Restart()
+	uptime.Sleep(ctx, f.For/4)
+	report()
+	runner.Deregister(ctx, id)
+}
+
 // shrink takes a runner's capacity down by steps, to nothing at last, and gives it back.
 func (r *run) shrink(ctx context.Context, runner *worker.Runner, f Fault) {
 	const steps = 3
--- a/e2e/soak/schedule.go
+++ b/e2e/soak/schedule.go
@@ -44,6 +44,9 @@
 	Burst        Kind = "many callers"
 	TaskCrashes  Kind = "a task that crashes what starts it"
 	RunnerShrink Kind = "a runner's capacity shrinks, by steps, and grows again"
+
+	RunnerRestart Kind = "runner ends and starts again under its id, its last words come late"
+	RunnerLeaves  Kind = "runner says that it leaves, and starts again under its id"
 )
 
 var planned = []Kind{EntryTerm, EntryHangup, GuardTerm, GuardHangup, Configure, Configure}
@@ -91,25 +94,27 @@
 		at += least + time.Duration(r.Int64N(int64(most-least)))
 	}
 	if !Planned(seed) {
-		faults = append(faults, later(seed, length)...)
+		for i, kinds := range laterKinds {
+			faults = append(faults, later(seed, uint64(2+i), kinds, length)...)
+		}
 	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
 
-// laterKinds are drawn from a stream of their own: the schedules of seeds that found a fault
+// laterKinds are drawn from streams of their own: the schedules of seeds that found a fault
 // stay as they were.
-var laterKinds = []Kind{TaskCrashes, RunnerShrink}
+var laterKinds = [][]Kind{{TaskCrashes, RunnerShrink}, {RunnerRestart, RunnerRestart, RunnerLeaves}}
 
-// later returns the faults of laterKinds.
-func later(seed uint64, length time.Duration) []Fault {
+// later returns the faults of one of laterKinds.
+func later(seed, stream uint64, kinds []Kind, length time.Duration) []Fault {
 	const least, spread = 800 * time.Millisecond, 2500 * time.Millisecond
-	r := rand.New(rand.NewPCG(seed, 2))
+	r := rand.New(rand.NewPCG(seed, stream))
 	var faults []Fault
 	for at := least; at < length; at += least + time.Duration(r.Int64N(int64(spread))) {
 		faults = append(faults, Fault{
 			At:    at,
-			Kind:  laterKinds[r.IntN(len(laterKinds))],
+			Kind:  kinds[r.IntN(len(kinds))],
 			Which: r.IntN(64),
 			For:   least + time.Duration(r.Int64N(int64(spread))),
 		})
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -94,16 +94,18 @@
 
 	mu sync.Mutex
 	// cpu is what the runner says that it has, and past what it had before.
-	cpu      int64
-	past     []said
-	address  string
-	server   *http.Server
-	began    time.Time
-	life     int
-	instance string
-	fault    Fault
-	token    int64
-	lease    time.Duration
+	cpu     int64
+	past    []said
+	address string
+	server  *http.Server
+	// listening is false while no process is there.
+	listening bool
+	began     time.Time
+	life      int
+	instance  string
+	fault     Fault
+	token     int64
+	lease     time.Duration
 	// longest is the longest lease asked for.
 	longest  time.Duration
 	runs     map[string]*run
@@ -173,7 +175,7 @@
 	mux.HandleFunc("POST /run-stop", r.order(r.stop))
 	mux.HandleFunc("POST /hold", r.order(r.hold))
 	server := &http.Server{Handler: mux}
-	r.server = server
+	r.server, r.listening = server, true
 	go func() { _ = server.Serve(l) }()
 }
 
@@ -275,6 +277,7 @@
 func (r *Runner) kill() {
 	r.crash()
 	_ = r.server.Close()
+	r.listening = false
 }
 
 // back begins a process at the same address. The lock is held.
@@ -326,7 +329,11 @@
 	defer r.mu.Unlock()
 	r.crash()
 	r.life++
-	r.reset()
+	if r.listening {
+		r.reset()
+		return
+	}
+	r.back()
 }
 
 // Instance names the current life.
