--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -267,8 +267,9 @@
 	p := h.process
 	until := h.lease(p, now)
 	h.table.ValidUntil(s.Name, until)
+	delay := p.hedge.delay()
 	h.calls.Go(func() {
-		h.started(p, s, h.send(startTimeout, func(ctx context.Context) (time.Duration, error) {
+		h.started(p, s, h.send(startTimeout, delay, func(ctx context.Context) (time.Duration, error) {
 			return p.api.Start(ctx, s.Name, s.Spec, until)
 		}))
 	})
@@ -279,7 +280,7 @@
 	now := uptime.Now()
 	err := answer.err
 	h.mu.Lock()
-	p.read(answer.clock, h.steady())
+	p.answered(answer, h.steady())
 	var reports []runs.Report
 	switch why, known := declined(err); {
 	case err == nil:
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -47,23 +47,25 @@
 	if p == nil {
 		return
 	}
+	delay := p.hedge.delay()
 	for _, s := range h.table.Stops(now) {
 		h.calls.Go(func() {
-			answer := h.send(stopTimeout, func(ctx context.Context) (time.Duration, error) {
+			answer := h.send(stopTimeout, delay, func(ctx context.Context) (time.Duration, error) {
 				return p.api.Stop(ctx, s.Name)
 			})
 			if answer.err != nil {
 				uptime.Sleep(h.ctx, stopPause)
 			}
-			h.stopped(p, s, answer.clock, answer.err)
+			h.stopped(p, s, answer)
 		})
 	}
 }
 
 // stopped takes the answer of a stop.
-func (h *Host) stopped(p *process, s runs.Stop, clock time.Duration, err error) {
+func (h *Host) stopped(p *process, s runs.Stop, answer reply) {
+	err := answer.err
 	h.mu.Lock()
-	p.read(clock, h.steady())
+	p.answered(answer, h.steady())
 	switch {
 	case h.process != p:
 		// The run is over, or at the next process, which has not been told.
@@ -121,12 +123,8 @@
 		defer func() { <-free }()
 		done <- h.pollOnce(ctx)
 	})
-	slow := time.NewTimer(h.hedgeDelay())
-	defer slow.Stop()
-	select {
-	case again := <-done:
+	if again, answered := awaitFor(done, h.hedgeDelay()); answered {
 		uptime.Sleep(ctx, again)
-	case <-slow.C:
 	}
 }
 
--- a/guard/host/orders.go
+++ b/guard/host/orders.go
@@ -10,7 +10,8 @@
 
 const (
 	// hedgeStartAfter is how long an order may go unanswered before it is sent again
-	// beside the first; a runner answers within a millisecond or two. Orders name
+	// beside the first, at the least: a runner answers within a millisecond or two, unless
+	// it or this host is short of processor time. Orders name
 	// their run, so the runner does nothing for the second if the first has come, and
 	// turns the first down when it comes after the run's end. Without it a lost order
 	// cost its task 150 ms and a stop: with one order of 25 lost, three jobs of eight
@@ -18,6 +19,9 @@
 	hedgeStartAfter = 12 * time.Millisecond
 	// sends bounds how often an order is sent: of 25 lost ones one is lost twice.
 	sends = 3
+	// lateTimer is how late a timer fires of a guard that was held back itself. The answer may
+	// have come meanwhile and be unread.
+	lateTimer = 6 * time.Millisecond
 )
 
 // reply is the end of an order.
@@ -29,12 +33,16 @@
 	sure bool
 	// again is true when the order was sent more than once.
 	again bool
+	// copy numbers the time that this answer is to, from 1, and inVain is true when the order
+	// was sent again after that.
+	copy   int
+	inVain bool
 }
 
-// send gives an order, and again when it goes unanswered; each time has the
+// send gives an order, and again when it goes unanswered for the delay; each time has the
 // timeout for itself. An order that was carried out ends it, whatever became of the
 // others.
-func (h *Host) send(timeout time.Duration, order func(context.Context) (time.Duration, error)) reply {
+func (h *Host) send(timeout, delay time.Duration, order func(context.Context) (time.Duration, error)) reply {
 	answers := make(chan reply, sends)
 	open, sent, lost := 0, 0, false
 	last := reply{err: runner.ErrUnanswered}
@@ -42,22 +50,23 @@
 		if sent < sends && h.ctx.Err() == nil {
 			sent++
 			open++
+			this := sent
 			h.calls.Go(func() {
 				ctx, cancel := context.WithTimeout(h.ctx, timeout)
 				defer cancel()
 				clock, err := order(ctx)
-				answers <- reply{clock: clock, err: err}
+				answers <- reply{clock: clock, err: err, copy: this}
 			})
 		}
 		if open == 0 {
 			return last
 		}
-		answer, ok := await(answers, sent < sends)
+		answer, ok := await(answers, delay, sent < sends)
 		if !ok {
 			continue
 		}
 		open--
-		answer.again = sent > 1
+		answer.again, answer.inVain = sent > 1, answer.copy < sent
 		if answer.err == nil {
 			return answer
 		}
@@ -72,17 +81,33 @@
 	}
 }
 
-// await waits for an answer; hedgeStartAfter at most if the order may be sent again.
-func await(answers <-chan reply, bounded bool) (reply, bool) {
+// await waits for an answer; for the delay at most if the order may be sent again.
+func await(answers <-chan reply, delay time.Duration, bounded bool) (reply, bool) {
 	if !bounded {
 		return <-answers, true
 	}
-	wait := time.NewTimer(hedgeStartAfter)
-	defer wait.Stop()
-	select {
-	case a := <-answers:
-		return a, true
-	case <-wait.C:
-		return reply{}, false
+	return awaitFor(answers, delay)
+}
+
+// awaitFor waits for a value, so long at most. A span in which this process did not run doesn't
+// count: what came in it is still to be read.
+func awaitFor[T any](values <-chan T, limit time.Duration) (value T, ok bool) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	for began := time.Now(); ; began = time.Now() {
+		select {
+		case value = <-values:
+			return value, true
+		case <-timer.C:
+		}
+		select {
+		case value = <-values:
+			return value, true
+		default:
+		}
+		if time.Since(began) < limit+lateTimer {
+			return value, false
+		}
+		timer.Reset(limit)
 	}
 }
--- a/guard/host/process.go
+++ b/guard/host/process.go
@@ -15,6 +15,7 @@
 	// heard is the number of the newest report.
 	heard int64
 	clock sample
+	hedge hedge
 	// leased is the steady time by which every lease given has run out.
 	leased time.Duration
 	// acked is the highest end that the process knows to be taken note of.
@@ -46,6 +47,14 @@
 	}
 }
 
+// answered notes what the answer of an order says of the process.
+func (p *process) answered(r reply, steady time.Duration) {
+	p.read(r.clock, steady)
+	if r.err == nil {
+		p.hedge.answered(r.inVain)
+	}
+}
+
 // lease returns the process's time to which its lease may be extended by a span.
 func (p *process) lease(span, steady time.Duration) time.Duration {
 	if span <= 0 {
