--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -16,7 +16,7 @@
 	runOver = eventlog.Define(1253, "job.run_over", slog.LevelInfo,
 		"A run is done, or was not started for want of room and is ordered again.", "None.")
 	runWrong = eventlog.Define(1254, "job.run_wrong", slog.LevelWarn,
-		"A run failed (failed), ended before its work was done (stopped), its runner crashed under it (crashed), or it was not started: its guard took no order (not_taken), or its runner "+
+		"A run failed (failed), ended before its work was done (stopped), its runner crashed under it (crashed), or it was not started: its guard took no order (not_taken) or has no such run (unknown), or its runner "+
 			"turned it down or left it unanswered (not_started). With a crash come the number of other runs there, the jobs of some of them, and whether this one began last.",
 		"If one guard stands out, look at its runner; if one job's runs crash at several guards, look at that job.")
 	runStopped = eventlog.Define(1255, "job.run_stopped", slog.LevelInfo,
