--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -68,7 +68,7 @@
 	p.answered(answer, h.steady())
 	switch {
 	case h.process != p:
-		// The run is over, or at the next process, which has not been told.
+		// The run is over, or at the next process, which has had no stop.
 	case err == nil:
 		h.table.Barred(uptime.Now(), s.Name)
 	default:
--- a/guard/runs/restart_test.go
+++ b/guard/runs/restart_test.go
@@ -56,7 +56,7 @@
 	}
 }
 
-// Guards against: a run that a late start has begun at the next process is taken as over.
+// Guards against: a run that a late start began at the next process is taken as over.
 func TestRunThatTheNextProcessListsGoesOn(t *testing.T) {
 	b := newBornTable()
 	s := mustStart(t, b, begin, entryA, order("j", 0))
--- a/guard/runs/sweep.go
+++ b/guard/runs/sweep.go
@@ -21,7 +21,7 @@
 	var reports []Report
 	for _, e := range v.Ends {
 		b.runner.seen = max(b.runner.seen, e.Seq)
-		delete(b.runner.strays, e.Run)
+		delete(b.runner.orphans, e.Run)
 		if r := b.find(e.Run); r != nil {
 			reports = append(reports, b.over(now, r, stateOf(e.How))...)
 		}
@@ -36,9 +36,9 @@
 	if v.More {
 		return reports
 	}
-	for n := range b.runner.strays {
+	for n := range b.runner.orphans {
 		if !present[n] {
-			delete(b.runner.strays, n)
+			delete(b.runner.orphans, n)
 		}
 	}
 	for _, r := range b.runs {
@@ -72,8 +72,8 @@
 	if r == nil {
 		// Left by an older guard, whose account is lost: what it takes is not
 		// known, so nothing else is started until it is over.
-		if _, listed := b.runner.strays[n]; !listed {
-			b.runner.strays[n] = false
+		if _, listed := b.runner.orphans[n]; !listed {
+			b.runner.orphans[n] = false
 		}
 		return Report{}, false
 	}
@@ -103,7 +103,7 @@
 }
 
 // Stops returns the stops to be sent now: of runs that are to end, whose caller
-// no longer waits, or whose entry is silent, and of strays.
+// no longer waits, or whose entry is silent, and of orphans.
 func (b *Table) Stops(now time.Duration) []Stop {
 	var stops []Stop
 	for _, r := range b.runs {
@@ -119,9 +119,9 @@
 	if b.runner == nil {
 		return stops
 	}
-	for n, sent := range b.runner.strays {
+	for n, sent := range b.runner.orphans {
 		if !sent {
-			b.runner.strays[n] = true
+			b.runner.orphans[n] = true
 			stops = append(stops, Stop{n})
 		}
 	}
