--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -196,7 +196,7 @@
 		p.acked = max(p.acked, seen)
 		h.answered(now - asked)
 		reports = h.table.Read(now, asked, account)
-	case errors.Is(err, runner.ErrReplaced) && account.Born > 0 && p.Born > 0:
+	case errors.Is(err, runner.ErrRestarted):
 		h.restarted(account)
 	case errors.Is(err, runner.ErrReplaced):
 		reports = h.table.Replace(now)
