guard, entry: log unknown runs, stop orders, late orders and callers that leave

Callers: none of this changes what they see.

Change: 2212 guard.run_unknown and runs_unknown_total, 2213 guard.stop_ordered with the message's age, 1259 job.caller_gone, 1354 session.orders_late from 50 ms on. No decision changes. Unit tests of entry/sessions, entry/jobs, guard and both catalogues pass.

--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -209,6 +209,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w.callers--
+	callerGone.Log(context.Background(), e.logger, slog.String("job", id), millis("waited_ms", uptime.Now()-w.arrived), slog.Int("callers_left", w.callers))
 	if w.callers > 0 || e.waiters[id] != w {
 		return
 	}
--- a/entry/sessions/events.go
+++ b/entry/sessions/events.go
@@ -12,6 +12,9 @@
 	guardLost = eventlog.Define(1352, "session.guard_lost", slog.LevelWarn,
 		"A guard's session ended. Its runs stay open until the guard attaches again or their jobs' deadlines pass.",
 		"If it persists, check that guard and the network between it and the entry.")
+	ordersLate = eventlog.Define(1354, "session.orders_late", slog.LevelWarn,
+		"Start or stop orders waited in this entry for waited_ms before their message was built.",
+		"The host is short of CPU time, or the guard does not read its stream; compare entry.lag.")
 	guardReleased = eventlog.Define(1353, "session.guard_released", slog.LevelInfo,
 		"A retiring guard was released and serves other entries from now on; none of this entry's runs is open there.", "None.")
 )
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -24,8 +25,9 @@
 	mu     sync.Mutex
 	starts []planner.Start
 	stops  []planner.Stop
-	// decidedAt is the uptime at which the planner decided on the oldest of the starts.
-	decidedAt time.Duration
+	// decidedAt is the uptime at which the planner decided on the oldest of the starts, and
+	// queuedAt on the oldest of all orders.
+	decidedAt, queuedAt time.Duration
 	// readClock is the guard's clock in the last message that was processed.
 	readClock time.Duration
 	// ackAt is the uptime by which a message must acknowledge readClock; zero when the next
@@ -51,9 +53,13 @@
 
 // SendOrders implements jobs.Guard.
 func (s *session) SendOrders(starts []planner.Start, stops []planner.Stop) {
+	now := uptime.Now()
 	s.mu.Lock()
 	if len(s.starts) == 0 {
-		s.decidedAt = uptime.Now()
+		s.decidedAt = now
+	}
+	if len(s.starts)+len(s.stops) == 0 {
+		s.queuedAt = now
 	}
 	s.starts = append(s.starts, starts...)
 	s.stops = append(s.stops, stops...)
@@ -226,6 +232,7 @@
 			return errReleased
 		}
 		starts, decidedAt := s.pendingStarts()
+		s.logLateOrders(ctx, now)
 		m, delay := s.nextMessage(now, now-lastSent)
 		if !s.server.jobs.Current(s.guard, s) {
 			return errSuperseded
@@ -252,6 +259,17 @@
 	return len(s.starts), s.decidedAt
 }
 
+// logLateOrders logs orders that have waited for too long before their message is built.
+func (s *session) logLateOrders(ctx context.Context, now time.Duration) {
+	s.mu.Lock()
+	starts, stops, waited := len(s.starts), len(s.stops), now-s.queuedAt
+	s.mu.Unlock()
+	if starts+stops > 0 && waited > lateOrderDelay {
+		ordersLate.Log(ctx, s.server.logger, slog.String("guard", s.guard), slog.Int64("waited_ms", waited.Milliseconds()),
+			slog.Int("starts", starts), slog.Int("stops", stops))
+	}
+}
+
 func (s *session) sinceLastReceived(now time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -33,6 +33,8 @@
 	// ackMaxAge is the message age above which only heartbeats and orders acknowledge a capacity
 	// update: the entry is then short of processor time, and more updates would only queue unread.
 	ackMaxAge = 10 * time.Millisecond
+	// lateOrderDelay is the time in the queue above which orders are logged as late.
+	lateOrderDelay = 50 * time.Millisecond
 	// guardTimeout ends a session whose guard has sent nothing for this long; guards send at least
 	// once a second.
 	guardTimeout = 2500 * time.Millisecond
--- a/guard/host/events.go
+++ b/guard/host/events.go
@@ -34,6 +34,11 @@
 	runnerCrashed = eventlog.Define(2211, "guard.runner_crashed", slog.LevelWarn,
 		"The runner crashed: its process has ended, or another process answers under its id, without a notice of shutdown. runs is the number of runs that it had; newest is the job of the run that started last.",
 		"If several of these lines name the same job, its task crashes the runners that start it: its entry fails the job after two or three crashes (job.not_completed, crashes_runners).")
+	runUnknown = eventlog.Define(2212, "guard.run_unknown", slog.LevelWarn,
+		"The guard reported to an entry that it has no such run, so that the entry counts the run as never started: the entry ordered its stop (asked stop) or listed it as open when it attached (asked attach).",
+		"None for single lines: orders were lost or overtaken. A later guard.run_started of the same job, index and attempt by the same entry is a fault of the guard.")
+	stopOrdered = eventlog.Define(2213, "guard.stop_ordered", slog.LevelInfo,
+		"An entry ordered the stop of a run. age_ms is the age of the order's message.", "See job.run_stopped at the entry.")
 	orderRefused = eventlog.Define(2207, "guard.order_refused", slog.LevelInfo,
 		"The guard rejected an entry's order without sending it to the runner.",
 		"reason full: the entry's view of the capacity was outdated, or load is high; stale: the network or the entry is slow; closed: the runner is draining or not adopted yet.")
--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -213,6 +213,7 @@
 	h.mu.Lock()
 	reports := h.table.Resume(uptime.Now(), o, open)
 	h.mu.Unlock()
+	h.recordUnknown(reports, "attach")
 	notify(h.sweep)
 	return reports
 }
@@ -225,10 +226,13 @@
 	h.table.EntryAlive(o, sent)
 	var reports []runs.Report
 	for _, id := range cancels {
+		stopOrdered.Log(h.ctx, h.logger, slog.String("job", id.Task.Job), slog.Int("index", id.Task.Index),
+			slog.Int("attempt", id.Attempt), slog.Int64("age_ms", (now-sent).Milliseconds()), slog.String("entry", o.Entry))
 		if report, over := h.table.Cancel(now, o, id); over {
 			reports = append(reports, report)
 		}
 	}
+	h.recordUnknown(reports, "stop")
 	for _, order := range orders {
 		start, report := h.table.Admit(now, sent, o, order)
 		if report != nil {
@@ -252,6 +256,19 @@
 	}
 }
 
+// recordUnknown logs and counts the runs that an entry asked for and that the table does not
+// hold. asked names what the entry sent.
+func (h *Host) recordUnknown(reports []runs.Report, asked string) {
+	for _, r := range reports {
+		if r.State != runs.NotStarted || r.Refusal != runs.UnknownRun {
+			continue
+		}
+		runUnknown.Log(h.ctx, h.logger, slog.String("job", r.Run.Task.Job), slog.Int("index", r.Run.Task.Index),
+			slog.Int("attempt", r.Run.Attempt), slog.String("asked", asked), slog.String("entry", r.Owner.Entry))
+		h.opt.Metrics.countUnknown()
+	}
+}
+
 // recordRefusal logs and counts an order that was rejected.
 func (h *Host) recordRefusal(r runs.Report, age time.Duration) {
 	orderRefused.Log(h.ctx, h.logger, slog.String("job", r.Run.Task.Job), slog.Int("index", r.Run.Task.Index),
--- a/guard/host/metrics.go
+++ b/guard/host/metrics.go
@@ -18,6 +18,8 @@
 	refusals   map[runs.Refusal]tally.Counter
 	// malformed counts malformed runner reports.
 	malformed tally.Counter
+	// unknown counts reports that the guard has no such run.
+	unknown tally.Counter
 	// crashes counts crashes of a runner that had runs.
 	crashes tally.Counter
 }
@@ -34,6 +36,7 @@
 		leasesLate:  s.Counter("runner_leases_late_total"),
 		leaseLeft:   s.Timer("runner_lease_left_seconds"),
 		malformed:   s.Counter("runner_reports_malformed_total"),
+		unknown:     s.Counter("runs_unknown_total"),
 		crashes:     s.Counter("runner_crashes_total"),
 		refusals:    map[runs.Refusal]tally.Counter{},
 	}
@@ -65,4 +68,6 @@
 
 func (m *Metrics) countMalformed() { m.malformed.Inc(1) }
 
+func (m *Metrics) countUnknown() { m.unknown.Inc(1) }
+
 func (m *Metrics) countRefusal(reason runs.Refusal) { m.refusals[reason].Inc(1) }
