--- a/dispatch/planner/restart_test.go
+++ b/dispatch/planner/restart_test.go
@@ -54,3 +54,16 @@
 	assert.Equal(t, len(f.AttachEndpoint(s.Endpoint, "a", false)), 0)
 	assert.Equal(t, len(f.act().Stops), 0)
 }
+
+// Guards against taking the end of a run for that of another one: the job is submitted again
+// after it has ended, and its runs have the names of the earlier ones.
+func TestRunsOfResubmittedJobHaveOtherNames(t *testing.T) {
+	f := newFleet(t, 8)
+	first := f.submitLongWait("j", 1).Starts[0]
+	f.Cancel(f.now, "j")
+	f.act()
+	f.report(first, NotAccepted)
+	f.act()
+	second := f.submitLongWait("j", 1).Starts[0]
+	assert.Assert(t, second.Run != first.Run, "%v", second.Run)
+}
