guard/runs: keep the ends of runs by owner and run

Callers: an entry was told that a run which had ended never started, so that its task could run again or its job be refused as not run.

Cause: final reports were kept by run id alone. Two entries that received the same job, one after the other, use the same run ids; the report of the second replaced that of the first, whose entry then got "unknown" when it attached again or ordered a stop. Evidence: TestEndedRunsOfTwoEntriesAreKeptApart failed before (not_started, unknown for a run that failed) and passes. Change: the key is owner and run. A run that is recorded twice keeps its first place in the order of removal.

--- a/guard/runs/crash.go
+++ b/guard/runs/crash.go
@@ -64,12 +64,9 @@
 }
 
 func (t *Table) reportCrash(now time.Duration, r *run, c *Crash) Report {
-	if !r.endReported {
-		r.endReported = true
-		t.endedOrder = append(t.endedOrder, r.id)
-	}
+	r.endReported = true
 	report := Report{Owner: r.owner, Run: r.id, State: Crashed, StartedAt: r.startedAt, EndedAt: now, Crash: c}
-	t.endedRuns[r.id] = endedRun{report, now}
+	t.keep(now, report)
 	return report
 }
 
--- a/guard/runs/resume.go
+++ b/guard/runs/resume.go
@@ -28,11 +28,7 @@
 		case found && r.owner == owner && r.id == id:
 			// Its start is in flight; the report follows.
 		default:
-			f, kept := t.endedRuns[id]
-			if !kept || f.report.Owner != owner {
-				f.report = Report{Owner: owner, Run: id, State: NotStarted, Refusal: UnknownRun}
-			}
-			reports = append(reports, f.report)
+			reports = append(reports, t.finalReport(owner, id))
 		}
 	}
 	return reports
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -70,6 +70,13 @@
 	unresolved bool
 }
 
+// ownedRun names a run among those of all owners: two entries that received the same job use
+// the same run ids.
+type ownedRun struct {
+	owner Owner
+	id    work.RunID
+}
+
 // endedRun is the final report on a run and the uptime at which it was made.
 type endedRun struct {
 	report Report
@@ -88,8 +95,8 @@
 	// lastNumbers holds the highest run number used for each task.
 	lastNumbers map[work.TaskID]taskNumber
 	lastHeard   map[Owner]time.Duration
-	endedRuns   map[work.RunID]endedRun
-	endedOrder  []work.RunID
+	endedRuns   map[ownedRun]endedRun
+	endedOrder  []ownedRun
 	// lastNeed is the resource request of the latest order.
 	lastNeed work.Amounts
 }
@@ -118,7 +125,7 @@
 		runs:        map[work.TaskID]*run{},
 		lastNumbers: map[work.TaskID]taskNumber{},
 		lastHeard:   map[Owner]time.Duration{},
-		endedRuns:   map[work.RunID]endedRun{},
+		endedRuns:   map[ownedRun]endedRun{},
 	}
 }
 
@@ -307,10 +314,24 @@
 		t.stop(now, r)
 		return Report{}, false
 	}
-	if f, kept := t.endedRuns[id]; kept && f.report.Owner == owner {
-		return f.report, true
+	return t.finalReport(owner, id), true
+}
+
+// finalReport returns the final report on a run that is not open.
+func (t *Table) finalReport(owner Owner, id work.RunID) Report {
+	if f, kept := t.endedRuns[ownedRun{owner, id}]; kept {
+		return f.report
+	}
+	return Report{Owner: owner, Run: id, State: NotStarted, Refusal: UnknownRun}
+}
+
+// keep records the final report on a run.
+func (t *Table) keep(now time.Duration, r Report) {
+	k := ownedRun{r.Owner, r.Run}
+	if _, kept := t.endedRuns[k]; !kept {
+		t.endedOrder = append(t.endedOrder, k)
 	}
-	return Report{Owner: owner, Run: id, State: NotStarted, Refusal: UnknownRun}, true
+	t.endedRuns[k] = endedRun{r, now}
 }
 
 func (t *Table) find(name work.RunnerRunID) *run {
@@ -367,7 +388,6 @@
 	if s == NotStarted {
 		report.Refusal = reason
 	}
-	t.endedRuns[r.id] = endedRun{report, now}
-	t.endedOrder = append(t.endedOrder, r.id)
+	t.keep(now, report)
 	return []Report{report}
 }
