guard/runs: a run that was reported as never started never starts

Callers: a task ran twice at the same time. The older run got no stop and went on to its end; the other one was ordered when the caller submitted the job again elsewhere. Where it was not submitted again, a task could run whose job had been refused as not run.

Cause: the guard answers a stop order or an attaching entry for a run that it does not hold with "never started" and kept no record of the answer. One message of an entry can carry a run's start order and its stop order, as both are queued until the session's goroutine runs; stops are handled first, so the run was reported as unknown and then started. The class: a negative answer that isn't recorded, so that a message that is handled later makes it false.

Change: each final report on a run is a tombstone for as long as it is kept; an order that arrives later is rejected as stale. Why it works: whichever of order, stop and attaching entry is handled first, the second finds its record; orders are older than the record's 10 s only if they are rejected for their age.

--- a/e2e/fleet_twice_test.go
+++ b/e2e/fleet_twice_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -56,6 +57,11 @@
 	}
 	stop()
 	callers.Wait()
+	unknown := 0
+	for _, g := range f.Guards {
+		unknown += strings.Count(g.Process().Log(), `"msg":"guard.run_unknown"`)
+	}
+	t.Logf("%d stop orders arrived before or with their start orders", unknown)
 	waitUntil(t, fleet.ResubmitDelay, "runs go on without a caller", func() bool { return f.Checker.Running() == 0 })
 	assert.Equal(t, len(f.Checker.Violations()), 0)
 }
--- a/guard/runs/resume.go
+++ b/guard/runs/resume.go
@@ -8,8 +8,8 @@
 )
 
 // Resume reconciles the runs that an owner considers open with the table after the owner's
-// stream broke. It reports on each open run and stops all other runs of the same entry. The
-// broken stream delivers no more orders, so an open run that is not in the table never starts.
+// stream broke. It reports on each open run and stops all other runs of the same entry. An open
+// run that is not in the table never starts.
 func (t *Table) Resume(now time.Duration, owner Owner, open []work.RunID) []Report {
 	for _, r := range t.runs {
 		if r.owner.Entry != owner.Entry {
@@ -28,7 +28,7 @@
 		case found && r.owner == owner && r.id == id:
 			// Its start is in flight; the report follows.
 		default:
-			reports = append(reports, t.finalReport(owner, id))
+			reports = append(reports, t.finalReport(now, owner, id))
 		}
 	}
 	return reports
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -32,7 +32,8 @@
 )
 
 // endedRetention is how long the final report of a run is kept for an entry that reconnects
-// and asks for it.
+// and asks for it. It is also a tombstone: orders of the run that arrive later are rejected. No
+// order arrives later than that, because MaxOrderAge is far shorter.
 const endedRetention = 10 * time.Second
 
 // run is one start that the runner may have received.
@@ -192,7 +193,11 @@
 // order.
 func (t *Table) Admit(now, sent time.Duration, owner Owner, o Order) (*Start, *Report) {
 	if reason := t.refuse(now, sent, owner, o); reason != NoRefusal {
-		return nil, &Report{Owner: owner, Run: o.Run, State: NotStarted, Refusal: reason}
+		report := Report{Owner: owner, Run: o.Run, State: NotStarted, Refusal: reason}
+		if _, kept := t.endedRuns[ownedRun{owner, o.Run}]; !kept {
+			t.keep(now, report)
+		}
+		return nil, &report
 	}
 	return t.add(now, sent, owner, o), nil
 }
@@ -219,6 +224,9 @@
 	if now-sent > t.opt.MaxOrderAge || o.TimeLeft <= now-sent {
 		return StaleOrder
 	}
+	if _, over := t.endedRuns[ownedRun{owner, o.Run}]; over {
+		return StaleOrder
+	}
 	if !t.AcceptsStarts() {
 		return NotAccepting
 	}
@@ -314,15 +322,18 @@
 		t.stop(now, r)
 		return Report{}, false
 	}
-	return t.finalReport(owner, id), true
+	return t.finalReport(now, owner, id), true
 }
 
-// finalReport returns the final report on a run that is not open.
-func (t *Table) finalReport(owner Owner, id work.RunID) Report {
+// finalReport returns the final report on a run that is not open. If there is none, the run
+// never started; the report on that is kept, so that its order is rejected if it arrives later.
+func (t *Table) finalReport(now time.Duration, owner Owner, id work.RunID) Report {
 	if f, kept := t.endedRuns[ownedRun{owner, id}]; kept {
 		return f.report
 	}
-	return Report{Owner: owner, Run: id, State: NotStarted, Refusal: UnknownRun}
+	report := Report{Owner: owner, Run: id, State: NotStarted, Refusal: UnknownRun}
+	t.keep(now, report)
+	return report
 }
 
 // keep records the final report on a run.
--- a/guard/runs/types.go
+++ b/guard/runs/types.go
@@ -36,7 +36,8 @@
 	NoRefusal Refusal = iota
 	// InsufficientCapacity means that the runner's free capacity does not suffice.
 	InsufficientCapacity
-	// StaleOrder means that the order was in transit for too long, or its caller no longer waits.
+	// StaleOrder means that the order was in transit for too long, its caller no longer waits, or
+	// its run was reported as over before the order arrived.
 	StaleOrder
 	// NotAccepting means that no starts are accepted.
 	NotAccepting
