guard/runs: a run that was reported as over is stopped when its runner lists it again

Callers: a task could run twice at the same time. When a runner answers no calls until all leases have expired, its guard reports its runs as over, and their tasks start elsewhere. If a run was still there when the runner answered again, it got no stop, and later polls and starts extended the lease of the whole runner. An entry that attached again was told that the run was running.

Change: a run that was reported as over and is listed again counts as an orphan: stopped at once, and nothing starts until it is gone. While the table has such a run, no lease is extended and no start accepted. An entry that asks for it gets the final report.

--- a/guard/runs/process.go
+++ b/guard/runs/process.go
@@ -52,8 +52,7 @@
 	var detached []*run
 	for _, n := range names {
 		if r := t.find(n); r != nil && !r.endReported {
-			delete(t.runs, n.Task)
-			t.used = t.used.Sub(r.need)
+			t.release(r)
 			detached = append(detached, r)
 		}
 	}
--- a/guard/runs/resume.go
+++ b/guard/runs/resume.go
@@ -23,12 +23,12 @@
 	for _, id := range open {
 		r, found := t.runs[id.Task]
 		switch {
-		case found && r.owner == owner && r.id == id && r.started:
+		case !found || r.owner != owner || r.id != id || r.endReported:
+			reports = append(reports, t.finalReport(now, owner, id))
+		case r.started:
 			reports = append(reports, Report{Owner: owner, Run: id, State: Running, StartedAt: r.startedAt})
-		case found && r.owner == owner && r.id == id:
-			// Its start is in flight; the report follows.
 		default:
-			reports = append(reports, t.finalReport(now, owner, id))
+			// Its start is in flight; the report follows.
 		}
 	}
 	return reports
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -135,7 +135,19 @@
 
 // AcceptsStarts reports whether starts are accepted.
 func (t *Table) AcceptsStarts() bool {
-	return !t.shuttingDown && t.runner != nil && t.runner.acceptsStarts()
+	return !t.shuttingDown && t.runner != nil && t.runner.acceptsStarts() && !t.hasReportedOver()
+}
+
+// hasReportedOver reports whether a run was reported as over that the runner may still have.
+// Until a run listing shows that it is over, nothing is started, because a start extends the
+// lease of all runs.
+func (t *Table) hasReportedOver() bool {
+	for _, r := range t.runs {
+		if r.endReported {
+			return true
+		}
+	}
+	return false
 }
 
 func (k *processState) acceptsStarts() bool {
@@ -318,7 +330,7 @@
 // Cancel stops a run at its owner's request. It returns a report if the run is already over.
 func (t *Table) Cancel(now time.Duration, owner Owner, id work.RunID) (Report, bool) {
 	r, found := t.runs[id.Task]
-	if found && r.owner == owner && r.id == id {
+	if found && r.owner == owner && r.id == id && !r.endReported {
 		t.stop(now, r)
 		return Report{}, false
 	}
@@ -384,9 +396,14 @@
 }
 
 func (t *Table) endWithReason(now time.Duration, r *run, s State, reason Refusal) []Report {
+	t.release(r)
+	return t.report(now, r, s, reason)
+}
+
+// release removes a run from the table and releases its resources.
+func (t *Table) release(r *run) {
 	delete(t.runs, r.id.Task)
 	t.used = t.used.Sub(r.need)
-	return t.report(now, r, s, reason)
 }
 
 // reportEnd makes the final report on a run, once.
--- a/guard/runs/sweep.go
+++ b/guard/runs/sweep.go
@@ -69,6 +69,11 @@
 // markPresent records that the runner lists a run.
 func (t *Table) markPresent(now, asked time.Duration, n work.RunnerRunID) (Report, bool) {
 	r := t.find(n)
+	if r != nil && r.endReported {
+		// Its task may have been started elsewhere, so it is stopped like an orphan.
+		t.release(r)
+		r = nil
+	}
 	if r == nil {
 		// A previous guard process started it, and its table is lost. How many resources the
 		// run uses is unknown, so nothing else is started until it is over.
@@ -77,7 +82,7 @@
 		}
 		return Report{}, false
 	}
-	if r.started || r.endReported {
+	if r.started {
 		return Report{}, false
 	}
 	if r.answeredAt == 0 {
@@ -110,7 +115,8 @@
 		if r.stoppingSince == 0 && now >= t.stopTime(r) {
 			t.stop(now, r)
 		}
-		// A run whose lease expired while its runner was unresponsive needs no stop.
+		// A run that was reported as over gets no stop until the runner lists it again: see
+		// markPresent.
 		if r.stoppingSince > 0 && !r.stopAcked && !r.stopSent && !r.endReported {
 			r.stopSent = true
 			stops = append(stops, Stop{r.name})
@@ -147,10 +153,11 @@
 
 // LeaseUntil returns the uptime to which the runner's lease may be extended now. The lease
 // covers the whole runner: while the stop of a run is due and not acknowledged, the lease
-// expires for all runs at that run's end deadline. If only orphans run, the lease is left to
-// expire, which ends them even if their stops go unanswered.
+// expires for all runs at that run's end deadline. If only orphans run, or a run was reported
+// as over that the runner may still have, the lease is left to expire, which ends them even if
+// their stops go unanswered.
 func (t *Table) LeaseUntil(now time.Duration) time.Duration {
-	if len(t.runs) == 0 && t.orphans() > 0 {
+	if len(t.runs) == 0 && t.orphans() > 0 || t.hasReportedOver() {
 		return now
 	}
 	until := now + t.opt.LeaseExtension
