dispatch/planner: runs of a job that is submitted again have other names than the earlier ones

Callers: none saw a wrong answer. A job that ended without completing and is submitted again to the same entry ordered runs with the names of the earlier ones. A guard that keeps the end of an earlier run could report it for the new one, and with tombstones it rejects the new order.

Cause: attempts were counted anew with each submission. Class: a name that is used again while somebody remembers the older one. Evidence: TestRunsOfResubmittedJobHaveOtherNames failed before (both runs have attempt 1) and passes. Change: attempts go on from those of the earlier job for 12 to 24 s, longer than the 10 s for which guards keep ends; jobs that completed are not recorded, as their answer is repeated.

--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -83,6 +83,10 @@
 	firstEvent time.Duration
 	// pausedUntil is the time until which nothing is started.
 	pausedUntil time.Duration
+	// attempts holds the highest attempt of each job that has ended without completing since
+	// attemptsSince, and olderAttempts those of the span before that, by job id.
+	attempts, olderAttempts map[string]int
+	attemptsSince           time.Duration
 	// crashes are the crashes of the last seconds, oldest first.
 	crashes     []*crash
 	crashCounts CrashCounts
@@ -120,6 +124,7 @@
 		endpoints: map[string]*endpoint{},
 		services:  map[string]*service{},
 		estimates: map[string]*estimate{},
+		attempts:  map[string]int{},
 	}
 }
 
@@ -179,6 +184,9 @@
 		return Duplicate
 	}
 	j := newJob(now, deadline, w, t)
+	for _, t := range j.tasks {
+		t.attempt = max(p.attempts[w.ID], p.olderAttempts[w.ID])
+	}
 	j.service = p.service(t.Service)
 	estimate := p.estimate(t.Contract)
 	j.predict(estimate)
@@ -275,17 +283,35 @@
 	if j.outcome == 0 {
 		return
 	}
+	highest := 0
 	for _, t := range j.tasks {
 		if t.open() {
 			return
 		}
+		highest = max(highest, t.attempt)
 	}
 	if p.jobs[j.work.ID] == j {
 		delete(p.jobs, j.work.ID)
+		if highest > 0 && j.outcome != Completed {
+			p.attempts[j.work.ID] = highest
+		}
 		p.out.Settled = append(p.out.Settled, j.work.ID)
 	}
 }
 
+// attemptRetention is the minimum time for which the attempts of an ended job are kept: longer
+// than guards keep the ends of runs, so that no run of a job submitted again has the name of one
+// that a guard remembers.
+const attemptRetention = 12 * time.Second
+
+// forgetAttempts drops the attempts of jobs that ended longer ago than attemptRetention.
+func (p *Planner) forgetAttempts(now time.Duration) {
+	if now-p.attemptsSince >= attemptRetention {
+		p.olderAttempts, p.attempts = p.attempts, map[string]int{}
+		p.attemptsSince = now
+	}
+}
+
 // Bounds of RetryAfter for refused jobs.
 const (
 	minRetryAfter = time.Second
@@ -315,6 +341,7 @@
 	next := now + time.Second
 	// The startup time counts from the first event, also when that event brings no job.
 	p.inStartupGrace(now)
+	p.forgetAttempts(now)
 	for _, s := range p.services {
 		p.endOverdue(now, s)
 		if now >= p.pausedUntil {
