entry/sessions: a run's end that is reported twice counts once

Callers: tasks could be stopped and started again, or their jobs expire, while nothing was wrong. A guard stops the runs of an entry that it has not heard of for 520 ms; heartbeats come every 150 ms while the entry has open runs at the guard, otherwise every second.

Cause: the session counted open runs down by one for each final report. A guard reports a run twice when its end and its stop order cross, so the count reached zero with runs open. Found by reading, with the tombstones, which report a rejected order once more. Evidence: TestEndReportedTwiceLeavesOtherRunsOpen fails on the old count (trial: no heartbeat is due) and passes. Change: the session holds the set of open runs. Effect on callers not measured.

--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -37,8 +37,8 @@
 	sendNow bool
 	// retiring is true while the guard asks this entry to release it.
 	retiring bool
-	// open counts the runs that were ordered at this guard and have not ended.
-	open int
+	// open holds the runs that were ordered at this guard and have not ended.
+	open map[work.RunID]struct{}
 	// clock is the guard's clock in its newest message, and clockAt the uptime at which that
 	// message was received.
 	clock, clockAt time.Duration
@@ -63,7 +63,9 @@
 	}
 	s.starts = append(s.starts, starts...)
 	s.stops = append(s.stops, stops...)
-	s.open += len(starts)
+	for _, x := range starts {
+		s.open[x.Run] = struct{}{}
+	}
 	s.mu.Unlock()
 	s.signal()
 }
@@ -124,7 +126,9 @@
 	entries, version := s.server.members.Addresses()
 	s.mu.Lock()
 	s.membersVersion = version
-	s.open += len(open)
+	for _, r := range open {
+		s.open[r] = struct{}{}
+	}
 	s.mu.Unlock()
 	handshake := &wirev1.EntryHandshake{Entry: s.server.opt.Entry, Incarnation: s.server.opt.Incarnation}
 	for _, r := range open {
@@ -150,12 +154,8 @@
 		}
 		s.recordClock(m.GetClockUs())
 		update := jobs.GuardUpdate{Status: capacityOf(m.GetCapacity())}
-		ended := 0
 		for _, r := range m.GetReports() {
 			c := changeOf(r)
-			if c != planner.Running {
-				ended++
-			}
 			if c == planner.NotAccepted || c == planner.Unknown {
 				s.server.opt.Lag.CountRejectedStart()
 			}
@@ -166,9 +166,7 @@
 				Crash:  crashOf(r.GetCrash()),
 			})
 		}
-		s.mu.Lock()
-		s.open = max(s.open-ended, 0)
-		s.mu.Unlock()
+		s.removeEnded(update.Reports)
 		if update.Status != nil || len(update.Reports) > 0 {
 			s.server.jobs.ApplyUpdate(s.guard, s, update)
 		}
@@ -179,6 +177,18 @@
 	}
 }
 
+// removeEnded removes the runs that have ended from the open ones. Guards may report the end of a
+// run twice, for example in answer to its stop order.
+func (s *session) removeEnded(reports []jobs.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range reports {
+		if r.Change != planner.Running {
+			delete(s.open, r.Run)
+		}
+	}
+}
+
 // setRetiring records whether the guard asks to be released. A retiring guard reports closed
 // capacity, so nothing more is ordered there.
 func (s *session) setRetiring(r *wirev1.Capacity) {
@@ -284,7 +294,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	interval := heartbeatIdle
-	if s.open > 0 {
+	if len(s.open) > 0 {
 		interval = heartbeatBusy
 	}
 	hasUpdate := len(s.starts) > 0 || len(s.stops) > 0 || s.sendNow || version != s.membersVersion
--- a/entry/sessions/sessions_test.go
+++ b/entry/sessions/sessions_test.go
@@ -8,6 +8,7 @@
 
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
+	"almondstand.dev/entry/jobs"
 )
 
 type fakeMembers struct {
@@ -63,3 +64,17 @@
 	m, _ = s.nextMessage(time.Second+ackDelay, time.Millisecond)
 	assert.Assert(t, m == nil, "acknowledged only once")
 }
+
+// Guards against runs that their guard stops because their entry's heartbeats have become rare:
+// the end of another run was reported twice and counted as the end of both.
+func TestEndReportedTwiceLeavesOtherRunsOpen(t *testing.T) {
+	s := &session{server: &Server{members: &fakeMembers{}}, open: map[work.RunID]struct{}{}}
+	run := func(index int) work.RunID { return work.RunID{Task: work.TaskID{Job: "j", Index: index}, Attempt: 1} }
+	s.SendOrders([]planner.Start{{Run: run(0)}, {Run: run(1)}}, nil)
+	ended := []jobs.Report{{Run: run(0), Change: planner.Stopped}}
+	s.removeEnded(ended)
+	s.removeEnded(ended)
+	_, _ = s.nextMessage(time.Second, 0)
+	m, _ := s.nextMessage(time.Second, heartbeatBusy)
+	assert.Assert(t, m != nil, "no heartbeat is due for the open run")
+}
