--- a/guard/host/events.go
+++ b/guard/host/events.go
@@ -41,5 +41,5 @@
 		"An entry ordered the stop of a run. age_ms is the age of the order's message.", "See job.run_stopped at the entry.")
 	orderRefused = eventlog.Define(2207, "guard.order_refused", slog.LevelInfo,
 		"The guard rejected an entry's order without sending it to the runner.",
-		"reason full: the entry's view of the capacity was outdated, or load is high; stale: the network or the entry is slow; closed: the runner is draining or not adopted yet.")
+		"reason full: the entry's view of the capacity was outdated, or load is high; stale: the network or the entry is slow, or the run was reported as over before its order arrived; closed: the runner is draining or not adopted yet.")
 )
