guard/runs: a start that was sent without a lease is over once the runner answers

Callers: a runner could stay closed for good, until its process ended. While an overdue stop goes unanswered, the lease ends at that run's end deadline; for some 150 to 400 ms more the guard accepts orders and sends their starts with until_ms 0. If such a start and its stops go unanswered until its run is reported as over, no stop is sent any more.

Cause: confirmedOver took a start as expired only if it had a time of validity, so nothing ended the run, and a run that was reported as over keeps the table closed and the lease ended. Before reported runs closed the table, the run kept its reserved capacity for good.

Change: a start without a lease counts as expired, as the runner's clock has passed zero. Why it works: the host records the validity under the lock under which the order is accepted, so zero means that it was sent so; a run that the next process lists has been started or has ended.

--- a/guard/runs/sweep.go
+++ b/guard/runs/sweep.go
@@ -99,12 +99,12 @@
 // confirmedOver reports whether a run that is neither listed nor ended is over. Either its
 // start or stop was answered before the listing was requested, so the listing would contain
 // it; or the start has expired on the runner's own clock, so the runner will reject it if it
-// arrives.
+// arrives. A start that was sent without a lease is valid at no time.
 func (t *Table) confirmedOver(r *run, asked, clock time.Duration) bool {
 	if r.answeredAt > 0 && r.answeredAt < asked {
 		return true
 	}
-	return !r.started && r.startValidUntil > 0 && r.stoppingSince > 0 && clock > r.startValidUntil+clockMargin
+	return !r.started && r.stoppingSince > 0 && clock > r.startValidUntil+clockMargin
 }
 
 // Stops returns the stops to send now: for runs marked for stopping, runs whose caller no
