dispatch/planner: a crash that is reported twice counts once

Callers: a job could fail as one that crashes runners (crashes_runners, an answer that is kept for 8 s) after a single crash, without a second attempt.

Cause: a guard answers a stop order for a run that ended with the run's final report. If the stop order crosses the report of a crash, or is repeated when the guard attaches, the crash arrives twice; the second report finds no open run, is taken for one that became known late, and counts again. Two crashes with nothing else running fail the job. Open jobs have stop orders for runs that take too long. Evidence: TestCrashReportedTwiceCountsOnce failed (crashes_runners) and passes.

Change: a task is recorded once as a suspect of one crash of one process. Effect on callers not measured.

--- a/dispatch/planner/crash.go
+++ b/dispatch/planner/crash.go
@@ -125,9 +125,13 @@
 	}
 }
 
-// attribute counts a crash against a task, and fails its job if the evidence is conclusive.
+// attribute counts a crash against a task, and fails its job if the evidence is conclusive. A
+// guard reports a crash again when a stop order of the run crosses its first report.
 func (p *Planner) attribute(now time.Duration, t *task, e *endpoint, c Crash) {
 	x := p.crashRecord(now, e, c.Runner)
+	if slices.ContainsFunc(x.suspects, func(s suspect) bool { return s.task == t }) {
+		return
+	}
 	x.suspects = append(x.suspects, suspect{t, c.Newest})
 	if x.common {
 		p.crashCounts.CommonCause++
--- a/dispatch/planner/crash_test.go
+++ b/dispatch/planner/crash_test.go
@@ -152,3 +152,17 @@
 	f.crash(a.Starts[0], Crash{})
 	assert.Equal(t, f.CrashCounts(), CrashCounts{Attributed: 2})
 }
+
+// Guards against a job that fails after one crash: its guard reports the crash twice, the
+// second time in answer to a stop order that crossed the first report.
+func TestCrashReportedTwiceCountsOnce(t *testing.T) {
+	f := newFleet(t, 8, 8, 8)
+	s := f.submitLongWait("j", 1).Starts[0]
+	c := Crash{Runner: work.Incarnation{ID: "r"}, Newest: true}
+	f.ReportCrash(f.now, s.Endpoint, s.Run, 0, c)
+	f.ReportCrash(f.now, s.Endpoint, s.Run, 0, c)
+	a := f.act()
+	assert.Equal(t, len(a.Ended), 0, "%v", a.Ended)
+	assert.Equal(t, len(a.Starts), 1)
+	assert.Equal(t, f.CrashCounts().Attributed, 1)
+}
