--- a/dispatch/planner/restart_test.go
+++ b/dispatch/planner/restart_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -67,3 +68,32 @@
 	second := f.submitLongWait("j", 1).Starts[0]
 	assert.Assert(t, second.Run != first.Run, "%v", second.Run)
 }
+
+// Guards against run names that are used again while guards keep the ends of earlier runs: a
+// task's last attempt was not the job's last task's, and the job is submitted again seconds later.
+func TestAttemptsAreRememberedWhileGuardsKeepEnds(t *testing.T) {
+	const endsKept, later = 10 * time.Second, time.Minute
+	f := newFleet(t, 8, 8)
+	f.after(7 * time.Second)
+	starts := f.submitLongWait("j", 2).Starts
+	assert.Equal(t, len(starts), 2)
+	slices.SortFunc(starts, func(a, b Start) int { return a.Run.Task.Index - b.Run.Task.Index })
+	f.report(starts[0], NoCapacity)
+	again := f.act().Starts[0]
+	assert.Equal(t, again.Run.Attempt, 2)
+	f.Cancel(f.now, "j")
+	f.act()
+	f.report(again, NotAccepted)
+	f.report(starts[1], NotAccepted)
+	for range endsKept / time.Second {
+		f.after(time.Second)
+	}
+	for _, s := range f.submitLongWait("j", 2).Starts {
+		assert.Assert(t, s.Run.Attempt > 2, "%v", s.Run)
+		f.report(s, Done)
+	}
+	for range later / time.Second {
+		f.after(time.Second)
+	}
+	assert.Equal(t, len(f.attempts)+len(f.olderAttempts), 0)
+}
--- a/entry/sessions/sessions_test.go
+++ b/entry/sessions/sessions_test.go
@@ -71,6 +71,7 @@
 	s := &session{server: &Server{members: &fakeMembers{}}, open: map[work.RunID]struct{}{}}
 	run := func(index int) work.RunID { return work.RunID{Task: work.TaskID{Job: "j", Index: index}, Attempt: 1} }
 	s.SendOrders([]planner.Start{{Run: run(0)}, {Run: run(1)}}, nil)
+	s.removeEnded([]jobs.Report{{Run: run(1), Change: planner.Running}})
 	ended := []jobs.Report{{Run: run(0), Change: planner.Stopped}}
 	s.removeEnded(ended)
 	s.removeEnded(ended)
--- a/guard/runs/runs_test.go
+++ b/guard/runs/runs_test.go
@@ -122,7 +122,7 @@
 // run is stopped, and the newer is not started concurrently.
 func TestSameTaskThroughAnotherEntry(t *testing.T) {
 	table := newTable(4)
-	s := mustStart(t, table, testStart, entryA, order("j", 0))
+	s := mustStart(t, table, testStart, entryA, attempt(2, order("j", 0)))
 	_, _ = table.Started(testStart+ms, s.Name)
 	assert.Equal(t, refusal(t, table, testStart+5*ms, testStart+5*ms, entryB, order("j", 0)), NotAccepting)
 	assert.DeepEqual(t, table.Stops(testStart+6*ms), []Stop{{s.Name}})
--- a/guard/runs/tombstone_test.go
+++ b/guard/runs/tombstone_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -134,3 +135,28 @@
 	assert.Equal(t, len(table.endedRuns), 0)
 	assert.Equal(t, len(table.endedOrder), 0)
 }
+
+// Guards against an order that hides the end of its run: an entry that orders a run again, and
+// then asks for it, is told that it never started.
+func TestOrderOfEndedRunLeavesItsReport(t *testing.T) {
+	table := newTable(1)
+	x := order("j", 0)
+	s := mustStart(t, table, testStart, entryA, x)
+	table.Started(testStart+ms, s.Name)
+	table.ApplyListing(testStart+20*ms, testStart+10*ms, work.Listing{Ends: []work.End{{Seq: 1, Run: s.Name, State: work.Done}}})
+	assert.Equal(t, refusal(t, table, testStart+30*ms, testStart+30*ms, entryA, x), StaleOrder)
+	got := table.Resume(testStart+40*ms, entryA, []work.RunID{x.Run})
+	assert.Assert(t, len(got) == 1 && got[0].State == Done, "%v", got)
+}
+
+// A tombstone is kept for as long as entries take an unknown run for one that never started.
+func TestTombstoneIsKept(t *testing.T) {
+	const unknownNeverStarted = 9 * time.Second
+	table := newTable(1)
+	x := order("j", 0)
+	table.Cancel(testStart, entryA, x.Run)
+	now := testStart + unknownNeverStarted
+	table.Prune(now)
+	start, _ := table.Admit(now, now, entryA, x)
+	assert.Assert(t, start == nil, "started after it was reported as never started")
+}
