guard/host: a process at another address is adopted once the current one is shown to be over

Callers: a task could run twice. When a process announced itself at another address than the guard's current one and answered, the guard reported all runs of the current process as over, and their entries started the tasks elsewhere, while they ran on: the older process was not asked, and no stop was sent to it.

Cause: an answer of the new process was taken as proof that the older one is gone. That holds at one address only. Class: absence inferred from somebody else's presence.

Change: before a process at another address is adopted, the current one is polled. It is replaced at once if its connection is refused or another process answers there. It stays while it answers, unless it drains and has no runs left. The new process is asked without a fencing token, so that a delayed report of a process that has ended takes no lease away and leaves the tokens as they are. At the same address nothing is asked in addition, so a runner that crashed and returns under a new id is adopted as before. A candidate is tried again when the current process is removed, not only with its next report.

Two runners that report to one guard no longer take turns; event 2214 names them.

--- a/guard/host/adopt.go
+++ b/guard/host/adopt.go
@@ -48,7 +48,12 @@
 	if c := h.candidate; c == nil || c.Instance != r.Instance || r.StartedMilli > c.StartedMilli || r.StartedMilli == c.StartedMilli && r.Seq > c.Seq {
 		h.candidate = &r
 	}
-	if !h.adopting {
+	h.adopt()
+}
+
+// adopt starts the confirmation of the candidate. h.mu is held.
+func (h *Host) adopt() {
+	if h.candidate != nil && !h.adopting {
 		h.adopting = true
 		h.calls.Go(h.adoptCandidate)
 	}
@@ -110,6 +115,7 @@
 	}
 	reports := h.table.RemoveProcess(uptime.Now())
 	h.process = nil
+	h.adopt()
 	h.mu.Unlock()
 	runnerLeft.Log(h.ctx, h.logger, slog.String("runner", p.String()))
 	h.deliver(reports)
@@ -139,6 +145,10 @@
 
 // confirm returns true if the candidate was adopted or is known to have ended.
 func (h *Host) confirm(c runner.Report) bool {
+	ended, ok := h.replaceable(c)
+	if !ok {
+		return false
+	}
 	if err := h.probe(c); err != nil {
 		return h.discardIfEnded(c, err)
 	}
@@ -161,15 +171,64 @@
 		api.Close()
 		return h.discardIfEnded(c, err)
 	}
-	h.install(c, &process{
+	return h.install(c, &process{
 		Incarnation:  c.Incarnation(),
 		api:          api,
 		requestedAt:  asked,
 		listingClock: listing.Clock,
-	}, target.Token, listing)
-	return true
+	}, target.Token, listing, ended)
 }
 
+// replaceable reports whether the candidate may replace the current process, and whether that
+// one has ended. A process at the same address shows that it has; one at another address does
+// not, and the runs of the current process must not be reported as over while they may run on.
+// The current process stays while it answers, unless it is drained. If it does not answer, its
+// lease is left to expire.
+func (h *Host) replaceable(c runner.Report) (ended, ok bool) {
+	h.mu.Lock()
+	p := h.process
+	if p == nil || h.table.Process().Address == c.Address {
+		h.mu.Unlock()
+		return true, true
+	}
+	h.mu.Unlock()
+	_, err := h.firstPoll(p.api)
+	silent := false
+	switch {
+	case errors.Is(err, runner.ErrConnectionRefused), errors.Is(err, runner.ErrReplaced):
+		return true, true
+	case err == nil, errors.Is(err, runner.ErrFenced):
+	default:
+		silent = h.answers(c)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.process != p {
+		return false, false
+	}
+	h.table.SetSuperseded(silent)
+	ok = h.table.Drained() || silent && h.leaseExpired(p)
+	if !ok && h.postponed != c.Incarnation() {
+		h.postponed = c.Incarnation()
+		adoptPostponed.Log(h.ctx, h.logger, slog.String("runner", c.Incarnation().String()), slog.String("address", c.Address),
+			slog.String("current", p.String()), slog.Bool("silent", silent))
+	}
+	return false, ok
+}
+
+// answers reports whether the candidate's process answers. The call has no fencing token, so it
+// changes nothing there.
+func (h *Host) answers(c runner.Report) bool {
+	api := h.opt.Dial(runner.Target{Address: c.Address, Incarnation: c.Incarnation()})
+	defer api.Close()
+	_, err := h.firstPoll(api)
+	return err == nil || errors.Is(err, runner.ErrFenced)
+}
+
+// leaseExpired reports whether every lease that was granted to the process has expired and its
+// runs are over. h.mu is held.
+func (h *Host) leaseExpired(p *process) bool { return h.monotonic() > p.leasedUntil+leaseEndMargin }
+
 // probe checks that a process that announced itself under the id of the current or the
 // previous process is running. It uses the token that those processes know: if the report is
 // an older process's, a higher token would fence off this guard's own calls.
@@ -209,9 +268,15 @@
 	return over
 }
 
-// install makes a confirmed process the current one.
-func (h *Host) install(c runner.Report, p *process, token int64, listing work.Listing) {
+// install makes a confirmed process the current one. It returns false if the current one has not
+// ended and has obtained a lease or runs since the candidate was found to replace it.
+func (h *Host) install(c runner.Report, p *process, token int64, listing work.Listing, ended bool) bool {
 	h.mu.Lock()
+	if old := h.process; old != nil && !ended && !h.leaseExpired(old) && !h.table.Drained() {
+		h.mu.Unlock()
+		p.api.Close()
+		return false
+	}
 	if h.candidate != nil && h.candidate.Incarnation() == c.Incarnation() {
 		// A newer report may have arrived in the meantime.
 		c = *h.candidate
@@ -237,6 +302,7 @@
 	notify(h.poll)
 	notify(h.sweep)
 	h.deliver(reports)
+	return true
 }
 
 // listedRuns returns the names of all runs in a run listing, running or ended.
--- /dev/null
+++ b/guard/host/adopt_test.go
@@ -0,0 +1,173 @@
+package host
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/guard/runs"
+	"almondstand.dev/platform/runner"
+	"almondstand.dev/telemetry/uptime"
+)
+
+// secondAddress is the address of the second runner of a pair.
+const secondAddress = "127.0.0.1:2"
+
+// runnerPair is a host with an adopted runner, and a second runner that has not announced itself.
+type runnerPair struct {
+	t             *testing.T
+	host          *Host
+	sink          *reportRecorder
+	first, second *fakeRunner
+}
+
+func newRunnerPair(t *testing.T) *runnerPair {
+	t.Helper()
+	p := &runnerPair{t: t, first: newFakeRunner(), second: newFakeRunner()}
+	p.host, p.sink = startHostWith(t, p.first, func(target runner.Target) Runner {
+		if target.Address == firstAddress {
+			return p.first
+		}
+		return p.second
+	})
+	keepAlive(t, p.host)
+	return p
+}
+
+// announce sends reports of the second runner until the test ends.
+func (p *runnerPair) announce() {
+	ctx := p.t.Context()
+	go func() {
+		for seq := int64(1); ctx.Err() == nil; seq++ {
+			p.host.HandleReport(runner.Report{Instance: "i2", Service: "s", Address: secondAddress, Seq: seq, Clock: p.second.clock(), Capacity: work.Amounts{CPUMilli: 32000}})
+			uptime.Sleep(ctx, 100*time.Millisecond)
+		}
+	}()
+}
+
+// startRun starts a run at the first runner.
+func (p *runnerPair) startRun() work.RunnerRunID {
+	p.t.Helper()
+	run := order(p.host)
+	p.sink.waitFor(p.t, runs.Running)
+	return run
+}
+
+// ends returns the final reports.
+func (p *runnerPair) ends() []runs.Report {
+	p.sink.mu.Lock()
+	defer p.sink.mu.Unlock()
+	var ends []runs.Report
+	for _, r := range p.sink.reports {
+		if r.State != runs.Running {
+			ends = append(ends, r)
+		}
+	}
+	return ends
+}
+
+// waitEnd waits for the first final report and returns it.
+func (p *runnerPair) waitEnd(limit time.Duration) runs.Report {
+	p.t.Helper()
+	p.wait("the end of the run", limit, func() bool { return len(p.ends()) > 0 })
+	return p.ends()[0]
+}
+
+// waitAdopted waits until the second runner accepts starts.
+func (p *runnerPair) waitAdopted(limit time.Duration) {
+	p.t.Helper()
+	p.wait("adoption of the second runner", limit, func() bool {
+		c := p.host.Capacity()
+		return c.ID == "i2" && c.AcceptsStarts
+	})
+}
+
+func (p *runnerPair) wait(what string, limit time.Duration, done func() bool) {
+	p.t.Helper()
+	poll.WaitOn(p.t, func(poll.LogT) poll.Result {
+		if done() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithTimeout(limit), poll.WithDelay(time.Millisecond))
+}
+
+// Guards against a run that goes on after it was reported as over: another process announces
+// itself at another address while the run's process works.
+func TestRunGoesOnWhileAnotherProcessAnnouncesItself(t *testing.T) {
+	p := newRunnerPair(t)
+	run := p.startRun()
+	p.announce()
+	time.Sleep(2 * time.Second)
+	assert.Equal(t, len(p.ends()), 0, "%v", p.ends())
+	p.first.end(run, work.Done)
+	assert.Equal(t, p.waitEnd(time.Second).State, runs.Done)
+	p.first.set(func() { p.first.down = runner.ErrConnectionRefused })
+	p.waitAdopted(time.Second)
+}
+
+// Guards against a run that is reported as over before its lease has expired: its process is cut
+// off and another one announces itself at another address.
+func TestRunOfASilentProcessIsOverWithItsLease(t *testing.T) {
+	p := newRunnerPair(t)
+	p.startRun()
+	p.first.set(func() {
+		for _, call := range []string{"start", "stop", "poll"} {
+			p.first.dropCalls[call] = 1 << 30
+		}
+	})
+	p.announce()
+	assert.Assert(t, p.waitEnd(3*time.Second).State != runs.NotStarted)
+	p.first.mu.Lock()
+	clock, lease := p.first.clock(), p.first.lease
+	p.first.mu.Unlock()
+	assert.Assert(t, clock > lease, "reported as over %s before the end of its lease", lease-clock)
+	p.waitAdopted(time.Second)
+}
+
+// A process that has ended is replaced at once, whatever the address of the next one.
+func TestEndedProcessIsReplacedAtOnce(t *testing.T) {
+	for name, err := range map[string]error{"nothing listens": runner.ErrConnectionRefused, "another process answers": runner.ErrReplaced} {
+		t.Run(name, func(t *testing.T) {
+			p := newRunnerPair(t)
+			p.startRun()
+			p.first.set(func() { p.first.down = err })
+			p.announce()
+			p.waitEnd(leaseEndMargin)
+			p.waitAdopted(time.Second)
+		})
+	}
+}
+
+// A process that drains and has no runs left is replaced while it still answers.
+func TestDrainedProcessIsReplaced(t *testing.T) {
+	p := newRunnerPair(t)
+	run := p.startRun()
+	p.host.HandleReport(runner.Report{Instance: "i", Service: "s", Address: firstAddress, Seq: 1 << 20, Draining: true, Clock: p.first.clock(), Capacity: work.Amounts{CPUMilli: 32000}})
+	p.announce()
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, len(p.ends()), 0, "%v", p.ends())
+	p.first.end(run, work.Done)
+	assert.Equal(t, p.waitEnd(time.Second).State, runs.Done)
+	p.waitAdopted(time.Second)
+}
+
+// Guards against a process losing its lease to a delayed report of another one that has ended.
+func TestReportOfAnEndedProcessEndsNoLease(t *testing.T) {
+	p := newRunnerPair(t)
+	p.startRun()
+	p.second.set(func() { p.second.down = runner.ErrConnectionRefused })
+	p.first.set(func() { p.first.dropCalls["poll"] = 12 })
+	p.announce()
+	p.wait("the lost polls", 3*time.Second, func() bool {
+		p.first.mu.Lock()
+		defer p.first.mu.Unlock()
+		return p.first.dropCalls["poll"] == 0
+	})
+	p.host.mu.Lock()
+	defer p.host.mu.Unlock()
+	assert.Assert(t, p.host.table.LeaseUntil(uptime.Now()) > uptime.Now())
+}
--- a/guard/host/events.go
+++ b/guard/host/events.go
@@ -39,6 +39,9 @@
 		"None for single lines: orders were lost or overtaken. A later guard.run_started of the same job, index and attempt by the same entry is a fault of the guard.")
 	stopOrdered = eventlog.Define(2213, "guard.stop_ordered", slog.LevelInfo,
 		"An entry ordered the stop of a run. age_ms is the age of the order's message.", "See job.run_stopped at the entry.")
+	adoptPostponed = eventlog.Define(2214, "guard.adopt_postponed", slog.LevelWarn,
+		"A runner process announced itself at another address than the current one, which has not been shown to be over: it answers, or, if silent is true, its lease has not expired. The new process receives no starts until then. Logged once for each such process.",
+		"If the current process goes on to answer, two runners report to one guard: end one of them.")
 	orderRefused = eventlog.Define(2207, "guard.order_refused", slog.LevelInfo,
 		"The guard rejected an entry's order without sending it to the runner.",
 		"reason full: the entry's view of the capacity was outdated, or load is high; stale: the network or the entry is slow; closed: the runner is draining or not adopted yet.")
--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -112,6 +112,8 @@
 	// candidate is the report of a process that has announced itself and is not adopted yet.
 	candidate *runner.Report
 	adopting  bool
+	// postponed is the process whose adoption was last logged as postponed.
+	postponed work.Incarnation
 	fence     fence
 	// malformedLoggedAt is the uptime at which a malformed report was last logged; zero for
 	// never.
--- a/guard/host/host_test.go
+++ b/guard/host/host_test.go
@@ -26,10 +26,14 @@
 	dropCalls map[string]int
 	calls     map[string]int
 	refuse    error
-	running   map[work.RunnerRunID]bool
-	ends      []work.End
-	stopped   map[work.RunnerRunID]bool
-	ended     chan struct{}
+	// down is the error of every call while it is set.
+	down error
+	// lease is the latest lease end sent, on the runner's clock.
+	lease   time.Duration
+	running map[work.RunnerRunID]bool
+	ends    []work.End
+	stopped map[work.RunnerRunID]bool
+	ended   chan struct{}
 }
 
 func newFakeRunner() *fakeRunner {
@@ -55,9 +59,20 @@
 	return true
 }
 
+// sent records the lease end of a call and returns the error of a runner that is down.
+func (f *fakeRunner) sent(until time.Duration) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lease = max(f.lease, until)
+	return f.down
+}
+
 func (f *fakeRunner) clock() time.Duration { return time.Since(f.startedAt) }
 
-func (f *fakeRunner) Start(ctx context.Context, run work.RunnerRunID, _ string, _ time.Duration) (time.Duration, error) {
+func (f *fakeRunner) Start(ctx context.Context, run work.RunnerRunID, _ string, until time.Duration) (time.Duration, error) {
+	if err := f.sent(until); err != nil {
+		return 0, err
+	}
 	if f.dropped("start") {
 		<-ctx.Done()
 		return 0, runner.ErrOutcomeUnknown
@@ -72,6 +87,9 @@
 }
 
 func (f *fakeRunner) Stop(ctx context.Context, run work.RunnerRunID) (time.Duration, error) {
+	if err := f.sent(0); err != nil {
+		return 0, err
+	}
 	if f.dropped("stop") {
 		<-ctx.Done()
 		return 0, runner.ErrOutcomeUnknown
@@ -95,7 +113,10 @@
 	f.ended <- struct{}{}
 }
 
-func (f *fakeRunner) Poll(ctx context.Context, _ time.Duration, seen int64, wait time.Duration) (work.Listing, error) {
+func (f *fakeRunner) Poll(ctx context.Context, until time.Duration, seen int64, wait time.Duration) (work.Listing, error) {
+	if err := f.sent(until); err != nil {
+		return work.Listing{}, err
+	}
 	if f.dropped("poll") {
 		<-ctx.Done()
 		return work.Listing{}, runner.ErrOutcomeUnknown
@@ -177,14 +198,23 @@
 	return report, at
 }
 
+// firstAddress is the address of the runner that startHost adopts.
+const firstAddress = "127.0.0.1:1"
+
 var owner = runs.Owner{Entry: "e", Incarnation: 1}
 
 // startHost starts a host and waits until it has adopted the runner.
 func startHost(t *testing.T, f *fakeRunner) (*Host, *reportRecorder) {
+	t.Helper()
+	return startHostWith(t, f, func(runner.Target) Runner { return f })
+}
+
+// startHostWith is startHost with a host that reaches other runners as well.
+func startHostWith(t *testing.T, f *fakeRunner, dial func(runner.Target) Runner) (*Host, *reportRecorder) {
 	t.Helper()
 	h := New(Options{
 		MaxLease: 3 * time.Second,
-		Dial:     func(runner.Target) Runner { return f },
+		Dial:     dial,
 		Logger:   slog.New(slog.NewJSONHandler(io.Discard, nil)),
 		Metrics:  NewMetrics(tally.NoopScope),
 	})
@@ -203,7 +233,7 @@
 		if !ready {
 			return poll.Continue("not running")
 		}
-		h.HandleReport(runner.Report{Instance: "i", Service: "s", Seq: 1, Clock: f.clock(), Capacity: work.Amounts{CPUMilli: 32000}})
+		h.HandleReport(runner.Report{Instance: "i", Service: "s", Address: firstAddress, Seq: 1, Clock: f.clock(), Capacity: work.Amounts{CPUMilli: 32000}})
 		if !h.Capacity().AcceptsStarts {
 			return poll.Continue("no free capacity yet")
 		}
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -190,6 +190,7 @@
 	switch {
 	case err == nil:
 		pause = 0
+		h.table.SetSuperseded(false)
 		p.syncClock(listing.Clock, h.monotonic())
 		p.requestedAt = asked
 		p.readAt, p.listingClock = now, listing.Clock
@@ -201,7 +202,7 @@
 	case errors.Is(err, runner.ErrReplaced):
 		reports = h.table.ReplaceProcess(now)
 		h.process = nil
-	case h.monotonic() > p.leasedUntil+leaseEndMargin:
+	case h.leaseExpired(p):
 		reports = h.table.LeaseExpired(now, errors.Is(err, runner.ErrConnectionRefused))
 		pause = expiredPollInterval
 	}
--- a/guard/runs/process.go
+++ b/guard/runs/process.go
@@ -14,6 +14,8 @@
 	described bool
 	// draining is true once the process has reported that it is shutting down.
 	draining bool
+	// superseded is true while the process does not answer and another one has announced itself.
+	superseded bool
 	// listingRead is true once a run listing of the process has been read: from then on the runs
 	// that a previous guard process left there are known.
 	listingRead bool
@@ -32,8 +34,8 @@
 	return &t.runner.Process
 }
 
-// Adopt makes p the current runner process. It has been fenced with a token above that of the
-// previous process. All runs of the previous process are over, except those that the new one
+// Adopt makes p the current runner process. The previous process, if any, has ended or its lease
+// has expired, and p has been fenced with a token above that of a previous process under its id. All runs of the previous process are over, except those that the new one
 // lists: their starts reached it before the fencing token did.
 func (t *Table) Adopt(now time.Duration, p Process, listed ...work.RunnerRunID) []Report {
 	listedRuns := t.detach(listed)
@@ -102,6 +104,21 @@
 	t.runner.draining = t.runner.draining || draining
 }
 
+// SetSuperseded records whether the current process leaves calls unanswered while a process at
+// another address answers. While it is set, no starts are accepted and no lease is extended, so
+// that the runs of the current process are over once their lease has expired.
+func (t *Table) SetSuperseded(superseded bool) {
+	if t.runner != nil {
+		t.runner.superseded = superseded
+	}
+}
+
+// Drained reports whether the current process is draining and has no runs left, including
+// orphans.
+func (t *Table) Drained() bool {
+	return t.runner != nil && t.runner.draining && t.runner.listingRead && t.Idle()
+}
+
 // SetService records the service that the current process reports.
 func (t *Table) SetService(service string) {
 	if t.runner != nil {
