guard/host: a run that a late start began at the next process keeps its entry waiting for the longest lease

Callers: a task could run twice at the same time. A start that arrives late is executed by the next process under its runner's id; if that process then answers neither polls nor stops, the guard reported the run as over 0.79 s after the stop order, while the process could hold a lease of up to max_hold_ms.

Cause: the leases of a process counted from its adoption. The start's until_ms is a time of the older process's clock and the clock starts anew, so the new process grants its longest lease. Class: a final answer from a record that belongs to an earlier process of the same name. Evidence: found by reading; TestLeaseOfRunAtTheNextProcessIsTheLongest failed (reported as stopped after 0.79 s) and passes, 3 of 3 with the race detector.

Change: when a process is adopted with a run of this guard, its leases end after the longest lease. The end of such a run at a silent process is reported later by that much. The lease itself can't be shortened: a job that is submitted to another entry within it is not covered.

--- a/guard/host/adopt.go
+++ b/guard/host/adopt.go
@@ -224,6 +224,11 @@
 	old := h.process
 	h.process = p
 	reports := h.table.Adopt(now, runs.Process{Incarnation: c.Incarnation(), Service: c.Service, Address: c.Address, Token: token}, listedRuns(listing)...)
+	if h.table.HasRuns() {
+		// Their starts were valid up to times of the older process's clock, so that this
+		// process may have granted its longest lease.
+		p.leasedUntil = h.monotonic() + h.longestLease()
+	}
 	if c.Seq > 0 {
 		h.table.SetCapacity(c.Capacity, c.Labels, c.Draining)
 	}
--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -175,8 +175,11 @@
 // priorLeasesExpired returns the time after the start of this guard process by which every
 // lease that a previous guard process can have obtained from the runner has expired, even on
 // the slowest clock.
-func (h *Host) priorLeasesExpired() time.Duration {
-	return time.Duration(float64(h.opt.MaxLease)/minClockRate) + leaseEndMargin
+func (h *Host) priorLeasesExpired() time.Duration { return h.longestLease() + leaseEndMargin }
+
+// longestLease returns the longest duration of a lease, on the slowest clock.
+func (h *Host) longestLease() time.Duration {
+	return time.Duration(float64(h.opt.MaxLease) / minClockRate)
 }
 
 // HasCapacity reports whether another run of the size that was requested last fits.
