entry/jobs: a caller that waited for a job's earlier runs gets the answer that the job has had meanwhile

Callers: a job that was completed could run once more. Two callers submit a job again while its earlier run is being stopped; one is scheduled, its job completes, and the other submits the job anew when it is scheduled later than that, as on a throttled processor.

Cause: the cached answers were read before the wait only. Evidence: found by reading; TestCallerOfCompletedJobGetsItsAnswer failed (started again) and passes, 2 of 2 with the race detector. Change: they are read whenever the job is submitted to the planner.

--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -146,12 +146,8 @@
 func (e *Engine) Submit(ctx context.Context, job work.Job, terms planner.Terms, deadline time.Duration) planner.Answer {
 	e.mu.Lock()
 	now := uptime.Now()
-	if k, cached := e.answers[job.ID]; cached && now-k.at < answerTTL {
-		e.mu.Unlock()
-		return k.answer
-	}
-	verdict := e.plan.Submit(now, deadline, job, terms)
-	for verdict == planner.StillEnding {
+	answer, answered, verdict := e.submit(now, deadline, job, terms)
+	for !answered && verdict == planner.StillEnding {
 		ended := e.runsEndedChan(job.ID)
 		e.mu.Unlock()
 		if !awaitRunsEnded(ctx, ended) {
@@ -161,7 +157,11 @@
 		}
 		e.mu.Lock()
 		now = uptime.Now()
-		verdict = e.plan.Submit(now, deadline, job, terms)
+		answer, answered, verdict = e.submit(now, deadline, job, terms)
+	}
+	if answered {
+		e.mu.Unlock()
+		return answer
 	}
 	w := e.waiters[job.ID]
 	if w == nil {
@@ -184,6 +184,15 @@
 	return w.answer
 }
 
+// submit returns the cached answer of a job, or submits the job if there is none. The caller
+// holds the lock.
+func (e *Engine) submit(now, deadline time.Duration, job work.Job, terms planner.Terms) (answer planner.Answer, answered bool, v planner.Verdict) {
+	if k, cached := e.answers[job.ID]; cached && now-k.at < answerTTL {
+		return k.answer, true, 0
+	}
+	return planner.Answer{}, false, e.plan.Submit(now, deadline, job, terms)
+}
+
 // runsEndedChan returns the channel that is closed when the last run of an ended job is over. The
 // caller holds the lock.
 func (e *Engine) runsEndedChan(id string) chan struct{} {
--- a/entry/jobs/jobs_test.go
+++ b/entry/jobs/jobs_test.go
@@ -76,6 +76,32 @@
 	assert.Equal(t, submit(t.Context(), e).Outcome, planner.Completed, "a repeated request gets the cached answer")
 }
 
+// Guards against running a job that is completed: two callers submit it again while its earlier
+// run is being stopped, and one of them gets its answer before the other is scheduled.
+func TestCallerOfCompletedJobGetsItsAnswer(t *testing.T) {
+	e, g := newEngine()
+	ctx, leave := context.WithCancel(t.Context())
+	go func() { submit(ctx, e) }()
+	older := <-g.starts
+	leave()
+	time.Sleep(50 * time.Millisecond)
+	second := make(chan planner.Answer, 1)
+	go func() { second <- submit(t.Context(), e) }()
+	time.Sleep(50 * time.Millisecond)
+	e.mu.Lock()
+	now := uptime.Now()
+	e.report(now, "g", Report{Run: older.Run, Change: planner.Stopped})
+	e.applyActions(now)
+	e.answers[job.ID] = cachedAnswer{planner.Answer{Outcome: planner.Completed}, now}
+	e.mu.Unlock()
+	select {
+	case a := <-second:
+		assert.Equal(t, a.Outcome, planner.Completed)
+	case <-g.starts:
+		t.Fatal("started again")
+	}
+}
+
 // Two concurrent requests for the same job share one execution: its task is ordered once.
 func TestConcurrentRequestsShareOneJob(t *testing.T) {
 	e, g := newEngine()
