entry/jobs: a caller that has left before its job is submitted starts nothing

Callers: no wrong answer was seen. A task was ordered and stopped at once for a caller that no longer waited; with guards without tombstones, such a pair in one message could start a run that nobody stops.

Cause: the end of a caller's connection was looked at only after the job's starts had been ordered. An entry that is short of CPU time can read it earlier. Evidence: TestNothingStartsForCallerThatHasLeft failed (1 start) and passes. Change: it is looked at whenever the job is submitted to the planner. A caller that leaves between the order and its message still causes the pair. Effect on load not measured.

--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -146,7 +146,7 @@
 func (e *Engine) Submit(ctx context.Context, job work.Job, terms planner.Terms, deadline time.Duration) planner.Answer {
 	e.mu.Lock()
 	now := uptime.Now()
-	answer, answered, verdict := e.submit(now, deadline, job, terms)
+	answer, answered, verdict := e.submit(ctx, now, deadline, job, terms)
 	for !answered && verdict == planner.StillEnding {
 		ended := e.runsEndedChan(job.ID)
 		e.mu.Unlock()
@@ -157,7 +157,7 @@
 		}
 		e.mu.Lock()
 		now = uptime.Now()
-		answer, answered, verdict = e.submit(now, deadline, job, terms)
+		answer, answered, verdict = e.submit(ctx, now, deadline, job, terms)
 	}
 	if answered {
 		e.mu.Unlock()
@@ -184,12 +184,16 @@
 	return w.answer
 }
 
-// submit returns the cached answer of a job, or submits the job if there is none. The caller
-// holds the lock.
-func (e *Engine) submit(now, deadline time.Duration, job work.Job, terms planner.Terms) (answer planner.Answer, answered bool, v planner.Verdict) {
+// submit returns the cached answer of a job, or submits the job if there is none and the caller
+// still waits. The caller of submit holds the lock.
+func (e *Engine) submit(ctx context.Context, now, deadline time.Duration, job work.Job, terms planner.Terms) (answer planner.Answer, answered bool, v planner.Verdict) {
 	if k, cached := e.answers[job.ID]; cached && now-k.at < answerTTL {
 		return k.answer, true, 0
 	}
+	if ctx.Err() != nil {
+		// The start would be ordered and stopped in one message.
+		return planner.Answer{Outcome: planner.Cancelled, Reason: planner.ReasonCallerGone}, true, 0
+	}
 	return planner.Answer{}, false, e.plan.Submit(now, deadline, job, terms)
 }
 
--- a/entry/jobs/jobs_test.go
+++ b/entry/jobs/jobs_test.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// Guards against starting a task whose caller has left: the disconnect was read while the entry
+// was short of CPU time, before the job was submitted.
+func TestNothingStartsForCallerThatHasLeft(t *testing.T) {
+	e, g := newEngine()
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	assert.Equal(t, submit(ctx, e).Outcome, planner.Cancelled)
+	assert.Equal(t, len(g.starts), 0)
+	assert.Equal(t, e.Count("").Waiting, 0)
+}
+
 // Two concurrent requests for the same job share one execution: its task is ordered once.
 func TestConcurrentRequestsShareOneJob(t *testing.T) {
 	e, g := newEngine()
