--- a/guard/runs/process.go
+++ b/guard/runs/process.go
@@ -35,8 +35,9 @@
 }
 
 // Adopt makes p the current runner process. The previous process, if any, has ended or its lease
-// has expired, and p has been fenced with a token above that of a previous process under its id. All runs of the previous process are over, except those that the new one
-// lists: their starts reached it before the fencing token did.
+// has expired, and p has been fenced with a token above that of a previous process under its id.
+// All runs of the previous process are over, except those that the new one lists: their starts
+// reached it before the fencing token did.
 func (t *Table) Adopt(now time.Duration, p Process, listed ...work.RunnerRunID) []Report {
 	listedRuns := t.detach(listed)
 	reports := t.ReplaceProcess(now)
