entry/sessions: the time that an order waits in its entry is taken off the caller's time left

Callers: a run could go on after its caller's deadline by as long as its start had waited in the entry, and a job submitted again after that deadline could run beside it.

Cause: a start order carries the time left until the caller's deadline as of the planner's decision. The guard counts it from the time at which the message was built. Between the two, the order waits in the session's queue: milliseconds as a rule, as long as the stall of a throttled entry otherwise. Evidence: TestWaitInQueueIsTakenOffTimeLeft fails before (2000 ms left after a wait of 100 ms of them) and passes. Change: a start carries the time of its decision; the message says what is left when it is built. Starts of one job that are grouped into one order have the same deadline, so one value holds for all. TestStartsAreGroupedAndCarryGuardClock names a time of decision, as every start has one.

--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -271,6 +271,7 @@
 		Run:       t.run(),
 		Spec:      j.work.Spec,
 		Need:      need,
+		DecidedAt: now,
 		TimeLeft:  j.deadline - now,
 		FreeMilli: free,
 		ReportAge: now - e.reportedAt,
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -87,8 +87,9 @@
 	Run      work.RunID
 	Spec     string
 	Need     work.Amounts
-	// TimeLeft is the time left until the caller's deadline.
-	TimeLeft time.Duration
+	// DecidedAt is the time of the decision, and TimeLeft the time left then until the caller's
+	// deadline.
+	DecidedAt, TimeLeft time.Duration
 	// FreeMilli is the CPU believed free at the endpoint, in thousandths of a core, and ReportAge
 	// the time since its guard's last report.
 	FreeMilli int64
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -305,7 +305,7 @@
 	m = &wirev1.AttachResponse{
 		EchoUs: (s.clock + now - s.clockAt).Microseconds(),
 		ReadUs: s.readClock.Microseconds(),
-		Starts: groupByStep(s.starts),
+		Starts: groupByStep(now, s.starts),
 	}
 	s.ackAt = 0
 	for _, x := range s.stops {
@@ -329,8 +329,9 @@
 	return due
 }
 
-// groupByStep combines consecutive starts of the same job and step into one order.
-func groupByStep(starts []planner.Start) []*wirev1.StartOrder {
+// groupByStep combines consecutive starts of the same job and step into one order. The time left
+// until the caller's deadline is that at the given uptime.
+func groupByStep(now time.Duration, starts []planner.Start) []*wirev1.StartOrder {
 	var out []*wirev1.StartOrder
 	for _, s := range starts {
 		t := &wirev1.TaskStart{Index: uint32(s.Run.Task.Index), Attempt: uint32(s.Run.Attempt)}
@@ -343,7 +344,7 @@
 			Step:   uint32(s.Run.Task.Step),
 			Spec:   s.Spec,
 			Need:   fleetwire.ToAmounts(s.Need),
-			LifeMs: uint32(max(s.TimeLeft.Milliseconds(), 0)),
+			LifeMs: uint32(max((s.TimeLeft - max(now-s.DecidedAt, 0)).Milliseconds(), 0)),
 			Tasks:  []*wirev1.TaskStart{t},
 		})
 	}
--- a/entry/sessions/sessions_test.go
+++ b/entry/sessions/sessions_test.go
@@ -41,7 +41,7 @@
 func TestStartsAreGroupedAndCarryGuardClock(t *testing.T) {
 	s := &session{server: &Server{members: &fakeMembers{}}, clock: 5 * time.Second, clockAt: time.Second}
 	run := func(index int) planner.Start {
-		return planner.Start{Run: work.RunID{Task: work.TaskID{Job: "j", Index: index}, Attempt: 1}, TimeLeft: time.Second}
+		return planner.Start{Run: work.RunID{Task: work.TaskID{Job: "j", Index: index}, Attempt: 1}, DecidedAt: 1100 * time.Millisecond, TimeLeft: time.Second}
 	}
 	s.starts = []planner.Start{run(0), run(1)}
 	m, _ := s.nextMessage(1200*time.Millisecond, 0)
@@ -50,6 +50,16 @@
 	assert.Equal(t, m.GetEchoUs(), (5200 * time.Millisecond).Microseconds())
 }
 
+// Guards against a run that lasts longer than its caller waits: the time left until the caller's
+// deadline was that of the decision, although the order had waited in the entry since.
+func TestWaitInQueueIsTakenOffTimeLeft(t *testing.T) {
+	s := &session{server: &Server{members: &fakeMembers{}}, open: map[work.RunID]struct{}{}}
+	run := work.RunID{Task: work.TaskID{Job: "j"}, Attempt: 1}
+	s.SendOrders([]planner.Start{{Run: run, DecidedAt: time.Second, TimeLeft: 2 * time.Second}}, nil)
+	m, _ := s.nextMessage(1100*time.Millisecond, 0)
+	assert.Equal(t, m.GetStarts()[0].GetLifeMs(), uint32(1900))
+}
+
 // A guard sends capacity again only after its last message is acknowledged. While tasks are
 // pending and there is nothing to order, the acknowledgement must go out within milliseconds: if
 // it waited for a heartbeat, a free runner would stay unknown until then.
