entry/sessions: a start that waited too long in its entry is not sent

Callers: a task could start for a caller that had left and submitted its job to another entry.

Cause: guards reject orders older than 350 ms, counted from when their message was built. The message carries that time, so the time for which a start waited in the entry before it wasn't bounded: a process that is suspended between decision and message sent a fresh order on waking, however long that took. Evidence: TestLateStartIsNotSentAndIsDecidedAgain and TestLateStartOfDisconnectedCallerIsDropped fail with the check taken out (both starts are sent) and pass. Change: a start whose decision is more than 150 ms old when the message is built is taken off the queue, with its stop, and reported to the planner as not accepted. It was never sent, so the task can start elsewhere, and the job may be refused as not run. Why it works: the check and the message use one reading of the clock, taken before the queue is read, so a suspension at any point makes the start late here or at the guard. From decision to admission at the guard it is 500 ms at most, against the resend time of 1.3 s; 150 ms leave a CPU-throttled process one period of 100 ms and a half. TestEndReportedTwiceLeavesOtherRunsOpen names a time of decision, as its starts would have expired.

--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -16,7 +16,7 @@
 	runEnded = eventlog.Define(1253, "job.run_over", slog.LevelInfo,
 		"A run completed, or its guard had no free capacity to start it and the task is scheduled again.", "None.")
 	runFailed = eventlog.Define(1254, "job.run_wrong", slog.LevelWarn,
-		"A run failed (failed), ended before its work was done (stopped), lost its runner to a crash (crashed), or was not started: its guard rejected the order (not_taken) or has no such run (unknown), or its runner "+
+		"A run failed (failed), ended before its work was done (stopped), lost its runner to a crash (crashed), or was not started: its guard rejected the order or it was too late to be sent (not_taken), its guard has no such run (unknown), or its runner "+
 			"rejected the start or did not answer it (not_started). For a crash, others is the number of other runs on that runner, beside the jobs of some of them, and newest whether this run started last.",
 		"If most of them come from one guard, check its runner; if one job's runs crash at several guards, check that job.")
 	runStopped = eventlog.Define(1255, "job.run_stopped", slog.LevelInfo,
--- a/entry/lag/lag.go
+++ b/entry/lag/lag.go
@@ -79,7 +79,7 @@
 }
 
 // CountRejectedStart counts a start that its guard rejected because the order was late, or for
-// another reason unrelated to the runner.
+// another reason unrelated to the runner, or that was too late to be sent.
 func (m *Meter) CountRejectedStart() { m.rejected.Add(1) }
 
 // Run takes samples and reports them until the context ends.
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,9 +26,8 @@
 	mu     sync.Mutex
 	starts []planner.Start
 	stops  []planner.Stop
-	// decidedAt is the uptime at which the planner decided on the oldest of the starts, and
-	// queuedAt on the oldest of all orders.
-	decidedAt, queuedAt time.Duration
+	// queuedAt is the uptime at which the oldest of the orders was queued.
+	queuedAt time.Duration
 	// readClock is the guard's clock in the last message that was processed.
 	readClock time.Duration
 	// ackAt is the uptime by which a message must acknowledge readClock; zero when the next
@@ -55,9 +55,6 @@
 func (s *session) SendOrders(starts []planner.Start, stops []planner.Stop) {
 	now := uptime.Now()
 	s.mu.Lock()
-	if len(s.starts) == 0 {
-		s.decidedAt = now
-	}
 	if len(s.starts)+len(s.stops) == 0 {
 		s.queuedAt = now
 	}
@@ -241,9 +238,10 @@
 		if s.released() {
 			return errReleased
 		}
-		starts, decidedAt := s.pendingStarts()
 		s.logLateOrders(ctx, now)
-		m, delay := s.nextMessage(now, now-lastSent)
+		starts, decidedAt := s.pendingStarts(now)
+		m, delay, expired := s.nextMessage(now, now-lastSent)
+		s.reportExpired(ctx, now, expired)
 		if !s.server.jobs.Current(s.guard, s) {
 			return errSuperseded
 		}
@@ -262,11 +260,65 @@
 	}
 }
 
-// pendingStarts counts the queued starts and returns when the planner decided on the oldest.
-func (s *session) pendingStarts() (n int, decidedAt time.Duration) {
+// pendingStarts counts the queued starts that have not expired, and returns when the planner
+// decided on the oldest.
+func (s *session) pendingStarts(now time.Duration) (n int, decidedAt time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.starts), s.decidedAt
+	for _, x := range s.starts {
+		if isExpired(now, x) {
+			continue
+		}
+		if n == 0 || x.DecidedAt < decidedAt {
+			decidedAt = x.DecidedAt
+		}
+		n++
+	}
+	return n, decidedAt
+}
+
+// isExpired reports whether a start has waited for too long to be sent.
+func isExpired(now time.Duration, x planner.Start) bool { return now-x.DecidedAt > maxStartWait }
+
+// takeExpired removes the expired starts and their stops from the queue, and their runs from the
+// open ones. It returns the starts. The caller holds the lock.
+func (s *session) takeExpired(now time.Duration) []planner.Start {
+	var taken []planner.Start
+	for _, x := range s.starts {
+		if isExpired(now, x) {
+			taken = append(taken, x)
+		}
+	}
+	if taken == nil {
+		return nil
+	}
+	runs := make(map[work.RunID]struct{}, len(taken))
+	for _, x := range taken {
+		runs[x.Run] = struct{}{}
+		delete(s.open, x.Run)
+	}
+	s.starts = slices.DeleteFunc(s.starts, func(x planner.Start) bool { return isExpired(now, x) })
+	s.stops = slices.DeleteFunc(s.stops, func(x planner.Stop) bool {
+		_, found := runs[x.Run]
+		return found
+	})
+	return taken
+}
+
+// reportExpired reports starts that expired in the queue to the planner as not accepted: they were
+// never sent, so their tasks can start elsewhere.
+func (s *session) reportExpired(ctx context.Context, now time.Duration, starts []planner.Start) {
+	if len(starts) == 0 {
+		return
+	}
+	startsExpired.Log(ctx, s.server.logger, slog.String("guard", s.guard),
+		slog.Int64("waited_ms", (now-starts[0].DecidedAt).Milliseconds()), slog.Int("starts", len(starts)))
+	update := jobs.GuardUpdate{Reports: make([]jobs.Report, len(starts))}
+	for i, x := range starts {
+		s.server.opt.Lag.CountRejectedStart()
+		update.Reports[i] = jobs.Report{Run: x.Run, Change: planner.NotAccepted}
+	}
+	s.server.jobs.ApplyUpdate(s.guard, s, update)
 }
 
 // logLateOrders logs orders that have waited for too long before their message is built.
@@ -288,11 +340,12 @@
 
 // nextMessage builds the next message and marks its content as sent. It returns nil and keeps the
 // queue when there is nothing to send and no heartbeat is due yet; delay is then the time until
-// the next message is due.
-func (s *session) nextMessage(now, since time.Duration) (m *wirev1.AttachResponse, delay time.Duration) {
+// the next message is due. The starts that have expired are taken off the queue and returned.
+func (s *session) nextMessage(now, since time.Duration) (m *wirev1.AttachResponse, delay time.Duration, expired []planner.Start) {
 	entries, version := s.server.members.Addresses()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	expired = s.takeExpired(now)
 	interval := heartbeatIdle
 	if len(s.open) > 0 {
 		interval = heartbeatBusy
@@ -300,7 +353,7 @@
 	hasUpdate := len(s.starts) > 0 || len(s.stops) > 0 || s.sendNow || version != s.membersVersion
 	ackDue := s.ackAt > 0 && now >= s.ackAt
 	if !hasUpdate && !ackDue && since < interval {
-		return nil, s.nextDue(now, interval-since)
+		return nil, s.nextDue(now, interval-since), expired
 	}
 	m = &wirev1.AttachResponse{
 		EchoUs: (s.clock + now - s.clockAt).Microseconds(),
@@ -316,7 +369,7 @@
 		s.membersVersion = version
 		m.Entries = entries
 	}
-	return m, 0
+	return m, 0, expired
 }
 
 // nextDue returns the time until the next message without orders is due. The caller holds the
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -35,6 +35,11 @@
 	ackMaxAge = 10 * time.Millisecond
 	// lateOrderDelay is the time in the queue above which orders are logged as late.
 	lateOrderDelay = 50 * time.Millisecond
+	// maxStartWait is the longest time from the decision on a start to its message. With the
+	// 350 ms for which guards accept an order, a start reaches its runner at most half a second
+	// after its decision, however late this entry runs: a caller that left meanwhile submits its
+	// job to another entry after 1.3 s. A CPU-throttled process gets its share within 100 ms.
+	maxStartWait = 150 * time.Millisecond
 	// guardTimeout ends a session whose guard has sent nothing for this long; guards send at least
 	// once a second.
 	guardTimeout = 2500 * time.Millisecond
--- a/entry/sessions/sessions_test.go
+++ b/entry/sessions/sessions_test.go
@@ -1,14 +1,19 @@
 package sessions
 
 import (
+	"context"
+	"log/slog"
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
 
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/entry/jobs"
+	"almondstand.dev/entry/lag"
+	"almondstand.dev/telemetry/uptime"
 )
 
 type fakeMembers struct {
@@ -25,14 +30,14 @@
 func TestNewEntriesAreSentToGuards(t *testing.T) {
 	members := &fakeMembers{list: []string{"a"}, version: 1}
 	s := &session{server: &Server{members: members}, membersVersion: 1}
-	m, delay := s.nextMessage(time.Second, time.Millisecond)
+	m, delay, _ := s.nextMessage(time.Second, time.Millisecond)
 	assert.Assert(t, m == nil)
 	assert.Assert(t, delay > 0 && delay <= heartbeatBusy)
 	members.list, members.version = []string{"a", "b"}, 2
-	m, _ = s.nextMessage(time.Second, time.Millisecond)
+	m, _, _ = s.nextMessage(time.Second, time.Millisecond)
 	assert.Assert(t, m != nil)
 	assert.DeepEqual(t, m.GetEntries(), []string{"a", "b"})
-	m, _ = s.nextMessage(time.Second, time.Millisecond)
+	m, _, _ = s.nextMessage(time.Second, time.Millisecond)
 	assert.Assert(t, m == nil, "sent only once")
 }
 
@@ -44,7 +49,7 @@
 		return planner.Start{Run: work.RunID{Task: work.TaskID{Job: "j", Index: index}, Attempt: 1}, DecidedAt: 1100 * time.Millisecond, TimeLeft: time.Second}
 	}
 	s.starts = []planner.Start{run(0), run(1)}
-	m, _ := s.nextMessage(1200*time.Millisecond, 0)
+	m, _, _ := s.nextMessage(1200*time.Millisecond, 0)
 	assert.Equal(t, len(m.GetStarts()), 1)
 	assert.Equal(t, len(m.GetStarts()[0].GetTasks()), 2)
 	assert.Equal(t, m.GetEchoUs(), (5200 * time.Millisecond).Microseconds())
@@ -56,22 +61,90 @@
 	s := &session{server: &Server{members: &fakeMembers{}}, open: map[work.RunID]struct{}{}}
 	run := work.RunID{Task: work.TaskID{Job: "j"}, Attempt: 1}
 	s.SendOrders([]planner.Start{{Run: run, DecidedAt: time.Second, TimeLeft: 2 * time.Second}}, nil)
-	m, _ := s.nextMessage(1100*time.Millisecond, 0)
+	m, _, _ := s.nextMessage(1100*time.Millisecond, 0)
 	assert.Equal(t, m.GetStarts()[0].GetLifeMs(), uint32(1900))
 }
 
+// startedSession returns a session that is attached to an engine and has capacity for four tasks.
+func startedSession() (*session, *jobs.Engine) {
+	logger := slog.New(slog.DiscardHandler)
+	e := jobs.New(jobs.Options{Logger: logger, Scope: tally.NoopScope})
+	s := &session{
+		server: New(Options{Logger: logger, Lag: lag.New(tally.NoopScope, logger)}, e, &fakeMembers{}),
+		guard:  "g", wake: make(chan struct{}, 1), open: map[work.RunID]struct{}{},
+	}
+	e.Attach("g", "a", true, s)
+	e.ApplyUpdate("g", s, jobs.GuardUpdate{Status: &planner.EndpointStatus{
+		Service: "s", Runner: work.Incarnation{ID: "r"}, AcceptsStarts: true, Total: work.Amounts{CPUMilli: 4000},
+	}})
+	return s, e
+}
+
+// submitAndStop submits a job of one task, waits until its start is queued, and returns a function
+// that ends the caller's connection and waits for the outcome.
+func submitAndStop(t *testing.T, s *session, e *jobs.Engine) (disconnect func() planner.Outcome) {
+	ctx, cancel := context.WithCancel(t.Context())
+	outcome := make(chan planner.Outcome, 1)
+	go func() {
+		job := work.Job{ID: "j", Steps: []work.Step{{Count: 1, Need: work.Amounts{CPUMilli: 1000}, Declared: 60 * time.Millisecond}}}
+		terms := planner.Terms{Contract: "c", Service: "s", MaxAttempts: 2, TargetFactor: 1.6, TargetMargin: 60 * time.Millisecond}
+		outcome <- e.Submit(ctx, job, terms, uptime.Now()+5*time.Second).Outcome
+	}()
+	<-s.wake
+	return func() planner.Outcome {
+		cancel()
+		return <-outcome
+	}
+}
+
+// Guards against a run that starts although its caller has submitted its job elsewhere: its start
+// waited in the entry, and its message was built as late as that.
+func TestLateStartIsNotSentAndIsDecidedAgain(t *testing.T) {
+	s, e := startedSession()
+	disconnect := submitAndStop(t, s, e)
+	first := s.starts[0]
+	late := first.DecidedAt + maxStartWait + time.Millisecond
+	m, _, expired := s.nextMessage(late, 0)
+	assert.Assert(t, m == nil, "nothing to send")
+	s.reportExpired(t.Context(), late, expired)
+	m, _, _ = s.nextMessage(first.DecidedAt+maxStartWait, 0)
+	assert.Equal(t, len(m.GetStarts()), 1)
+	assert.Equal(t, m.GetStarts()[0].GetTasks()[0].GetAttempt(), uint32(first.Run.Attempt+1), "the task is decided on again")
+	assert.Equal(t, len(s.open), 1)
+	_, stale := s.open[first.Run]
+	assert.Assert(t, !stale, "a run that was not ordered is not open")
+	assert.Equal(t, disconnect(), planner.Cancelled)
+}
+
+// A caller leaves while the start of its task waits in the entry. Neither the start nor its stop is
+// sent once the start is late, and the job is over.
+func TestLateStartOfDisconnectedCallerIsDropped(t *testing.T) {
+	s, e := startedSession()
+	disconnect := submitAndStop(t, s, e)
+	assert.Equal(t, disconnect(), planner.Cancelled)
+	assert.Equal(t, len(s.starts), 1)
+	assert.Equal(t, len(s.stops), 1)
+	late := s.starts[0].DecidedAt + maxStartWait + time.Millisecond
+	m, _, expired := s.nextMessage(late, 0)
+	assert.Assert(t, m == nil, "nothing to send")
+	s.reportExpired(t.Context(), late, expired)
+	assert.Equal(t, len(s.open), 0)
+	_, _, known := e.State("j")
+	assert.Assert(t, !known, "the job's run is still open")
+}
+
 // A guard sends capacity again only after its last message is acknowledged. While tasks are
 // pending and there is nothing to order, the acknowledgement must go out within milliseconds: if
 // it waited for a heartbeat, a free runner would stay unknown until then.
 func TestCapacityIsAcknowledgedPromptly(t *testing.T) {
 	s := &session{server: &Server{members: &fakeMembers{}}}
 	s.readClock, s.ackAt = 7*time.Second, time.Second+ackDelay
-	m, delay := s.nextMessage(time.Second, time.Millisecond)
+	m, delay, _ := s.nextMessage(time.Second, time.Millisecond)
 	assert.Assert(t, m == nil)
 	assert.Equal(t, delay, ackDelay)
-	m, _ = s.nextMessage(time.Second+ackDelay, ackDelay)
+	m, _, _ = s.nextMessage(time.Second+ackDelay, ackDelay)
 	assert.Equal(t, m.GetReadUs(), (7 * time.Second).Microseconds())
-	m, _ = s.nextMessage(time.Second+ackDelay, time.Millisecond)
+	m, _, _ = s.nextMessage(time.Second+ackDelay, time.Millisecond)
 	assert.Assert(t, m == nil, "acknowledged only once")
 }
 
@@ -80,11 +153,11 @@
 func TestEndReportedTwiceLeavesOtherRunsOpen(t *testing.T) {
 	s := &session{server: &Server{members: &fakeMembers{}}, open: map[work.RunID]struct{}{}}
 	run := func(index int) work.RunID { return work.RunID{Task: work.TaskID{Job: "j", Index: index}, Attempt: 1} }
-	s.SendOrders([]planner.Start{{Run: run(0)}, {Run: run(1)}}, nil)
+	s.SendOrders([]planner.Start{{Run: run(0), DecidedAt: time.Second}, {Run: run(1), DecidedAt: time.Second}}, nil)
 	ended := []jobs.Report{{Run: run(0), Change: planner.Stopped}}
 	s.removeEnded(ended)
 	s.removeEnded(ended)
-	_, _ = s.nextMessage(time.Second, 0)
-	m, _ := s.nextMessage(time.Second, heartbeatBusy)
+	_, _, _ = s.nextMessage(time.Second, 0)
+	m, _, _ := s.nextMessage(time.Second, heartbeatBusy)
 	assert.Assert(t, m != nil, "no heartbeat is due for the open run")
 }
