guard/host: runs of a deregistered runner are over once it is shown to have ended

Callers: a task could run twice. A runner without a start time that sent DELETE /instances/ID had all its runs reported as over at once, and their entries started the tasks elsewhere. The runner's runs go on until its process ends: milliseconds later, or some seconds later if the answer to the notice is lost.

Cause: the notice was taken as the end itself. With a start time it was confirmed already, as it may be about an older process. Class: an intent taken as the fact.

Change: each notice is confirmed: the runs are over when the connection is refused, when a process under another id answers, or when the process is silent and its lease, which is no longer extended, has expired. The process is asked at once, then after pauses of 5 to 100 ms, for 10 s; before, with a start time, six times within about 0.6 s. A process that answers goes on to be served, so a notice that was wrong or late cuts nothing.

TestPollWithoutARunner shut down a fake runner that still answered and expected its removal at once, which was the fault. The fake runner now refuses connections, and the test waits for the removal before it polls without a runner, as before.

--- a/guard/host/adopt.go
+++ b/guard/host/adopt.go
@@ -80,33 +80,60 @@
 	if c := h.candidate; c != nil && c.Instance == instance && c.StartedMilli == 0 {
 		h.candidate = nil
 	}
-	if known && p.StartedMilli > 0 {
-		// The notice may be about an older process under the same id.
+	if known && !p.leaving {
+		p.leaving = true
 		h.calls.Go(func() { h.confirmLeft(p) })
 	}
 	h.mu.Unlock()
-	if known && p.StartedMilli == 0 {
-		h.removeProcess(p)
-	}
 	return true
 }
 
-// confirmLeft removes a process once nothing listens at its address any more.
+// confirmLeft removes a process that has deregistered once it is shown to have ended. The notice
+// may be about an older process under the same id, and a process may run on for seconds after it.
 func (h *Host) confirmLeft(p *process) {
-	for range adoptTries {
-		_, err := h.firstPoll(p.api)
-		if errors.Is(err, runner.ErrConnectionRefused) {
+	defer h.stopLeaving(p)
+	deadline := uptime.Now() + leaveTimeout
+	for delay := minLeaveDelay; uptime.Now() < deadline; delay = min(2*delay, maxLeaveDelay) {
+		if h.hasLeft(p) {
 			h.removeProcess(p)
 			return
 		}
-		if errors.Is(err, runner.ErrReplaced) || h.ctx.Err() != nil {
+		uptime.Sleep(h.ctx, delay)
+		h.mu.Lock()
+		over := h.ctx.Err() != nil || h.process != p
+		h.mu.Unlock()
+		if over {
 			return
 		}
-		uptime.Sleep(h.ctx, adoptRetryDelay)
 	}
 }
 
-// removeProcess removes a process that has shut down as planned; its runs are over.
+// stopLeaving lets the next notice of the process's shutdown be confirmed.
+func (h *Host) stopLeaving(p *process) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p.leaving = false
+}
+
+// hasLeft reports whether a process that has deregistered has ended: its connection is refused, a
+// process under another id answers, or it is silent and its lease has expired.
+func (h *Host) hasLeft(p *process) bool {
+	_, err := h.firstPoll(p.api)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case h.process != p, errors.Is(err, runner.ErrRestarted):
+		return false
+	case errors.Is(err, runner.ErrConnectionRefused), errors.Is(err, runner.ErrReplaced):
+		return true
+	}
+	silent := isSilent(err)
+	h.table.SetExpiring(silent)
+	return silent && h.leaseExpired(p)
+}
+
+// removeProcess removes a process that has shut down as planned and is shown to have ended; its
+// runs are over.
 func (h *Host) removeProcess(p *process) {
 	h.mu.Lock()
 	if h.process != p {
@@ -193,20 +220,19 @@
 	}
 	h.mu.Unlock()
 	_, err := h.firstPoll(p.api)
-	silent := false
-	switch {
-	case errors.Is(err, runner.ErrConnectionRefused), errors.Is(err, runner.ErrReplaced):
+	if errors.Is(err, runner.ErrConnectionRefused) || errors.Is(err, runner.ErrReplaced) {
 		return true, true
-	case err == nil, errors.Is(err, runner.ErrFenced):
-	default:
-		silent = h.answers(c)
+	}
+	silent := isSilent(err)
+	if silent && !h.answers(c) {
+		return false, false
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.process != p {
 		return false, false
 	}
-	h.table.SetSuperseded(silent)
+	h.table.SetExpiring(silent)
 	ok = h.table.Drained() || silent && h.leaseExpired(p)
 	if !ok && h.postponed != c.Incarnation() {
 		h.postponed = c.Incarnation()
@@ -225,6 +251,11 @@
 	return err == nil || errors.Is(err, runner.ErrFenced)
 }
 
+// isSilent reports whether a call's process gave no answer to it, not even a rejection.
+func isSilent(err error) bool {
+	return errors.Is(err, runner.ErrOutcomeUnknown) || errors.Is(err, runner.ErrUnreachable)
+}
+
 // leaseExpired reports whether every lease that was granted to the process has expired and its
 // runs are over. h.mu is held.
 func (h *Host) leaseExpired(p *process) bool { return h.monotonic() > p.leasedUntil+leaseEndMargin }
--- a/guard/host/adopt_test.go
+++ b/guard/host/adopt_test.go
@@ -56,6 +56,26 @@
 	return run
 }
 
+// cutFirst drops all further calls to the first runner.
+func (p *runnerPair) cutFirst() {
+	p.first.set(func() {
+		for _, call := range []string{"start", "stop", "poll"} {
+			p.first.dropCalls[call] = 1 << 30
+		}
+	})
+}
+
+// waitEndOfLease waits for the report on the first runner's run, which must come soon after the
+// end of its lease and not before.
+func (p *runnerPair) waitEndOfLease() {
+	p.t.Helper()
+	assert.Assert(p.t, p.waitEnd(2*time.Second).State != runs.NotStarted)
+	p.first.mu.Lock()
+	defer p.first.mu.Unlock()
+	early := p.first.lease - p.first.clock()
+	assert.Assert(p.t, early < 0, "reported as over %s before the end of its lease", early)
+}
+
 // ends returns the final reports.
 func (p *runnerPair) ends() []runs.Report {
 	p.sink.mu.Lock()
@@ -114,20 +134,23 @@
 func TestRunOfASilentProcessIsOverWithItsLease(t *testing.T) {
 	p := newRunnerPair(t)
 	p.startRun()
-	p.first.set(func() {
-		for _, call := range []string{"start", "stop", "poll"} {
-			p.first.dropCalls[call] = 1 << 30
-		}
-	})
+	p.cutFirst()
 	p.announce()
-	assert.Assert(t, p.waitEnd(3*time.Second).State != runs.NotStarted)
-	p.first.mu.Lock()
-	clock, lease := p.first.clock(), p.first.lease
-	p.first.mu.Unlock()
-	assert.Assert(t, clock > lease, "reported as over %s before the end of its lease", lease-clock)
+	p.waitEndOfLease()
 	p.waitAdopted(time.Second)
 }
 
+// Guards against a run of a deregistered process being reported as over before its lease has
+// expired, or only when its caller gives up: the process is silent.
+func TestRunOfASilentDeregisteredProcessIsOverWithItsLease(t *testing.T) {
+	p := newRunnerPair(t)
+	p.startRun()
+	p.cutFirst()
+	p.host.HandleShutdown("i")
+	p.waitEndOfLease()
+	p.wait("the removal of the process", time.Second, func() bool { return p.host.Capacity().ID == "" })
+}
+
 // A process that has ended is replaced at once, whatever the address of the next one.
 func TestEndedProcessIsReplacedAtOnce(t *testing.T) {
 	for name, err := range map[string]error{"nothing listens": runner.ErrConnectionRefused, "another process answers": runner.ErrReplaced} {
--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -56,6 +56,12 @@
 	// its reports, which arrive every 1.5 s.
 	adoptTries      = 6
 	adoptRetryDelay = 100 * time.Millisecond
+	// minLeaveDelay and maxLeaveDelay are the pauses, first and last, between two checks whether
+	// a process that has deregistered has ended, and leaveTimeout bounds the checks: a runner
+	// whose notice is not acknowledged ends some seconds later.
+	minLeaveDelay = 5 * time.Millisecond
+	maxLeaveDelay = 100 * time.Millisecond
+	leaveTimeout  = 10 * time.Second
 	// pruneInterval is the time between removals of old records.
 	pruneInterval = 2 * time.Second
 )
--- a/guard/host/host_test.go
+++ b/guard/host/host_test.go
@@ -399,6 +399,15 @@
 func TestPollWithoutARunner(t *testing.T) {
 	f := newFakeRunner()
 	h, _ := startHost(t, f)
+	f.set(func() { f.down = runner.ErrConnectionRefused })
 	h.HandleShutdown("i")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.process != nil {
+			return poll.Continue("not removed")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Second), poll.WithDelay(time.Millisecond))
 	assert.Equal(t, h.pollOnce(t.Context()), time.Duration(0))
 }
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -190,7 +190,7 @@
 	switch {
 	case err == nil:
 		pause = 0
-		h.table.SetSuperseded(false)
+		h.table.SetExpiring(false)
 		p.syncClock(listing.Clock, h.monotonic())
 		p.requestedAt = asked
 		p.readAt, p.listingClock = now, listing.Clock
--- a/guard/host/process.go
+++ b/guard/host/process.go
@@ -24,6 +24,8 @@
 	ackedEnd int64
 	// unresponsive is true while the process answers no polls.
 	unresponsive bool
+	// leaving is true while a notice of the process's shutdown is being confirmed.
+	leaving bool
 	// requestedAt is the uptime at which the latest run listing that was read had been
 	// requested.
 	requestedAt time.Duration
--- a/guard/host/restart_test.go
+++ b/guard/host/restart_test.go
@@ -260,3 +260,34 @@
 	assert.Equal(t, x.finalReport(id).State, runs.Crashed)
 	assert.Equal(t, x.run("10"), runs.Done)
 }
+
+// Guards against a run that goes on after it was reported as over: its runner deregisters and
+// keeps running, since the answer is lost, or the notice is another process's.
+func TestRunGoesOnAfterDeregistration(t *testing.T) {
+	x := newRestartFixture(t, &worker.Runner{OmitStartTime: true})
+	id := x.order(99, 1, `{"ms":1000,"cpu":1000}`)
+	x.until("the run begins", func() bool { return x.runner.Checker.Running() == 1 })
+	x.runner.Deregister(t.Context(), x.runner.Instance())
+	assert.Equal(t, x.finalReport(id).State, runs.Done)
+}
+
+// Guards against runs that stay open after a planned end, or are reported as crashed: their
+// tasks wait for the report before they are started elsewhere.
+func TestRunsOfDeregisteredRunnerAreOverOnceItHasEnded(t *testing.T) {
+	const limit = 150 * time.Millisecond
+	for name, pause := range map[string]time.Duration{"at once": 0, "after 30 ms": 30 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			x := newRestartFixture(t, &worker.Runner{OmitStartTime: true})
+			id := x.order(99, 1, `{"ms":5000,"cpu":1000}`)
+			x.until("the run begins", func() bool { return x.runner.Checker.Running() == 1 })
+			x.runner.Deregister(t.Context(), x.runner.Instance())
+			time.Sleep(pause)
+			x.runner.Kill()
+			start := time.Now()
+			assert.Equal(t, x.finalReport(id).State, runs.Stopped)
+			took := time.Since(start)
+			t.Logf("reported %s after the end", took)
+			assert.Assert(t, took < limit, "reported %s after the end", took)
+		})
+	}
+}
--- a/guard/runs/process.go
+++ b/guard/runs/process.go
@@ -14,8 +14,8 @@
 	described bool
 	// draining is true once the process has reported that it is shutting down.
 	draining bool
-	// superseded is true while the process does not answer and another one has announced itself.
-	superseded bool
+	// expiring is true while the lease is left to expire: see SetExpiring.
+	expiring bool
 	// listingRead is true once a run listing of the process has been read: from then on the runs
 	// that a previous guard process left there are known.
 	listingRead bool
@@ -104,12 +104,12 @@
 	t.runner.draining = t.runner.draining || draining
 }
 
-// SetSuperseded records whether the current process leaves calls unanswered while a process at
-// another address answers. While it is set, no starts are accepted and no lease is extended, so
-// that the runs of the current process are over once their lease has expired.
-func (t *Table) SetSuperseded(superseded bool) {
+// SetExpiring records whether the lease is left to expire, because the current process does not
+// answer and has deregistered or seems to be replaced. While it is set, no starts are accepted and
+// no lease is extended, so that the runs are over once the lease has expired.
+func (t *Table) SetExpiring(expiring bool) {
 	if t.runner != nil {
-		t.runner.superseded = superseded
+		t.runner.expiring = expiring
 	}
 }
 
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -151,7 +151,7 @@
 }
 
 func (k *processState) acceptsStarts() bool {
-	return k.described && k.listingRead && !k.draining && !k.superseded && len(k.orphans) == 0
+	return k.described && k.listingRead && !k.draining && !k.expiring && len(k.orphans) == 0
 }
 
 // Capacity returns the runner's capacity and the part of it that is reserved.
