guard/runs: no lease is extended while the runner has an orphan

Callers: nothing was seen. A run that was reported as over, and whose late start the next process under its runner's id executed, counts as an orphan there and is stopped. If its stops went unanswered it could go on for as long as that process had another run, because the lease, which covers the whole runner, was extended for that one.

Cause: the lease was left to expire for orphans only if there was no other run. Evidence: TestLeaseIsNotExtendedForOrphanBesideARun fails on the old code (extended by 600 ms). Change: no extension while the runner has an orphan, whatever else runs. No starts are accepted then either, so other runs are there only in the case above. They are kept if the orphan ends within the lease of 600 ms; a stop takes 50 ms.

Effect: the tests of guard/runs pass with -race.

--- a/guard/runs/sweep.go
+++ b/guard/runs/sweep.go
@@ -153,14 +153,14 @@
 
 // LeaseUntil returns the uptime to which the runner's lease may be extended now. The lease
 // covers the whole runner: while the stop of a run is due and not acknowledged, the lease
-// expires for all runs at that run's end deadline. If only orphans run, or a run was reported
-// as over that the runner may still have, the lease is left to expire, which ends them even if
-// their stops go unanswered. See also SetExpiring.
+// expires for all runs at that run's end deadline. If the runner has an orphan, or a run was
+// reported as over that the runner may still have, the lease is left to expire, which ends them
+// even if their stops go unanswered. See also SetExpiring.
 func (t *Table) LeaseUntil(now time.Duration) time.Duration {
 	if t.runner != nil && t.runner.expiring {
 		return now
 	}
-	if len(t.runs) == 0 && t.orphans() > 0 || t.hasReportedOver() {
+	if t.orphans() > 0 || t.hasReportedOver() {
 		return now
 	}
 	until := now + t.opt.LeaseExtension
--- a/guard/runs/tombstone_test.go
+++ b/guard/runs/tombstone_test.go
@@ -134,3 +134,24 @@
 	assert.Equal(t, len(table.endedRuns), 0)
 	assert.Equal(t, len(table.endedOrder), 0)
 }
+
+// Guards against a run that goes on after it was reported as over: the next process under its
+// runner's id executes its late start, leaves its stops unanswered, and has another run for which
+// the lease is extended.
+func TestLeaseIsNotExtendedForOrphanBesideARun(t *testing.T) {
+	table := newTableWithStartTime()
+	over := mustStart(t, table, testStart, entryA, order("j", 0))
+	table.Started(testStart+ms, over.Name)
+	table.EntryAlive(entryA, testStart+600*ms)
+	open := mustStart(t, table, testStart+600*ms, entryA, order("j", 1))
+	assert.Equal(t, len(table.LeaseExpired(testStart+700*ms, true)), 1)
+	adopt(table, testStart+740*ms, secondProcess, over.Name, open.Name)
+	now := testStart + 740*ms
+	table.EntryAlive(entryA, now)
+	assert.DeepEqual(t, table.Stops(now), []Stop{{over.Name}})
+	assert.Assert(t, table.LeaseUntil(now) <= now, "extended to %s", table.LeaseUntil(now)-now)
+	table.ApplyListing(now+60*ms, now+50*ms, work.Listing{Running: []work.RunnerRunID{open.Name}, Ends: []work.End{{Seq: 1, Run: over.Name, State: work.Interrupted}}})
+	now += 60 * ms
+	table.EntryAlive(entryA, now)
+	assert.Assert(t, table.LeaseUntil(now) > now)
+}
