guard/host: lease ends and the age of orders are computed from the time at which the lock is held

Callers: a task could run twice when a guard was held back. No lease may reach beyond 1150 ms after the last message of a run's entry, as the caller of a failed entry submits its job again after 1300 ms. The end was computed as a span from a time that was read before the table's lock was taken, and then added to a later time: each millisecond of waiting in between lengthened the lease. An order's age was measured before the lock as well, so an order that waited for it counted as fresh.

Cause: two clock readings taken to be of one moment. Evidence: with the lock held for 300 ms, TestLeaseEndsInTimeWhenTheGuardIsHeldBack finds a lease that ends 1437 ms after the last message (3 of 3 failed, 1437 to 1439 ms), TestOrderIsTooOldWhenTheGuardIsHeldBack an order of 400 ms that is started.

Change: the lease's end comes from two readings under the lock, the monotonic clock first, so that a stall between them shortens the lease. Orders are admitted by a reading under the lock; stop orders count from their arrival, as before.

Effect: both tests pass, guard/host twice with -race.

--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -241,6 +241,8 @@
 		}
 	}
 	h.recordUnknown(reports, "stop")
+	// An order's age includes the wait for the lock.
+	now = uptime.Now()
 	for _, order := range orders {
 		start, report := h.table.Admit(now, sent, o, order)
 		if report != nil {
@@ -248,7 +250,7 @@
 			reports = append(reports, *report)
 		}
 		if start != nil {
-			h.sendStart(now, start)
+			h.sendStart(start)
 		}
 	}
 	h.mu.Unlock()
@@ -287,14 +289,17 @@
 
 // lease returns the time on the process's clock up to which its lease may be extended now.
 // h.mu is held.
-func (h *Host) lease(p *process, now time.Duration) time.Duration {
-	return p.lease(h.table.LeaseUntil(now)-now, h.monotonic())
+func (h *Host) lease(p *process) time.Duration {
+	// The monotonic clock is read first: a stall between the readings shortens the lease.
+	monotonic := h.monotonic()
+	now := uptime.Now()
+	return p.lease(h.table.LeaseUntil(now)-now, monotonic)
 }
 
 // sendStart sends a start. h.mu is held.
-func (h *Host) sendStart(now time.Duration, s *runs.Start) {
+func (h *Host) sendStart(s *runs.Start) {
 	p := h.process
-	until := h.lease(p, now)
+	until := h.lease(p)
 	h.table.ValidUntil(s.Name, until)
 	delay := p.hedge.delay()
 	h.calls.Go(func() {
--- a/guard/host/host_test.go
+++ b/guard/host/host_test.go
@@ -411,3 +411,47 @@
 	}, poll.WithTimeout(time.Second), poll.WithDelay(time.Millisecond))
 	assert.Equal(t, h.pollOnce(t.Context()), time.Duration(0))
 }
+
+// Guards against a lease that outlasts the end deadline of a run whose entry is silent: the guard
+// is held back while it extends the lease.
+func TestLeaseEndsInTimeWhenTheGuardIsHeldBack(t *testing.T) {
+	f := newFakeRunner()
+	h, sink := startHost(t, f)
+	begin := f.clock()
+	order(h)
+	_, _ = sink.waitFor(t, runs.Running)
+	f.set(func() { f.dropCalls["stop"] = 1 << 30 })
+	const held = 300 * time.Millisecond
+	time.Sleep(runs.DefaultEndTimeout - held)
+	h.mu.Lock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.pollOnce(t.Context())
+	}()
+	time.Sleep(held)
+	h.mu.Unlock()
+	<-done
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// order takes its time after begin.
+	assert.Assert(t, f.lease-begin <= runs.DefaultEndTimeout+50*time.Millisecond, "the lease ends %s after the entry's last message", f.lease-begin)
+}
+
+// Guards against starts by orders that have become too old in the guard.
+func TestOrderIsTooOldWhenTheGuardIsHeldBack(t *testing.T) {
+	f := newFakeRunner()
+	h, sink := startHost(t, f)
+	keepAlive(t, h)
+	h.mu.Lock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		order(h)
+	}()
+	time.Sleep(runs.DefaultMaxOrderAge + 50*time.Millisecond)
+	h.mu.Unlock()
+	<-done
+	report, _ := sink.waitFor(t, runs.NotStarted)
+	assert.Equal(t, report.Refusal, runs.StaleOrder)
+}
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -156,7 +156,7 @@
 		return 0
 	}
 	remaining, hasRuns := p.leasedUntil-h.monotonic(), h.table.HasRuns()
-	until := h.lease(p, asked)
+	until := h.lease(p)
 	seen := h.table.LastEndSeq()
 	wait := pollWait
 	if p.unresponsive || h.table.Idle() || seen > p.ackedEnd && !h.table.AcceptsStarts() {
