standin/worker: the check of the lease and the end of the runs are one step

Tests: the stand-in runner could end runs by their lease although it had just extended the lease for them, because it released its lock between the check and the end. A lease that a guard extends too late then looked harmless, since the runs ended all the same; and a new run of a task could be ended by the lease of the earlier one.

Change: the lock is held from the check to the end of the last run.

--- a/standin/worker/orders.go
+++ b/standin/worker/orders.go
@@ -191,9 +191,13 @@
 func (r *Runner) finish(task string, x *run, outcome string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.runs[task] != x {
-		return
+	if r.runs[task] == x {
+		r.end(task, x, outcome)
 	}
+}
+
+// end ends a run that is there. The caller holds the lock.
+func (r *Runner) end(task string, x *run, outcome string) {
 	x.timer.Stop()
 	delete(r.runs, task)
 	r.rejectedUpTo[task] = max(r.rejectedUpTo[task], x.number)
@@ -241,22 +245,11 @@
 // expireLease ends all runs when the lease has expired.
 func (r *Runner) expireLease() {
 	r.mu.Lock()
-	if r.clock() < r.lease || len(r.runs) == 0 {
-		r.mu.Unlock()
+	defer r.mu.Unlock()
+	if r.clock() < r.lease {
 		return
 	}
-	var expired []string
-	for task := range r.runs {
-		expired = append(expired, task)
-	}
-	runs := r.runs
-	r.mu.Unlock()
-	for _, task := range expired {
-		r.mu.Lock()
-		x := runs[task]
-		r.mu.Unlock()
-		if x != nil {
-			r.finish(task, x, LeaseExpired)
-		}
+	for task, x := range r.runs {
+		r.end(task, x, LeaseExpired)
 	}
 }
