--- a/standin/worker/orders.go
+++ b/standin/worker/orders.go
@@ -40,11 +40,24 @@
 		f, dead := r.fault, r.dead
 		expected := req.Header.Get("X-Almondstand-Expected-Instance")
 		otherInstance := expected != "" && expected != r.instance
+		resumed, processStart := r.resumedCh, r.processStart
+		held := f.Suspended && !dead && !otherInstance
+		if held {
+			r.waiting++
+		}
 		r.mu.Unlock()
 		switch {
+		case held:
+			<-resumed
+			answer, executed := r.executeHeld(do, body, processStart)
+			if !executed {
+				panic(http.ErrAbortHandler)
+			}
+			r.writeResponse(w, req, body, answer)
+			return
 		case dead:
 			panic(http.ErrAbortHandler)
-		case f.Unresponsive:
+		case f.Unresponsive, f.Suspended:
 			<-req.Context().Done()
 			return
 		case otherInstance:
@@ -64,6 +77,21 @@
 	}
 }
 
+// executeHeld executes a request that arrived while its process was suspended, unless the process
+// has ended since.
+func (r *Runner) executeHeld(do func(requestBody) response, body requestBody, processStart time.Time) (answer response, executed bool) {
+	r.mu.Lock()
+	executed = !r.dead && r.processStart.Equal(processStart)
+	r.mu.Unlock()
+	if executed {
+		answer = do(body)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting--
+	return answer, executed
+}
+
 func (r *Runner) writeResponse(w http.ResponseWriter, req *http.Request, body requestBody, a response) {
 	if a.maxWait > 0 {
 		r.waitForEndedRun(req.Context(), body.Seen, a.maxWait)
@@ -191,7 +219,11 @@
 func (r *Runner) finish(task string, x *run, outcome string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.runs[task] == x {
+	switch {
+	case r.runs[task] != x:
+	case r.resuming():
+		x.timer = time.AfterFunc(tickInterval, func() { r.finish(task, x, outcome) })
+	default:
 		r.end(task, x, outcome)
 	}
 }
@@ -246,7 +278,7 @@
 func (r *Runner) expireLease() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.clock() < r.lease {
+	if r.clock() < r.lease || r.resuming() {
 		return
 	}
 	for task, x := range r.runs {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -63,6 +63,10 @@
 	FailShare float64
 	// Unresponsive leaves all requests without a response and without effect.
 	Unresponsive bool
+	// Suspended suspends the process: no run and no lease ends, and no report is sent. Requests
+	// wait; those that have arrived take effect before anything else once the fault is removed,
+	// also if their callers have given up.
+	Suspended bool
 }
 
 type run struct {
@@ -116,7 +120,11 @@
 	endedRuns    []endedRun
 	lastEndedSeq int64
 	runEndedCh   chan struct{}
-	draining     bool
+	// resumedCh is closed when the process resumes, and waiting counts the requests that have
+	// arrived while it was suspended and have not taken effect.
+	resumedCh chan struct{}
+	waiting   int
+	draining  bool
 	// drainAckedAt is when the first report with the state draining was acknowledged.
 	drainAckedAt time.Time
 	seq          int64
@@ -225,8 +233,25 @@
 // SetFault replaces the injected faults, for requests and runs from now on.
 func (r *Runner) SetFault(f Fault) {
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f.Suspended && !r.fault.Suspended {
+		r.resumedCh = make(chan struct{})
+	}
+	if r.fault.Suspended && !f.Suspended {
+		close(r.resumedCh)
+	}
 	r.fault = f
-	r.mu.Unlock()
+}
+
+// resuming reports whether the process is suspended or has requests that arrived while it was. The
+// caller holds the lock.
+func (r *Runner) resuming() bool { return r.fault.Suspended || r.waiting > 0 }
+
+// LeaseLeft returns the time for which the current lease lasts on, negative if it has expired.
+func (r *Runner) LeaseLeft() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lease - r.clock()
 }
 
 // Calls returns the number of start requests received, including those for a run that
@@ -373,7 +398,7 @@
 func (r *Runner) reportBody() report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.dead {
+	if r.dead || r.fault.Suspended {
 		return report{}
 	}
 	r.seq++
