e2e: runners that are suspended for longer than their leases

The stand-in's checker takes a run of a suspended runner as over once its lease has expired, and as continued if a request that waited extends the lease before it ends: such a run makes no progress in between. Two tests show that a continued run beside another is a violation.

--- a/standin/worker/judge.go
+++ b/standin/worker/judge.go
@@ -53,6 +53,18 @@
 	defer j.mu.Unlock()
 	j.starts++
 	j.startedJobs[jobOf(task)] = true
+	j.addRun(task, w)
+}
+
+// runContinued records that a run continues that was taken to have ended with its lease.
+func (j *Checker) runContinued(task string, w RunLocation) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.addRun(task, w)
+}
+
+// addRun adds a run to the current ones. The caller holds the lock.
+func (j *Checker) addRun(task string, w RunLocation) {
 	if current := j.running[task]; len(current) > 0 {
 		j.addViolation("task %s is running at %v and was started at %v as well", task, current, w)
 	}
--- a/standin/worker/orders.go
+++ b/standin/worker/orders.go
@@ -156,6 +156,12 @@
 		return false
 	}
 	r.lease = max(r.lease, u)
+	for task, x := range r.runs {
+		if x.expired {
+			x.expired = false
+			r.Checker.runContinued(task, r.location(x))
+		}
+	}
 	return true
 }
 
@@ -223,6 +229,8 @@
 	case r.runs[task] != x:
 	case r.resuming():
 		x.timer = time.AfterFunc(tickInterval, func() { r.finish(task, x, outcome) })
+	case x.expired:
+		r.end(task, x, LeaseExpired)
 	default:
 		r.end(task, x, outcome)
 	}
@@ -278,10 +286,16 @@
 func (r *Runner) expireLease() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.clock() < r.lease || r.resuming() {
+	if r.clock() < r.lease {
 		return
 	}
 	for task, x := range r.runs {
-		r.end(task, x, LeaseExpired)
+		switch {
+		case !r.resuming():
+			r.end(task, x, LeaseExpired)
+		case !x.expired:
+			x.expired = true
+			r.Checker.runEnded(task, r.location(x), LeaseExpired)
+		}
 	}
 }
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -75,6 +75,9 @@
 	timer  *time.Timer
 	// stopping is true between a stop request and the end of the run.
 	stopping bool
+	// expired is true once the lease has expired while the process was suspended: the run makes
+	// no progress, and ends when the process resumes unless a request extends the lease first.
+	expired bool
 }
 
 type endedRun struct {
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -49,3 +49,33 @@
 		assert.Assert(t, extendedFor == 0 || extendedFor == runs, "%d of %d runs ended", runs-extendedFor, runs)
 	}
 }
+
+// Guards against the stand-in hiding a run that goes on after its lease has expired: its process
+// was suspended, and an extension that had waited takes effect before the run ends.
+func TestRunOfSuspendedRunnerContinuesWithItsLease(t *testing.T) {
+	r := newTestRunner(1)
+	r.SetFault(Fault{Suspended: true})
+	r.expire()
+	r.expireLease()
+	assert.Equal(t, r.Checker.Running(), 0)
+	assert.Equal(t, r.runCount(), 1)
+	other := newTestRunner(0)
+	other.Checker = r.Checker
+	other.start(requestBody{Task: "a", Run: 2, Spec: `{"ms":60000}`, Until: time.Hour.Milliseconds() + 500})
+	assert.Equal(t, len(r.Checker.Violations()), 0)
+	r.SetFault(Fault{})
+	r.poll(requestBody{Until: time.Hour.Milliseconds() + 900})
+	assert.Equal(t, len(r.Checker.Violations()), 1)
+}
+
+// The runs of a suspended runner whose lease has expired end when it resumes.
+func TestRunsOfSuspendedRunnerEndWithTheirLease(t *testing.T) {
+	r := newTestRunner(3)
+	r.SetFault(Fault{Suspended: true})
+	r.expire()
+	r.expireLease()
+	r.SetFault(Fault{})
+	r.expireLease()
+	assert.Equal(t, r.runCount(), 0)
+	assert.Equal(t, len(r.Checker.Violations()), 0)
+}
