guard/host: a runner is polled for 3 s after a start that went unanswered

Callers: a task could run twice. A start that its runner left unanswered was stopped, the runner acknowledged the stop, and the entry started the task elsewhere. If the runner then restarted under its id and the start was executed late, by the new process, that one knew neither the stop nor a fencing token. A guard with no runs polls nothing, so it learned of the new process from its first report, 1.5 s later at most; with runs whose lease had expired it polled every 500 ms.

Cause: nobody looks while a late copy may be on its way.

Change: for 3 s after a start that was sent more than once or left unanswered, the runner is polled also while it is idle, and every 5 ms while its connection is refused, so that a new process is fenced as soon as it listens. A runner that answers each start at the first sending is polled as before.

The window is not closed: a copy that arrives within these milliseconds is executed.

--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -48,6 +48,13 @@
 	retryDelay = 30 * time.Millisecond
 	// expiredPollInterval is the time between polls of a runner whose leases have all expired.
 	expiredPollInterval = 500 * time.Millisecond
+	// lateStartWindow is the time for which a copy of a start that went unanswered may still be
+	// executed: seconds, according to the platform. For so long the runner is polled also while
+	// it is idle, so that a process that starts under the same id, which knows no fencing token
+	// and no stop, is fenced before such a copy reaches it.
+	lateStartWindow = 3 * time.Second
+	// endedPollInterval is the time between polls of an ended process within lateStartWindow.
+	endedPollInterval = 5 * time.Millisecond
 	// malformedLogInterval is the minimum time between log lines about malformed reports, and
 	// malformedLogBytes bounds how many bytes of a report's id and error are logged.
 	malformedLogInterval = 5 * time.Second
@@ -128,6 +135,9 @@
 	meanPollTime time.Duration
 	// lastPollLost is the uptime at which a poll was last found to be lost; zero for never.
 	lastPollLost time.Duration
+	// lateStartsUntil is the uptime until which a copy of a start that went unanswered may be
+	// executed.
+	lateStartsUntil time.Duration
 
 	sweep chan struct{}
 	poll  chan struct{}
@@ -315,6 +325,9 @@
 	err := answer.err
 	h.mu.Lock()
 	p.recordReply(answer, h.monotonic())
+	if answer.hedged || errors.Is(err, runner.ErrOutcomeUnknown) {
+		h.lateStartsUntil = now + lateStartWindow
+	}
 	var reports []runs.Report
 	switch reason, known := startRefusal(err); {
 	case err == nil:
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -107,9 +107,19 @@
 func (h *Host) needsPoll() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.process != nil && (!h.table.Idle() || !h.table.ListingRead() || h.table.LastEndSeq() > h.process.ackedEnd)
+	return h.process != nil && (!h.table.Idle() || h.hasUnread() || h.expectsLateStart())
 }
 
+// hasUnread reports whether the current process's run listing has not been read, or ended runs in
+// it have not been acknowledged. h.mu is held.
+func (h *Host) hasUnread() bool {
+	return !h.table.ListingRead() || h.table.LastEndSeq() > h.process.ackedEnd
+}
+
+// expectsLateStart reports whether a copy of a start that went unanswered may still be executed.
+// h.mu is held.
+func (h *Host) expectsLateStart() bool { return uptime.Now() < h.lateStartsUntil }
+
 // pollRound sends a poll and waits for its answer until the hedge delay has passed; an
 // unanswered poll then continues in the background.
 func (h *Host) pollRound(ctx context.Context, polls *sync.WaitGroup, inFlight chan struct{}) {
@@ -159,7 +169,7 @@
 	until := h.lease(p)
 	seen := h.table.LastEndSeq()
 	wait := pollWait
-	if p.unresponsive || h.table.Idle() || seen > p.ackedEnd && !h.table.AcceptsStarts() {
+	if p.unresponsive || h.table.Idle() && h.hasUnread() || seen > p.ackedEnd && !h.table.AcceptsStarts() {
 		wait = 0
 	}
 	if h.table.Idle() {
@@ -206,6 +216,9 @@
 		reports = h.table.LeaseExpired(now, errors.Is(err, runner.ErrConnectionRefused))
 		pause = expiredPollInterval
 	}
+	if errors.Is(err, runner.ErrConnectionRefused) && h.expectsLateStart() {
+		pause = endedPollInterval
+	}
 	h.sendStops(now)
 	h.mu.Unlock()
 	if err == nil && hasRuns {
--- a/guard/host/restart_test.go
+++ b/guard/host/restart_test.go
@@ -291,3 +291,23 @@
 		})
 	}
 }
+
+// Guards against a start at the next process under the runner's id whose run was reported as never
+// started: its start went unanswered, and the older process acknowledged its stop.
+func TestStoppedStartIsFencedAfterRestart(t *testing.T) {
+	x := newRestartFixture(t, &worker.Runner{})
+	const late = 700 * time.Millisecond
+	x.runner.SetFault(worker.Fault{LateShare: 1, LateBy: late, LateStarts: true})
+	id := x.order(0, 1, `{"ms":2000,"cpu":1000}`)
+	ordered := time.Now()
+	assert.Equal(t, x.finalReport(id).State, runs.NotStarted)
+	x.runner.Kill()
+	// The next process is fenced by polls alone.
+	x.runner.SetFault(worker.Fault{NoReports: true})
+	x.runner.Restart()
+	time.Sleep(late + 100*time.Millisecond - time.Since(ordered))
+	assert.Equal(t, x.runner.Checker.Starts(), 0)
+	x.runner.SetFault(worker.Fault{})
+	x.runner.Report(t.Context())
+	assert.Equal(t, x.run("10"), runs.Done)
+}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -67,6 +67,8 @@
 	// wait; those that have arrived take effect before anything else once the fault is removed,
 	// also if their callers have given up.
 	Suspended bool
+	// NoReports keeps the runner from sending reports.
+	NoReports bool
 }
 
 type run struct {
@@ -401,7 +403,7 @@
 func (r *Runner) reportBody() report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.dead || r.fault.Suspended {
+	if r.dead || r.fault.Suspended || r.fault.NoReports {
 		return report{}
 	}
 	r.seq++
