--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -48,6 +48,13 @@
 	retryDelay = 30 * time.Millisecond
 	// expiredPollInterval is the time between polls of a runner whose leases have all expired.
 	expiredPollInterval = 500 * time.Millisecond
+	// lateStartWindow is the time for which a copy of a start that went unanswered may still be
+	// executed: seconds, according to the platform. For so long the runner is polled also while
+	// it is idle, so that a process that starts under the same id, which knows no fencing token
+	// and no stop, is fenced before such a copy reaches it.
+	lateStartWindow = 3 * time.Second
+	// endedPollInterval is the time between polls of an ended process within lateStartWindow.
+	endedPollInterval = 5 * time.Millisecond
 	// malformedLogInterval is the minimum time between log lines about malformed reports, and
 	// malformedLogBytes bounds how many bytes of a report's id and error are logged.
 	malformedLogInterval = 5 * time.Second
@@ -56,6 +63,12 @@
 	// its reports, which arrive every 1.5 s.
 	adoptTries      = 6
 	adoptRetryDelay = 100 * time.Millisecond
+	// minLeaveDelay and maxLeaveDelay are the pauses, first and last, between two checks whether
+	// a process that has deregistered has ended, and leaveTimeout bounds the checks: a runner
+	// whose notice is not acknowledged ends some seconds later.
+	minLeaveDelay = 5 * time.Millisecond
+	maxLeaveDelay = 100 * time.Millisecond
+	leaveTimeout  = 10 * time.Second
 	// pruneInterval is the time between removals of old records.
 	pruneInterval = 2 * time.Second
 )
@@ -122,6 +135,9 @@
 	meanPollTime time.Duration
 	// lastPollLost is the uptime at which a poll was last found to be lost; zero for never.
 	lastPollLost time.Duration
+	// lateStartsUntil is the uptime until which a copy of a start that went unanswered may be
+	// executed.
+	lateStartsUntil time.Duration
 
 	sweep chan struct{}
 	poll  chan struct{}
@@ -238,6 +254,8 @@
 		}
 	}
 	h.recordUnknown(reports, "stop")
+	// An order's age includes the wait for the lock.
+	now = uptime.Now()
 	for _, order := range orders {
 		start, report := h.table.Admit(now, sent, o, order)
 		if report != nil {
@@ -245,7 +263,7 @@
 			reports = append(reports, *report)
 		}
 		if start != nil {
-			h.sendStart(now, start)
+			h.sendStart(start)
 		}
 	}
 	h.mu.Unlock()
@@ -284,14 +302,17 @@
 
 // lease returns the time on the process's clock up to which its lease may be extended now.
 // h.mu is held.
-func (h *Host) lease(p *process, now time.Duration) time.Duration {
-	return p.lease(h.table.LeaseUntil(now)-now, h.monotonic())
+func (h *Host) lease(p *process) time.Duration {
+	// The monotonic clock is read first: a stall between the readings shortens the lease.
+	monotonic := h.monotonic()
+	now := uptime.Now()
+	return p.lease(h.table.LeaseUntil(now)-now, monotonic)
 }
 
 // sendStart sends a start. h.mu is held.
-func (h *Host) sendStart(now time.Duration, s *runs.Start) {
+func (h *Host) sendStart(s *runs.Start) {
 	p := h.process
-	until := h.lease(p, now)
+	until := h.lease(p)
 	h.table.ValidUntil(s.Name, until)
 	delay := p.hedge.delay()
 	h.calls.Go(func() {
@@ -307,6 +328,9 @@
 	err := answer.err
 	h.mu.Lock()
 	p.recordReply(answer, h.monotonic())
+	if answer.hedged || errors.Is(err, runner.ErrOutcomeUnknown) {
+		h.lateStartsUntil = now + lateStartWindow
+	}
 	var reports []runs.Report
 	switch reason, known := startRefusal(err); {
 	case err == nil:
--- a/standin/worker/orders.go
+++ b/standin/worker/orders.go
@@ -40,11 +40,24 @@
 		f, dead := r.fault, r.dead
 		expected := req.Header.Get("X-Almondstand-Expected-Instance")
 		otherInstance := expected != "" && expected != r.instance
+		resumed, processStart := r.resumedCh, r.processStart
+		held := f.Suspended && !dead && !otherInstance
+		if held {
+			r.waiting++
+		}
 		r.mu.Unlock()
 		switch {
+		case held:
+			<-resumed
+			answer, executed := r.executeHeld(do, body, processStart)
+			if !executed {
+				panic(http.ErrAbortHandler)
+			}
+			r.writeResponse(w, req, body, answer)
+			return
 		case dead:
 			panic(http.ErrAbortHandler)
-		case f.Unresponsive:
+		case f.Unresponsive, f.Suspended:
 			<-req.Context().Done()
 			return
 		case otherInstance:
@@ -64,6 +77,21 @@
 	}
 }
 
+// executeHeld executes a request that arrived while its process was suspended, unless the process
+// has ended since.
+func (r *Runner) executeHeld(do func(requestBody) response, body requestBody, processStart time.Time) (answer response, executed bool) {
+	r.mu.Lock()
+	executed = !r.dead && r.processStart.Equal(processStart)
+	r.mu.Unlock()
+	if executed {
+		answer = do(body)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.waiting--
+	return answer, executed
+}
+
 func (r *Runner) writeResponse(w http.ResponseWriter, req *http.Request, body requestBody, a response) {
 	if a.maxWait > 0 {
 		r.waitForEndedRun(req.Context(), body.Seen, a.maxWait)
@@ -128,6 +156,12 @@
 		return false
 	}
 	r.lease = max(r.lease, u)
+	for task, x := range r.runs {
+		if x.expired {
+			x.expired = false
+			r.Checker.runContinued(task, r.location(x))
+		}
+	}
 	return true
 }
 
@@ -191,9 +225,19 @@
 func (r *Runner) finish(task string, x *run, outcome string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.runs[task] != x {
-		return
+	switch {
+	case r.runs[task] != x:
+	case r.resuming():
+		x.timer = time.AfterFunc(tickInterval, func() { r.finish(task, x, outcome) })
+	case x.expired:
+		r.end(task, x, LeaseExpired)
+	default:
+		r.end(task, x, outcome)
 	}
+}
+
+// end ends a run that is there. The caller holds the lock.
+func (r *Runner) end(task string, x *run, outcome string) {
 	x.timer.Stop()
 	delete(r.runs, task)
 	r.rejectedUpTo[task] = max(r.rejectedUpTo[task], x.number)
@@ -241,22 +285,17 @@
 // expireLease ends all runs when the lease has expired.
 func (r *Runner) expireLease() {
 	r.mu.Lock()
-	if r.clock() < r.lease || len(r.runs) == 0 {
-		r.mu.Unlock()
+	defer r.mu.Unlock()
+	if r.clock() < r.lease {
 		return
 	}
-	var expired []string
-	for task := range r.runs {
-		expired = append(expired, task)
-	}
-	runs := r.runs
-	r.mu.Unlock()
-	for _, task := range expired {
-		r.mu.Lock()
-		x := runs[task]
-		r.mu.Unlock()
-		if x != nil {
-			r.finish(task, x, LeaseExpired)
+	for task, x := range r.runs {
+		switch {
+		case !r.resuming():
+			r.end(task, x, LeaseExpired)
+		case !x.expired:
+			x.expired = true
+			r.Checker.runEnded(task, r.location(x), LeaseExpired)
 		}
 	}
 }
--- /dev/null
+++ b/standin/worker/worker_test.go
@@ -0,0 +1,81 @@
+package worker
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// newTestRunner returns a runner without a listener that has the given number of runs.
+func newTestRunner(n int) *Runner {
+	r := &Runner{CPU: 1 << 40, Checker: NewChecker()}
+	r.cpu = r.CPU
+	r.reset()
+	for i := range n {
+		r.start(requestBody{Task: string(rune('a' + i)), Run: 1, Spec: `{"ms":60000}`, Until: time.Hour.Milliseconds() + 500})
+	}
+	return r
+}
+
+// expire sets the end of the lease to now.
+func (r *Runner) expire() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lease = r.clock()
+}
+
+// runCount returns the number of runs.
+func (r *Runner) runCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.runs)
+}
+
+// Guards against a runner that ends runs by the lease after it has extended the lease for them:
+// a guard that relies on the extension, or extends too far, would not be noticed.
+func TestExtendedLeaseEndsNoRuns(t *testing.T) {
+	const runs = 20
+	for range 2000 {
+		r := newTestRunner(runs)
+		r.expire()
+		var expiry sync.WaitGroup
+		expiry.Go(r.expireLease)
+		r.poll(requestBody{Until: time.Hour.Milliseconds() + 900})
+		extendedFor := r.runCount()
+		expiry.Wait()
+		assert.Equal(t, r.runCount(), extendedFor)
+		assert.Assert(t, extendedFor == 0 || extendedFor == runs, "%d of %d runs ended", runs-extendedFor, runs)
+	}
+}
+
+// Guards against the stand-in hiding a run that goes on after its lease has expired: its process
+// was suspended, and an extension that had waited takes effect before the run ends.
+func TestRunOfSuspendedRunnerContinuesWithItsLease(t *testing.T) {
+	r := newTestRunner(1)
+	r.SetFault(Fault{Suspended: true})
+	r.expire()
+	r.expireLease()
+	assert.Equal(t, r.Checker.Running(), 0)
+	assert.Equal(t, r.runCount(), 1)
+	other := newTestRunner(0)
+	other.Checker = r.Checker
+	other.start(requestBody{Task: "a", Run: 2, Spec: `{"ms":60000}`, Until: time.Hour.Milliseconds() + 500})
+	assert.Equal(t, len(r.Checker.Violations()), 0)
+	r.SetFault(Fault{})
+	r.poll(requestBody{Until: time.Hour.Milliseconds() + 900})
+	assert.Equal(t, len(r.Checker.Violations()), 1)
+}
+
+// The runs of a suspended runner whose lease has expired end when it resumes.
+func TestRunsOfSuspendedRunnerEndWithTheirLease(t *testing.T) {
+	r := newTestRunner(3)
+	r.SetFault(Fault{Suspended: true})
+	r.expire()
+	r.expireLease()
+	r.SetFault(Fault{})
+	r.expireLease()
+	assert.Equal(t, r.runCount(), 0)
+	assert.Equal(t, len(r.Checker.Violations()), 0)
+}
