soak: callers that leave at the start, half-open callers, throttled processes

Two groups of faults are added. Runners leave requests unanswered beyond their leases. The tasks outlast the delay, so that a run which nobody stopped overlaps the next one.

A first attempt that is rejected is final and is checked like that of any caller; a rejection after an attempt without an answer isn't, since that attempt may have started the job.

--- a/e2e/fleet/caller.go
+++ b/e2e/fleet/caller.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"almondstand.dev/standin/caller"
+	"almondstand.dev/telemetry/uptime"
 )
 
 // ResubmitDelay is the delay before a caller submits a job again after it got no answer. It
@@ -109,22 +110,40 @@
 	return f.submit(ctx, first, j, tries, false)
 }
 
+// Continue is Submit for a job whose first attempt had the given answer; next is the entry of
+// the second attempt.
+func (f *Fleet) Continue(ctx context.Context, a Answer, next int, j Job, tries int) Answer {
+	if f.isFinal(a, j, true) || !uptime.Sleep(ctx, ResubmitDelay) {
+		return a
+	}
+	return f.Resubmit(ctx, next, j, tries)
+}
+
+// isFinal reports whether a caller doesn't submit a job again after an answer, and reports the
+// outcome to the fleet's Checker. With allRejected, a rejection means that the job did not run.
+func (f *Fleet) isFinal(a Answer, j Job, allRejected bool) bool {
+	switch a.Status {
+	case http.StatusOK:
+		if a.State == "completed" {
+			f.Checker.JobCompleted(j.ID, j.Tasks)
+		}
+		return true
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound:
+		if allRejected {
+			f.Checker.JobRejected(j.ID)
+		}
+		return true
+	}
+	return false
+}
+
 // submit implements Submit and Resubmit. allRejected is true as long as every earlier
 // attempt was rejected; only then does a rejection mean that the job did not run.
 func (f *Fleet) submit(ctx context.Context, first int, j Job, tries int, allRejected bool) Answer {
 	var a Answer
 	for attempt := range tries {
 		a = f.SubmitOnce(ctx, f.Entries[(first+attempt)%len(f.Entries)], Prefix, j)
-		switch a.Status {
-		case http.StatusOK:
-			if a.State == "completed" {
-				f.Checker.JobCompleted(j.ID, j.Tasks)
-			}
-			return a
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound:
-			if allRejected {
-				f.Checker.JobRejected(j.ID)
-			}
+		if f.isFinal(a, j, allRejected) {
 			return a
 		}
 		allRejected = false
--- a/e2e/fleet/fleet.go
+++ b/e2e/fleet/fleet.go
@@ -63,6 +63,10 @@
 	// is unused with Options.NoRelays.
 	EntryRelays  []*relay.Relay
 	RunnerRelays []*relay.Relay
+	// CallerRelays holds the relay from callers to each entry, RelayedEntries the entries with
+	// only its address for callers; both are empty with Options.NoRelays.
+	CallerRelays   []*relay.Relay
+	RelayedEntries []*Node
 
 	configVersion int
 	cancel        context.CancelFunc
@@ -164,6 +168,12 @@
 			return err
 		}
 		f.EntryRelays = append(f.EntryRelays, relay)
+		callerRelay, address, err := startRelay(ctx, n.CallersAddress, harness.NewHost()+":0")
+		if err != nil {
+			return err
+		}
+		f.CallerRelays = append(f.CallerRelays, callerRelay)
+		f.RelayedEntries = append(f.RelayedEntries, &Node{ID: n.ID, CallersAddress: address})
 	}
 	for i := range f.options.Guards {
 		n := &Node{ID: fmt.Sprintf("guard-%d", i+1), IP: harness.NewHost(), binary: f.options.Binaries.Guard}
--- a/e2e/soak/inject.go
+++ b/e2e/soak/inject.go
@@ -39,7 +39,7 @@
 		runner.Drain()
 		uptime.Sleep(ctx, drainDuration+f.Duration/2)
 		runner.Restart()
-	case RunnerLateRequests, RunnerSlow, RunnerHang, RunnerFailsTasks:
+	case RunnerLateRequests, RunnerSlow, RunnerHang, RunnerFailsTasks, RunnerUnresponsive:
 		runner.SetFault(runnerFault(f))
 		uptime.Sleep(ctx, f.Duration)
 		runner.SetFault(worker.Fault{})
@@ -59,6 +59,8 @@
 		r.burst.Store(true)
 		uptime.Sleep(ctx, f.Duration)
 		r.burst.Store(false)
+	case CallersLeave, EntryThrottle, GuardThrottle, CallersHalfOpen, EntryHalfOpen:
+		r.injectCallerFault(ctx, f, entry, guard)
 	default:
 		r.injectNetworkFault(ctx, f)
 	}
@@ -99,6 +101,7 @@
 	RunnerSlow:         {Slow: 4},
 	RunnerHang:         {Hang: true},
 	RunnerFailsTasks:   {FailShare: 0.7},
+	RunnerUnresponsive: {Unresponsive: true},
 }
 
 // runnerFault returns the fault to inject into a runner. For RunnerLateRequests, half of
--- a/e2e/soak/run.go
+++ b/e2e/soak/run.go
@@ -86,6 +86,7 @@
 	startTime    time.Time
 	burst        atomic.Bool
 	injections   sync.WaitGroup
+	callers      sync.WaitGroup // callers of faults
 	mu           sync.Mutex
 	addedRoutes  int
 	statusCounts map[int]int
@@ -112,6 +113,7 @@
 		f.Checker.ReportViolation("no recovery under load: %v", err)
 	}
 	stop()
+	r.callers.Wait()
 	if err := r.waitAllServing(ctx, recoveryTimeout, requiredSuccesses); err != nil {
 		f.Checker.ReportViolation("no recovery: %v", err)
 	}
@@ -212,14 +214,18 @@
 		submit = r.fleet.Resubmit
 	}
 	a := submit(context.Background(), n%entries, job, 3)
-	r.mu.Lock()
-	r.statusCounts[a.Status]++
-	r.mu.Unlock()
+	r.count(a)
 	if Planned(r.options.Seed) && a.Status == 0 && a.Took < job.Deadline-100*time.Millisecond && !strings.Contains(a.Text, "refused") {
 		r.fleet.Checker.ReportViolation("planned operation interrupted job %s after %v: %s", job.ID, a.Took, a.Text)
 	}
 }
 
+func (r *run) count(a fleet.Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.statusCounts[a.Status]++
+}
+
 // injectAll injects the faults at their scheduled times.
 func (r *run) injectAll(ctx context.Context, faults []Fault) {
 	for _, f := range faults {
--- a/e2e/soak/schedule.go
+++ b/e2e/soak/schedule.go
@@ -47,6 +47,13 @@
 
 	RunnerRestart Kind = "runner restarted with the same id; last report of the old process arrives late"
 	RunnerDrain   Kind = "runner drained and restarted with the same id"
+
+	CallersLeave       Kind = "callers leave at the start of their tasks and submit again"
+	EntryThrottle      Kind = "entry throttled while its callers leave and submit again"
+	GuardThrottle      Kind = "guard throttled while callers leave and submit again"
+	CallersHalfOpen    Kind = "callers' connections to an entry half open until their deadline"
+	EntryHalfOpen      Kind = "callers' connections to a throttled entry half open until their deadline"
+	RunnerUnresponsive Kind = "runner leaves requests unanswered"
 )
 
 var plannedKinds = []Kind{EntryTerm, EntryHangup, GuardTerm, GuardHangup, Configure, Configure}
@@ -109,7 +116,12 @@
 
 // additionalKinds are the kinds added later. Each group is drawn from a
 // separate random stream, so that the main faults of seeds that once found a bug are unchanged.
-var additionalKinds = [][]Kind{{TaskCrashes, RunnerShrink}, {RunnerRestart, RunnerRestart, RunnerDrain}}
+var additionalKinds = [][]Kind{
+	{TaskCrashes, RunnerShrink},
+	{RunnerRestart, RunnerRestart, RunnerDrain},
+	{CallersLeave, EntryThrottle, EntryThrottle, GuardThrottle},
+	{CallersHalfOpen, EntryHalfOpen, RunnerUnresponsive},
+}
 
 // additionalFaults returns the faults for one group of additionalKinds.
 func additionalFaults(seed, stream uint64, kinds []Kind, length time.Duration) []Fault {
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -3,6 +3,7 @@
 package caller
 
 import (
+	"cmp"
 	"encoding/json"
 	"strings"
 
@@ -16,9 +17,11 @@
 // Job is a job with a single step.
 type Job struct {
 	Tasks int
-	// Ms is the run time of a task, and also the run time that the caller declares, in
-	// milliseconds.
+	// Ms is the run time of a task in milliseconds.
 	Ms int
+	// EstimateMs is the run time that the caller declares instead of Ms, in milliseconds;
+	// zero for Ms.
+	EstimateMs int
 	// CrashMs makes each task crash its runner's process this many milliseconds after the
 	// start of the task; zero for no crash.
 	CrashMs int
@@ -32,7 +35,7 @@
 	spec, _ := json.Marshal(worker.Spec{Ms: j.Ms, CPU: j.CPU, Fails: j.Fails, CrashMs: j.CrashMs})
 	body, _ := json.Marshal(map[string]any{
 		"task_spec": string(spec), "best_effort": true,
-		"steps": []map[string]any{{"count": j.Tasks, "cpu": j.CPU, "mem_mb": 64, "est_runtime_ms": j.Ms}},
+		"steps": []map[string]any{{"count": j.Tasks, "cpu": j.CPU, "mem_mb": 64, "est_runtime_ms": cmp.Or(j.EstimateMs, j.Ms)}},
 	})
 	return body
 }
