soak: half-open callers' tasks take four times as long as they declare

They declared 300 ms and took 2600. Now they declare 800 ms and take 3300, which is still beyond the first deadline and the resubmission delay, and still more than a run may take before it is stopped.

--- a/e2e/soak/callers.go
+++ b/e2e/soak/callers.go
@@ -10,18 +10,20 @@
 	"almondstand.dev/telemetry/uptime"
 )
 
-// Callers that get no answer to their first attempt have tasks of longMs, so that a run of
-// that attempt which isn't stopped overlaps one of the next.
+// Callers that leave have tasks of longMs, so that a run which isn't stopped overlaps one of the
+// next attempt.
 const (
 	callerInterval = 20 * time.Millisecond
 	// maxCallerWait is the longest time after which a caller leaves.
 	maxCallerWait = 350 * time.Millisecond
 	// callerCPU is the CPU request of a task in millicores, too little to overload the runners.
 	callerCPU = 100
-	// Callers on half-open connections declare short tasks: an entry does not start what
-	// cannot end before its caller's deadline.
-	halfOpenDeadline   = time.Second
-	halfOpenEstimateMs = 300
+	// Callers on half-open connections have tasks that run beyond their deadline and
+	// ResubmitDelay. They declare less, since an entry does not start what cannot end before
+	// its caller's deadline.
+	halfOpenDeadline   = 1500 * time.Millisecond
+	halfOpenMs         = 3300
+	halfOpenEstimateMs = 800
 )
 
 // Times for which a throttled process is suspended and runs in between.
@@ -100,7 +102,7 @@
 
 // halfOpen runs callers of one entry whose connections go silent within maxCallerWait while
 // both ends keep them open. They wait until their deadline and submit their job again to
-// another entry.
+// another entry, with a later deadline.
 func (r *run) halfOpen(ctx context.Context, f Fault) {
 	i := f.Index % entries
 	blackholed, waits := make(chan struct{}), r.waits(f)
@@ -111,11 +113,11 @@
 		}
 	}()
 	r.repeat(ctx, f, func(int) {
-		job := fleet.NewJob(1, longMs)
+		job := fleet.NewJob(1, halfOpenMs)
 		job.CPU, job.EstimateMs, job.Deadline = callerCPU, halfOpenEstimateMs, halfOpenDeadline
 		a := r.fleet.SubmitOnce(context.Background(), r.fleet.RelayedEntries[i], fleet.Prefix, job)
 		job.Deadline = longDeadline
-		r.count(r.fleet.Continue(context.Background(), a, i+1, job, 2))
+		r.count(r.fleet.Continue(context.Background(), a, i+1, job, 1))
 	})
 	<-blackholed
 }
