spec: stop orders, tombstones and new sessions in the model of runs

The specification could not show it: in run.pml an entry stopped no run, and a guard was asked for no run that it did not hold.

Cause: the guard answered a stop order, or an attaching entry that listed a run as open, with "never started", and started the run when its order arrived afterwards.

Change: with LEAVES, STOPS and RECONNECTS the first entry's caller leaves, the entry stops a run for another reason and may order it elsewhere, and it attaches again while an order of the older session is in transit. The stop order and the start order are in transit independently. Each final answer is a tombstone for the guard and the first entry, lost when the guard restarts; NOT_RUN covers a start after such an answer. Macros for what prevents a failure: NO_TOMBSTONE, NO_SESSION_CHECK, NO_STOP_BOUND (the lease of a run whose stop has arrived isn't extended by later heartbeats). DETECT is the time within which the entry notices that its caller has left.

Why it works: whichever of the order, the stop and the attaching entry the guard handles first, the second one finds its record.

--- a/spec/run.pml
+++ b/spec/run.pml
@@ -3,8 +3,10 @@
  * two guards, each with a runner of capacity for one run, and one task. Orders to a
  * runner and messages to a guard are delayed arbitrarily; entries crash, guards
  * restart, and the caller of a crashed entry submits its job again to the other entry
- * after RESEND. It checks that the task never runs twice at a time and that a runner
- * never has two runs. README.md in this directory lists what is not modelled.
+ * after RESEND. With LEAVES, STOPS or RECONNECTS the first entry also stops runs, and
+ * attaches again and asks for its open run. It checks that the task never runs twice at
+ * a time and that a runner never has two runs. README.md in this directory lists what is
+ * not modelled.
  *
  * Build with -DNO_BAR or a similar macro to remove one safeguard.
  */
@@ -30,12 +32,27 @@
 #ifndef RUNNER_RESTARTS
 #define RUNNER_RESTARTS 0       /* restarts of runners that keep their IDs, in total */
 #endif
+#ifndef LEAVES
+#define LEAVES 0                /* times that the first entry's caller leaves */
+#endif
+#ifndef DETECT
+#define DETECT 0                /* time within which the entry notices that and orders the stop */
+#endif
+#ifndef STOPS
+#define STOPS 0                 /* runs that the first entry stops for another reason */
+#endif
+#ifndef RECONNECTS
+#define RECONNECTS 0            /* new sessions between the first entry and a guard */
+#endif
+#if LEAVES + STOPS + RECONNECTS > 0
+#define TOMBSTONES              /* a guard may have to answer for a run that it does not hold */
+#endif
 
 /* ---- properties --------------------------------------------------------- */
 
 #define ONE_RUN 1               /* the task runs at one runner at a time */
 #define ROOM 2                  /* a runner has at most one run at a time */
-#define NOT_RUN 3               /* a run reported as never started has not started */
+#define NOT_RUN 3               /* a run reported as never started has not started and never starts */
 #ifndef ONLY
 #define ONLY 0
 #endif
@@ -53,6 +70,9 @@
 #define LATE_AT_NEXT 8          /* a start reached a newer process of the runner than it was sent to */
 #define FENCED_AT_NEXT 9        /* … and was rejected because of its fencing token */
 #define MOVED 10                /* a guard found its run at the runner's newer process */
+#define ORDER_BARRED 11         /* an order arrived after its run was reported as never started */
+#define STOPPED_START_BARRED 12 /* a start arrived at the runner after the stop that its entry had ordered */
+#define OLD_SESSION 13          /* an order of an older session arrived after its run was reported as never started */
 #ifndef SEE
 #define SEE 0
 #endif
@@ -91,6 +111,10 @@
 bool g_open[2];
 byte g_process[2];              /* the runner process that it knows; its calls reach no other */
 bool g_ran[2];                  /* its run has started; the guard may not know */
+byte g_try[2];                  /* the entry's number of the run; used with TOMBSTONES only */
+bool g_stopped[2];              /* the entry has ordered the stop */
+byte tomb[2];                   /* highest try of the first entry with a final answer; the second
+                                   entry orders no stops and keeps its sessions */
 byte heard[4];                  /* time of the last heartbeat, by guard and entry */
 byte restarts;
 
@@ -100,12 +124,19 @@
 byte at[2];                     /* 1 + guard of the open run, 0 for none */
 bool orphan[2];                 /* the guard of the open run has restarted */
 byte tries[2];
-bool broke;                     /* the first entry has crashed */
+bool broke;                     /* the first entry has crashed, or its caller has left */
 byte broke_at;
+bool unnoticed;                 /* its caller has left, and it hasn't noticed */
+byte leaves, stops, reconnects;
 
 /* the order in transit to a guard */
 bool m_on[2];
 byte m_from[2], m_sent[2], m_try[2];
+bool m_old[2];                  /* it was sent in an older session */
+
+/* the stop order of the first entry in transit to a guard; it may overtake the order of its run */
+bool x_on[2];
+byte x_try[2];
 
 #ifdef NO_STALE
 #define FRESH(g) true
@@ -125,7 +156,34 @@
 /* the response to the start that the runner executes reaches the guard */
 #define ANSWERED(g) (g_token[g] == s_token[g] && s_process[g] == process[g] && g_state[g] == SENT && g_number[g] == s_number[g])
 #define FREE_OF(e) at[e] = 0; orphan[e] = false
-#define TELL(g) if :: up[g_owner[g]] && at[g_owner[g]] == 1 + g && !orphan[g_owner[g]] -> FREE_OF(g_owner[g]) :: else fi
+#define OPEN_AT(e, g, try) (up[e] && at[e] == 1 + g && !orphan[e] && (try == 0 || try == tries[e]))
+#ifdef TOMBSTONES
+#define RECORD(g, e, try) if :: e == 0 && try > tomb[g] -> tomb[g] = try :: else fi
+#else
+#define RECORD(g, e, try) skip
+#endif
+#define ANSWER(g, e, try) RECORD(g, e, try); if :: OPEN_AT(e, g, try) -> FREE_OF(e) :: else fi
+#define TELL(g) ANSWER(g, g_owner[g], g_try[g])
+#define FORGET(g) g_number[g] = 0; g_owner[g] = 0; g_until[g] = 0; g_barred[g] = false; g_try[g] = 0; g_stopped[g] = false
+#ifdef NO_TOMBSTONE
+#define BURIED(g) false
+#else
+#define BURIED(g) (m_from[g] == 0 && m_try[g] != 0 && m_try[g] <= tomb[g])
+#endif
+#ifdef NO_SESSION_CHECK
+#define DROPPED(g) false
+#else
+#define DROPPED(g) m_old[g]
+#endif
+/* messages of a session arrive in order, so a heartbeat waits for the stop sent before it; and
+   once the guard has the stop, heartbeats don't extend the run's lease */
+#ifdef NO_STOP_BOUND
+#define BEATS(e, g) (HEARD(g, e) < now && !(e == 0 && x_on[g]))
+#else
+#define BEATS(e, g) (HEARD(g, e) < now && !(e == 0 && (x_on[g] || g_stopped[g])))
+#endif
+/* the guard holds the run that the first entry ordered with this try */
+#define HELD(g, try) (g_state[g] != NONE && g_owner[g] == 0 && g_try[g] == try)
 
 inline hold_until(g, until)
 {
@@ -142,6 +200,9 @@
 {
 	HOLDS(ROOM, holds[i] == 0);
 	HOLDS(ONE_RUN, holds[1 - i] == 0);
+#ifdef TOMBSTONES
+	HOLDS(NOT_RUN, g_number[i] != s_number[i] || g_token[i] != s_token[i] || g_owner[i] != 0 || g_try[i] > tomb[i]);
+#endif
 	holds[i] = s_number[i];
 	if
 	:: g_number[i] == s_number[i] -> g_ran[i] = true
@@ -164,7 +225,7 @@
 	byte i;
 
 end1:	do
-	:: atomic { now < MAX && MET(0) && MET(1) ->
+	:: atomic { now < MAX && MET(0) && MET(1) && !(unnoticed && up[0] && now >= broke_at + DETECT) ->
 		now++;
 		for (i : 0 .. 1) {
 			if
@@ -187,17 +248,52 @@
 	m_on[g] = true; m_from[g] = e; m_sent[g] = now; m_try[g] = tries[e]
 }
 
+inline send_stop(g)
+{
+	x_on[g] = true; x_try[g] = tries[0]
+}
+
 #define MAY_ORDER(e, g) (up[e] && wants[e] && at[e] == 0 && tries[e] < TRIES && !m_on[g])
 
 proctype entry(byte e)
 {
 end2:	do
 	/* a heartbeat to both guards */
-	:: atomic { up[e] && wants[e] && (HEARD(0, e) < now || HEARD(1, e) < now) -> HEARD(0, e) = now; HEARD(1, e) = now }
+	:: atomic { up[e] && (e == 0 || wants[e]) && (BEATS(e, 0) || BEATS(e, 1)) ->
+		if
+		:: BEATS(e, 0) -> HEARD(0, e) = now
+		:: else
+		fi;
+		if
+		:: BEATS(e, 1) -> HEARD(1, e) = now
+		:: else
+		fi
+	}
 	:: atomic { MAY_ORDER(e, 0) -> send_order(e, 0) }
 	:: atomic { MAY_ORDER(e, 1) -> send_order(e, 1) }
 	/* the first entry crashes, and its caller detects that */
-	:: atomic { e == 0 && up[0] && DEATHS > 0 -> up[0] = false; broke = true; broke_at = now }
+	:: atomic { e == 0 && up[0] && DEATHS > 0 ->
+		up[0] = false;
+		if
+		:: !broke -> broke = true; broke_at = now
+		:: else
+		fi
+	}
+	/* the caller of the first entry leaves */
+	:: atomic { e == 0 && up[0] && !broke && leaves < LEAVES -> leaves++; broke = true; broke_at = now; unnoticed = true }
+	/* the first entry notices that and stops its run */
+	:: atomic { e == 0 && up[0] && unnoticed ->
+		unnoticed = false; wants[0] = false;
+		if
+		:: at[0] != 0 && !orphan[0] -> send_stop(at[0] - 1)
+		:: else
+		fi
+	}
+	/* the first entry stops its run for another reason, and may then order it elsewhere */
+	:: atomic { e == 0 && up[0] && wants[0] && at[0] != 0 && !orphan[0] && !x_on[at[0] - 1] && stops < STOPS ->
+		stops++;
+		send_stop(at[0] - 1)
+	}
 	/* the caller submits the job again, to the other entry */
 	:: atomic { e == 1 && broke && !wants[1] && now >= broke_at + RESEND -> wants[1] = true }
 	od
@@ -236,7 +332,12 @@
 		if
 		:: s_token[i] < token[i] && s_process[i] != process[i] -> REACHED(FENCED_AT_NEXT)
 		:: s_token[i] < token[i] && s_process[i] == process[i] -> REACHED(FENCED)
-		:: s_token[i] >= token[i] && s_number[i] <= barred[i] -> REACHED(LATE_START_BARRED)
+		:: s_token[i] >= token[i] && s_number[i] <= barred[i] ->
+			REACHED(LATE_START_BARRED);
+			if
+			:: g_stopped[i] && g_barred[i] && g_number[i] == s_number[i] -> REACHED(STOPPED_START_BARRED)
+			:: else
+			fi
 		:: s_token[i] >= token[i] && s_number[i] > barred[i] && holds[i] == s_number[i] ->
 			/* the other copy has started the run */
 			REACHED(TWIN_MET);
@@ -266,7 +367,7 @@
 #ifdef NO_DOUBT
 			g_state[i] = NONE;
 			TELL(i);
-			g_number[i] = 0; g_owner[i] = 0; g_until[i] = 0; g_barred[i] = false
+			FORGET(i)
 #else
 			g_state[i] = ENDING
 #endif
@@ -286,27 +387,63 @@
 	:: atomic { m_on[i] && !s_on[i] ->
 		m_on[i] = false;
 		if
-		:: HEARD(i, m_from[i]) < m_sent[i] -> HEARD(i, m_from[i]) = m_sent[i]
+		:: !DROPPED(i) && HEARD(i, m_from[i]) < m_sent[i] -> HEARD(i, m_from[i]) = m_sent[i]
 		:: else
 		fi;
 		if
-		:: g_open[i] && g_state[i] == NONE && FRESH(i) ->
+		:: m_from[i] == 0 && m_try[i] <= tomb[i] ->
+			REACHED(ORDER_BARRED);
+			if
+			:: m_old[i] -> REACHED(OLD_SESSION)
+			:: else
+			fi
+		:: else
+		fi;
+		if
+		:: DROPPED(i)
+		:: !DROPPED(i) && g_open[i] && g_state[i] == NONE && FRESH(i) && !BURIED(i) ->
 			g_state[i] = SENT;
 			g_owner[i] = m_from[i];
-			g_barred[i] = false; g_ran[i] = false;
+			g_barred[i] = false; g_ran[i] = false; g_stopped[i] = false;
+#ifdef TOMBSTONES
+			g_try[i] = m_try[i];
+#endif
 			g_number[i] = (m_try[i] > g_next[i] -> m_try[i] : g_next[i] + 1);
 			g_next[i] = g_number[i];
 			hold_until(i, until);
 			g_until[i] = until;
 			s_on[i] = true; s_number[i] = g_number[i]; s_token[i] = g_token[i]; s_until[i] = until; s_process[i] = g_process[i];
 			until = 0
-		:: else ->
-			if
-			:: up[m_from[i]] && at[m_from[i]] == 1 + i && !orphan[m_from[i]] -> FREE_OF(m_from[i])
-			:: else
-			fi
+		:: else -> ANSWER(i, m_from[i], m_try[i])
+		fi;
+		m_from[i] = 0; m_sent[i] = 0; m_try[i] = 0; m_old[i] = false
+	}
+	/* a stop order arrives: the guard stops the run, or answers that it is over or never started */
+	:: atomic { x_on[i] ->
+		x_on[i] = false;
+		if
+		:: HELD(i, x_try[i]) -> g_state[i] = ENDING; g_stopped[i] = true
+		:: else -> ANSWER(i, 0, x_try[i])
 		fi;
-		m_from[i] = 0; m_sent[i] = 0; m_try[i] = 0
+		x_try[i] = 0
+	}
+	/* the first entry attaches again: its stop order is sent again, an order of the older session
+	   may arrive later, and the guard answers for the run that the entry lists as open */
+	:: atomic { reconnects < RECONNECTS && up[0] && g_open[i] ->
+		reconnects++;
+		m_old[i] = m_on[i] && m_from[i] == 0;
+		if
+		:: g_state[i] != NONE && g_owner[i] == 0 && !OPEN_AT(0, i, g_try[i]) -> g_state[i] = ENDING; g_stopped[i] = true
+		:: else
+		fi;
+		if
+		:: at[0] == 1 + i && !HELD(i, tries[0]) -> ANSWER(i, 0, tries[0])
+		:: else
+		fi;
+		if
+		:: at[0] != 1 + i -> x_on[i] = false; x_try[i] = 0
+		:: else
+		fi
 	}
 	/* the start gets no response, and the guard sends it again while the first copy is in transit */
 	:: atomic { g_state[i] == SENT && s_on[i] && !s_again[i] && s_token[i] == g_token[i] && s_number[i] == g_number[i] ->
@@ -343,7 +480,7 @@
 		HOLDS(NOT_RUN, !g_ran[i] || g_process[i] == process[i]);
 		g_state[i] = NONE;
 		TELL(i);
-		g_number[i] = 0; g_owner[i] = 0; g_until[i] = 0; g_barred[i] = false
+		FORGET(i)
 	}
 	/* the lease is extended */
 	:: atomic { holds[i] != 0 && g_state[i] != NONE && !g_barred[i] && g_open[i] && g_token[i] >= token[i] && lease[i] < now + HOLD && REACHES(i) ->
@@ -380,7 +517,7 @@
 		:: g_state[i] != NONE ->
 			g_state[i] = NONE;
 			TELL(i);
-			g_number[i] = 0; g_owner[i] = 0; g_until[i] = 0
+			FORGET(i)
 		:: else
 		fi
 	}
@@ -389,15 +526,15 @@
 	:: atomic { g_process[i] != process[i] && g_open[i] && g_state[i] != NONE ->
 		g_state[i] = NONE;
 		TELL(i);
-		g_number[i] = 0; g_owner[i] = 0; g_until[i] = 0; g_barred[i] = false
+		FORGET(i)
 	}
 #endif
 	/* the guard is killed; its next incarnation attaches immediately */
 	:: atomic { restarts < RESTARTS ->
 		restarts++;
 		g_token[i]++;
-		g_state[i] = NONE; g_next[i] = 0; g_barred[i] = false; g_open[i] = false; m_on[i] = false;
-		g_number[i] = 0; g_owner[i] = 0; g_until[i] = 0; m_from[i] = 0; m_sent[i] = 0; m_try[i] = 0;
+		g_state[i] = NONE; g_next[i] = 0; g_open[i] = false; m_on[i] = false; m_old[i] = false; x_on[i] = false;
+		FORGET(i); m_from[i] = 0; m_sent[i] = 0; m_try[i] = 0; x_try[i] = 0; tomb[i] = 0;
 		for (e : 0 .. 1) {
 			if
 			:: at[e] == 1 + i ->
