standin/worker: a poll of a process that has ended has no answer

Cause, by reading: the stand-in's next process answered a poll that had waited at the older one, so that the guard read a listing without the run before it had adopted the next process. A process's connections end with it.

Evidence: TestPollOfEndedProcessHasNoAnswer failed before and passes. Change: a request whose process has ended since is aborted, which is stricter than before.

--- a/standin/worker/orders.go
+++ b/standin/worker/orders.go
@@ -53,7 +53,7 @@
 			if !executed {
 				panic(http.ErrAbortHandler)
 			}
-			r.writeResponse(w, req, body, answer)
+			r.writeResponse(w, req, body, answer, processStart)
 			return
 		case dead:
 			panic(http.ErrAbortHandler)
@@ -73,7 +73,7 @@
 			<-req.Context().Done()
 			return
 		}
-		r.writeResponse(w, req, body, do(body))
+		r.writeResponse(w, req, body, do(body), processStart)
 	}
 }
 
@@ -92,11 +92,17 @@
 	return answer, executed
 }
 
-func (r *Runner) writeResponse(w http.ResponseWriter, req *http.Request, body requestBody, a response) {
+// writeResponse answers a request that the given process received, unless that process has ended
+// since.
+func (r *Runner) writeResponse(w http.ResponseWriter, req *http.Request, body requestBody, a response, processStart time.Time) {
 	if a.maxWait > 0 {
 		r.waitForEndedRun(req.Context(), body.Seen, a.maxWait)
 	}
 	r.mu.Lock()
+	if r.dead || !r.processStart.Equal(processStart) {
+		r.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	reply := map[string]any{"clock_ms": r.clock().Milliseconds()}
 	if a.reason != "" {
 		reply["reason"] = a.reason
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -1,6 +1,9 @@
 package worker
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -79,3 +82,26 @@
 	assert.Equal(t, r.runCount(), 0)
 	assert.Equal(t, len(r.Checker.Violations()), 0)
 }
+
+// Guards against a poll of one process that the next one answers: its run listing, which names no
+// process, would show the runs of the older one as ended.
+func TestPollOfEndedProcessHasNoAnswer(t *testing.T) {
+	r := newTestRunner(1)
+	server := httptest.NewServer(r.handle(r.poll))
+	defer server.Close()
+	answered := make(chan error, 1)
+	go func() {
+		res, err := http.Post(server.URL, "application/json", strings.NewReader(`{"wait_ms":300}`))
+		if err == nil {
+			_ = res.Body.Close()
+		}
+		answered <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	r.mu.Lock()
+	r.crash()
+	r.incarnation++
+	r.reset()
+	r.mu.Unlock()
+	assert.Assert(t, <-answered != nil, "answered by the next process")
+}
