dispatch/planner: a guard's successor can't report the end of runs that it was not given

Callers: several tasks of several jobs at one endpoint ran twice at the same moment: each went on at the runner of a guard that had been replaced, and was started elsewhere.

Cause: an entry keeps the runs that it ordered at an older incarnation of a guard open until the successor has reconciled the runner. If such a run was stopped before that, because it took too long, the successor answered that it has no such run, and the planner took the answer for "never started". Class: a negative answer of somebody who can't know.

Change: reports on a run that was ordered at an older incarnation are ignored; the run closes when the runner is reconciled, and may have run. Why it works: the successor has no record of it, so no report of its own can be about it.

--- a/dispatch/planner/planner_test.go
+++ b/dispatch/planner/planner_test.go
@@ -92,6 +92,19 @@
 	assert.Equal(t, len(f.after(20*ms).Starts), 1)
 }
 
+// Guards against a task that runs twice: its run is stopped after the guard was replaced, and the
+// successor, which has no record of the run, answers before its runner is reconciled.
+func TestUnknownRunOfAnOlderGuardIsNotOver(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	s := f.submit("j", 1, 60*ms).Starts[0]
+	f.report(s, Running)
+	f.AttachEndpoint(s.Endpoint, "a", true)
+	f.report(s, Unknown)
+	assert.Equal(t, len(f.after(20*ms).Starts), 0)
+	f.UpdateEndpoint(f.now, s.Endpoint, EndpointStatus{Service: "teardown", Runner: work.Incarnation{ID: "r"}, Total: work.Amounts{CPUMilli: 2000, MemoryMB: 128}, Reconciled: true})
+	assert.Equal(t, len(f.after(20*ms).Starts), 1)
+}
+
 // A job that would be late is still served if no other job is waiting, for as long as a late
 // answer is of use.
 func TestLateJobIsServedWhenAlone(t *testing.T) {
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -45,6 +45,10 @@
 	if t == nil || t.attempt != run.Attempt {
 		return 0
 	}
+	if t.orphaned {
+		// The guard has no record of the run, which may go on until its runner is reconciled.
+		return 0
+	}
 	if c == Running {
 		p.recordRunning(now, t, now-ran)
 		return 0
