guard/runs: a silent process whose lease has expired has not crashed

Callers: a job could be failed as one that crashes its runners. When a process at another address took the place of one that was silent, the runs of the silent one were reported as crashed, though it may only have been cut off. Two or three such reports fail a job.

Cause: each replacement of a process that was not draining counted as a crash. Evidence: TestRunOfASilentProcessIsOverWithItsLease, which now checks the state, fails before (crashed after stopped). Change: a process whose lease is left to expire has crashed only if its connection is refused or another process answers at its address. TestSilentProcessThatHasEndedHasCrashed shows that such a crash is still reported.

Effect: the tests of guard/host and guard/runs on processes pass three times with -race.

--- a/guard/host/adopt.go
+++ b/guard/host/adopt.go
@@ -319,6 +319,9 @@
 	p.clock = clockSample{listing.Clock, h.monotonic()}
 	old := h.process
 	h.process = p
+	if ended {
+		h.table.SetExpiring(false)
+	}
 	reports := h.table.Adopt(now, runs.Process{Incarnation: c.Incarnation(), Service: c.Service, Address: c.Address, Token: token}, listedRuns(listing)...)
 	if c.Seq > 0 {
 		h.table.SetCapacity(c.Capacity, c.Labels, c.Draining)
--- a/guard/host/adopt_test.go
+++ b/guard/host/adopt_test.go
@@ -138,6 +138,9 @@
 	p.announce()
 	p.waitEndOfLease()
 	p.waitAdopted(time.Second)
+	for _, r := range p.ends() {
+		assert.Equal(t, r.State, runs.Stopped, "nothing shows that the process crashed")
+	}
 }
 
 // Guards against a run of a deregistered process being reported as over before its lease has
@@ -159,12 +162,24 @@
 			p.startRun()
 			p.first.set(func() { p.first.down = err })
 			p.announce()
-			p.waitEnd(leaseEndMargin)
+			assert.Equal(t, p.waitEnd(leaseEndMargin).State, runs.Crashed)
 			p.waitAdopted(time.Second)
 		})
 	}
 }
 
+// Guards against a crash that is not reported because its process was silent before.
+func TestSilentProcessThatHasEndedHasCrashed(t *testing.T) {
+	p := newRunnerPair(t)
+	p.startRun()
+	p.cutFirst()
+	p.announce()
+	p.wait("the lease is left to expire", time.Second, func() bool { return !p.host.Capacity().AcceptsStarts })
+	p.first.set(func() { p.first.down = runner.ErrConnectionRefused })
+	assert.Equal(t, p.waitEnd(time.Second).State, runs.Crashed)
+	p.waitAdopted(time.Second)
+}
+
 // A process that drains and has no runs left is replaced while it still answers.
 func TestDrainedProcessIsReplaced(t *testing.T) {
 	p := newRunnerPair(t)
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -210,6 +210,7 @@
 	case errors.Is(err, runner.ErrRestarted):
 		h.handleRestart(listing)
 	case errors.Is(err, runner.ErrReplaced):
+		h.table.SetExpiring(false)
 		reports = h.table.ReplaceProcess(now)
 		h.process = nil
 	case h.leaseExpired(p):
--- a/guard/runs/crash.go
+++ b/guard/runs/crash.go
@@ -25,12 +25,13 @@
 }
 
 // ReplaceProcess records that another process runs in the place of the current one and executes no
-// start that was sent to the current one. The current process has crashed unless it was
-// draining. Runs that a previous guard process started and that ended with their runner are
-// not reported here, because this table does not hold them.
+// start that was sent to the current one. The current process has crashed unless it was draining,
+// or is expiring, in which case nothing shows that it has ended. Runs that a previous guard
+// process started and that ended with their runner are not reported here, because this table does
+// not hold them.
 func (t *Table) ReplaceProcess(now time.Duration) []Report {
 	var reports []Report
-	if t.runner != nil && !t.runner.draining {
+	if t.runner != nil && !t.runner.draining && !t.runner.expiring {
 		reports = t.reportCrashes(now, func(*run) bool { return false })
 	}
 	for _, r := range t.runs {
