guard/host: the frequent polls of an ended process are logged twice a second at most

Operators: a runner that ended within 3 s of an unanswered start gave 180 lines of guard.look_failed per second (TestPollsOfAnEndedProcessAreLoggedSeldom, fake runner), since its guard polls every 5 ms then. Change: these polls are logged at the interval of polls after the end of a lease, 500 ms. Other failed polls are logged as before.

--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -131,6 +131,8 @@
 	// malformedLoggedAt is the uptime at which a malformed report was last logged; zero for
 	// never.
 	malformedLoggedAt time.Duration
+	// pollLoggedAt is the uptime at which a failed poll was last logged; zero for never.
+	pollLoggedAt time.Duration
 	// meanPollTime is the mean time until a poll is answered.
 	meanPollTime time.Duration
 	// lastPollLost is the uptime at which a poll was last found to be lost; zero for never.
--- a/guard/host/host_test.go
+++ b/guard/host/host_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"log/slog"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -211,11 +213,17 @@
 
 // startHostWith is startHost with a host that reaches other runners as well.
 func startHostWith(t *testing.T, f *fakeRunner, dial func(runner.Target) Runner) (*Host, *reportRecorder) {
+	t.Helper()
+	return startHostLogging(t, f, dial, io.Discard)
+}
+
+// startHostLogging is startHostWith with a destination for the log.
+func startHostLogging(t *testing.T, f *fakeRunner, dial func(runner.Target) Runner, log io.Writer) (*Host, *reportRecorder) {
 	t.Helper()
 	h := New(Options{
 		MaxLease: 3 * time.Second,
 		Dial:     dial,
-		Logger:   slog.New(slog.NewJSONHandler(io.Discard, nil)),
+		Logger:   slog.New(slog.NewJSONHandler(log, nil)),
 		Metrics:  NewMetrics(tally.NoopScope),
 	})
 	sink := &reportRecorder{}
@@ -394,6 +402,35 @@
 	assert.Assert(t, at.Sub(start) < stopTimeout, "delivered after %s", at.Sub(start))
 }
 
+// lineCounter counts the log lines that contain a text.
+type lineCounter struct {
+	text  string
+	lines atomic.Int64
+}
+
+func (c *lineCounter) Write(p []byte) (int, error) {
+	if strings.Contains(string(p), c.text) {
+		c.lines.Add(1)
+	}
+	return len(p), nil
+}
+
+// Guards against a log that is flooded by the frequent polls of an ended process.
+func TestPollsOfAnEndedProcessAreLoggedSeldom(t *testing.T) {
+	const span = time.Second
+	f := newFakeRunner()
+	log := &lineCounter{text: pollFailed.Name}
+	h, sink := startHostLogging(t, f, func(runner.Target) Runner { return f }, log)
+	keepAlive(t, h)
+	f.set(func() { f.dropCalls["start"] = 1 })
+	order(h)
+	_, _ = sink.waitFor(t, runs.Running)
+	f.set(func() { f.down = runner.ErrConnectionRefused })
+	time.Sleep(span)
+	lines := log.lines.Load()
+	assert.Assert(t, lines > 0 && lines <= int64(span/retryDelay), "%d lines", lines)
+}
+
 // Guards against a crash of the guard, which would lose every run of its entries: the runner
 // reports that it has shut down while a poll is about to be sent.
 func TestPollWithoutARunner(t *testing.T) {
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -181,7 +181,7 @@
 	cancel()
 	h.opt.Metrics.poll(err)
 	if err != nil {
-		pollFailed.Log(ctx, h.logger, slog.String("runner", p.String()), slog.String("error", err.Error()))
+		h.logPollFailure(ctx, p, err)
 	}
 	now := uptime.Now()
 	h.mu.Lock()
@@ -229,6 +229,22 @@
 	return pause
 }
 
+// logPollFailure logs a failed poll. The frequent polls of an ended process are logged as seldom as
+// those of a process whose leases have expired.
+func (h *Host) logPollFailure(ctx context.Context, p *process, err error) {
+	h.mu.Lock()
+	now := uptime.Now()
+	frequent := errors.Is(err, runner.ErrConnectionRefused) && h.expectsLateStart()
+	shouldLog := !frequent || now-h.pollLoggedAt >= expiredPollInterval
+	if shouldLog {
+		h.pollLoggedAt = now
+	}
+	h.mu.Unlock()
+	if shouldLog {
+		pollFailed.Log(ctx, h.logger, slog.String("runner", p.String()), slog.String("error", err.Error()))
+	}
+}
+
 // HandleMalformedReport counts a malformed report. Log lines are rate-limited, because a faulty
 // program may send many.
 func (h *Host) HandleMalformedReport(instance string, err error) {
