entry/jobs: the stops for callers that have disconnected precede every message to a guard

Callers: a task could run twice at a time when a caller's connection broke and it submitted its job to another entry, while the first entry was short of processor time. A task could also start for a caller that had left before its request was read.

Cause: a guard ends the runs of an entry from which it has heard nothing for 520 ms, by 1150 ms at the latest even if the runner answers no stop. The bound counts from the entry's last message, which shows that the entry is alive, not that it has read the ends of its callers' connections. In short stalls heartbeats go out first: each moves the bound on while the end of a connection waits in the kernel, in the server's reader or at the job's goroutine.

Jobs without a caller are cancelled, so their stops are queued before the message is built. Why it works: the message's time is read before the check. A message sent later than 25 ms after a caller's connection ended carries the stop or follows it, whatever the order in which goroutines run. The guard's bound then counts from the end of the connection: stop after 545 ms, over after 1175 ms, against the resend time of 1.3 s. A start decided for a caller that has left meets its stop in the queue, and the guard runs neither.

A caller whose host goes away without a word, so that no end of the connection arrives, is not covered: its run ends at its deadline.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -19,6 +19,7 @@
 	"almondstand.dev/entry/lag"
 	"almondstand.dev/entry/registry"
 	"almondstand.dev/entry/sessions"
+	"almondstand.dev/platform/ingress"
 	"almondstand.dev/platform/store"
 	"almondstand.dev/telemetry"
 	"almondstand.dev/wire/fleetwire"
@@ -74,9 +75,10 @@
 		Logger:  o.Logger,
 	}, client, e.config)
 	e.jobs = jobs.New(jobs.Options{
-		Planner: planner.Options{DataCentre: s.DataCentre, Seed: incarnation},
-		Logger:  o.Logger,
-		Scope:   o.Metrics.Scope,
+		Planner:      planner.Options{DataCentre: s.DataCentre, Seed: incarnation},
+		Logger:       o.Logger,
+		Scope:        o.Metrics.Scope,
+		Disconnected: ingress.Disconnected,
 	})
 	e.lag = lag.New(o.Metrics.Scope, o.Logger)
 	e.sessions = sessions.New(sessions.Options{Entry: s.ID, Incarnation: incarnation, Logger: o.Logger, Lag: e.lag}, e.jobs, e.members)
@@ -134,6 +136,7 @@
 	addActor(func(c context.Context) error {
 		return serve(c, s.Listen.Callers.String(), &http.Server{
 			Handler:           e.front,
+			ConnContext:       ingress.ConnContext,
 			ReadHeaderTimeout: readHeaderTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,12 @@
 	resumeDelay = 100 * time.Millisecond
 )
 
+// callersCheckInterval is the minimum interval between two checks of the callers' connections.
+// Guards end the runs of an entry 1150 ms after its last message at the latest. A caller submits
+// its job again 1.3 s after its connection broke, and no message is sent later than this interval
+// after that without the order to stop its runs.
+const callersCheckInterval = 25 * time.Millisecond
+
 // Guard sends orders to one endpoint. Its methods must not block.
 type Guard interface {
 	SendOrders(starts []planner.Start, stops []planner.Stop)
@@ -51,12 +58,18 @@
 	Planner planner.Options
 	Logger  *slog.Logger
 	Scope   tally.Scope
+	// Disconnected reports whether the caller with the given context has closed its connection,
+	// also if the context has not ended yet. It must not block. If it is nil, callers are
+	// disconnected once their context ends.
+	Disconnected func(ctx context.Context) bool
 }
 
 // Engine runs jobs.
 type Engine struct {
 	logger  *slog.Logger
 	metrics *metrics
+	// disconnected is Options.Disconnected.
+	disconnected func(context.Context) bool
 
 	mu      sync.Mutex
 	plan    *planner.Planner
@@ -70,17 +83,22 @@
 	lastPrune time.Duration
 	// lastCheck is the uptime of the last clock reading; zero until Run is called.
 	lastCheck time.Duration
+	// callersChecked is the uptime at which the callers' connections were last checked.
+	callersChecked time.Duration
 }
 
 // jobWaiters tracks the callers that wait for one job.
 type jobWaiters struct {
-	callers int
+	callers []*caller
 	ready   chan struct{}
 	answer  planner.Answer
 	terms   planner.Terms
 	arrived time.Duration
 }
 
+// caller is one caller of a job. Its context ends when it disconnects.
+type caller struct{ ctx context.Context }
+
 type cachedAnswer struct {
 	answer planner.Answer
 	at     time.Duration
@@ -89,13 +107,14 @@
 // New returns an engine without endpoints.
 func New(o Options) *Engine {
 	e := &Engine{
-		logger:    o.Logger,
-		metrics:   newMetrics(o.Scope),
-		plan:      planner.New(o.Planner),
-		waiters:   map[string]*jobWaiters{},
-		guards:    map[string]Guard{},
-		answers:   map[string]cachedAnswer{},
-		runsEnded: map[string]chan struct{}{},
+		logger:       o.Logger,
+		metrics:      newMetrics(o.Scope),
+		disconnected: o.Disconnected,
+		plan:         planner.New(o.Planner),
+		waiters:      map[string]*jobWaiters{},
+		guards:       map[string]Guard{},
+		answers:      map[string]cachedAnswer{},
+		runsEnded:    map[string]chan struct{}{},
 	}
 	e.actTimer = time.AfterFunc(time.Hour, e.tick)
 	return e
@@ -150,8 +169,16 @@
 		e.mu.Unlock()
 		return k.answer
 	}
-	verdict := e.plan.Submit(now, deadline, job, terms)
-	for verdict == planner.StillEnding {
+	// CheckCallers may have run a moment ago, so a caller is checked here before it is one.
+	var verdict planner.Verdict
+	for {
+		if e.isDisconnected(ctx) {
+			e.mu.Unlock()
+			return planner.Answer{Outcome: planner.Cancelled, Reason: planner.ReasonCallerGone}
+		}
+		if verdict = e.plan.Submit(now, deadline, job, terms); verdict != planner.StillEnding {
+			break
+		}
 		ended := e.runsEndedChan(job.ID)
 		e.mu.Unlock()
 		if !awaitRunsEnded(ctx, ended) {
@@ -161,14 +188,14 @@
 		}
 		e.mu.Lock()
 		now = uptime.Now()
-		verdict = e.plan.Submit(now, deadline, job, terms)
 	}
 	w := e.waiters[job.ID]
 	if w == nil {
 		w = &jobWaiters{ready: make(chan struct{}), terms: terms, arrived: now}
 		e.waiters[job.ID] = w
 	}
-	w.callers++
+	c := &caller{ctx}
+	w.callers = append(w.callers, c)
 	if verdict == planner.Accepted {
 		logAccepted(e.logger, job, terms, deadline-now, e.plan.Forecast(job.ID))
 	}
@@ -177,7 +204,7 @@
 	select {
 	case <-w.ready:
 	case <-ctx.Done():
-		e.removeCaller(job.ID, w)
+		e.removeCaller(job.ID, w, c)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -205,17 +232,57 @@
 }
 
 // removeCaller removes one caller of a job. A job without callers is cancelled.
-func (e *Engine) removeCaller(id string, w *jobWaiters) {
+func (e *Engine) removeCaller(id string, w *jobWaiters, c *caller) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	w.callers--
-	callerGone.Log(context.Background(), e.logger, slog.String("job", id), millis("waited_ms", uptime.Now()-w.arrived), slog.Int("callers_left", w.callers))
-	if w.callers > 0 || e.waiters[id] != w {
-		return
-	}
 	now := uptime.Now()
+	if e.dropCaller(now, id, w, c) {
+		e.applyActions(now)
+	}
+}
+
+// dropCaller removes one caller of a job, and cancels the job if it was the last. It reports
+// whether the job was cancelled. The caller of the method holds the lock.
+func (e *Engine) dropCaller(now time.Duration, id string, w *jobWaiters, c *caller) bool {
+	i := slices.Index(w.callers, c)
+	if i < 0 {
+		return false
+	}
+	w.callers = slices.Delete(w.callers, i, i+1)
+	callerGone.Log(context.Background(), e.logger, slog.String("job", id), millis("waited_ms", now-w.arrived), slog.Int("callers_left", len(w.callers)))
+	if len(w.callers) > 0 || e.waiters[id] != w {
+		return false
+	}
 	e.plan.Cancel(now, id)
-	e.applyActions(now)
+	return true
+}
+
+func (e *Engine) isDisconnected(ctx context.Context) bool {
+	return e.disconnected != nil && e.disconnected(ctx)
+}
+
+// CheckCallers cancels the jobs whose callers have disconnected, unless the callers were checked
+// less than callersCheckInterval before now. An entry that is short of processor time may read
+// the ends of its callers' connections much later than it sends messages to guards, and these
+// let the runs go on.
+func (e *Engine) CheckCallers(now time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if now-e.callersChecked < callersCheckInterval {
+		return
+	}
+	e.callersChecked = uptime.Now()
+	cancelled := false
+	for id, w := range e.waiters {
+		for i := len(w.callers) - 1; i >= 0; i-- {
+			if c := w.callers[i]; e.isDisconnected(c.ctx) {
+				cancelled = e.dropCaller(e.callersChecked, id, w, c) || cancelled
+			}
+		}
+	}
+	if cancelled {
+		e.applyActions(e.callersChecked)
+	}
 }
 
 // Cancel ends a job at its caller's request. It reports whether the job was open.
--- a/entry/jobs/jobs_test.go
+++ b/entry/jobs/jobs_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,13 +16,19 @@
 	"almondstand.dev/telemetry/uptime"
 )
 
-// fakeGuard records the starts it is ordered to make.
-type fakeGuard struct{ starts chan planner.Start }
+// fakeGuard records the orders it is given.
+type fakeGuard struct {
+	starts chan planner.Start
+	stops  chan planner.Stop
+}
 
-func (g *fakeGuard) SendOrders(starts []planner.Start, _ []planner.Stop) {
+func (g *fakeGuard) SendOrders(starts []planner.Start, stops []planner.Stop) {
 	for _, s := range starts {
 		g.starts <- s
 	}
+	for _, s := range stops {
+		g.stops <- s
+	}
 }
 func (g *fakeGuard) Wake() {}
 
@@ -32,7 +39,7 @@
 
 func newEngine() (*Engine, *fakeGuard) {
 	e := New(Options{Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Scope: tally.NoopScope})
-	g := &fakeGuard{starts: make(chan planner.Start, 16)}
+	g := &fakeGuard{starts: make(chan planner.Start, 16), stops: make(chan planner.Stop, 16)}
 	e.Attach("g", "a", true, g)
 	e.ApplyUpdate("g", g, GuardUpdate{Status: &planner.EndpointStatus{Service: "s", Runner: work.Incarnation{ID: "r"}, AcceptsStarts: true, Total: work.Amounts{CPUMilli: 4000}}})
 	return e, g
@@ -134,3 +141,41 @@
 	stop()
 	assert.NilError(t, <-ended)
 }
+
+// Guards against a run that is not over when its caller submits its job to another entry: this
+// entry tells the guard that it is alive and has not read the end of the caller's connection yet.
+func TestRunOfDisconnectedCallerIsStoppedBeforeContextEnds(t *testing.T) {
+	e, g := newEngine()
+	var gone sync.Map
+	e.disconnected = func(ctx context.Context) bool {
+		_, found := gone.Load(ctx)
+		return found
+	}
+	type key struct{}
+	first, second := context.WithValue(t.Context(), key{}, 1), context.WithValue(t.Context(), key{}, 2)
+	answers := make(chan planner.Answer, 2)
+	go func() { answers <- submit(first, e) }()
+	s := <-g.starts
+	go func() { answers <- submit(second, e) }()
+	time.Sleep(20 * time.Millisecond)
+	gone.Store(first, true)
+	e.CheckCallers(uptime.Now() + callersCheckInterval)
+	assert.Equal(t, len(g.stops), 0, "another caller waits for the job")
+	gone.Store(second, true)
+	e.CheckCallers(uptime.Now())
+	assert.Equal(t, len(g.stops), 0, "checked a moment ago")
+	e.CheckCallers(uptime.Now() + callersCheckInterval)
+	assert.Equal(t, len(g.stops), 1)
+	assert.Equal(t, (<-g.stops).Run, s.Run)
+	assert.Equal(t, (<-answers).Outcome, planner.Cancelled)
+	assert.Equal(t, (<-answers).Outcome, planner.Cancelled)
+}
+
+// Guards against a task that starts although its caller has left: the caller's connection ended
+// before its request was read, and after the callers were last checked.
+func TestJobOfDisconnectedCallerStartsNothing(t *testing.T) {
+	e, g := newEngine()
+	e.disconnected = func(context.Context) bool { return true }
+	assert.Equal(t, submit(t.Context(), e).Outcome, planner.Cancelled)
+	assert.Equal(t, len(g.starts), 0)
+}
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -238,6 +238,9 @@
 		if s.released() {
 			return errReleased
 		}
+		// A message tells the guard that this entry is alive, so it must not be sent without the
+		// stops for callers that had disconnected by then.
+		s.server.jobs.CheckCallers(now)
 		s.logLateOrders(ctx, now)
 		starts, decidedAt := s.pendingStarts(now)
 		m, delay, expired := s.nextMessage(now, now-lastSent)
--- a/entry/sessions/sessions_test.go
+++ b/entry/sessions/sessions_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"log/slog"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +16,9 @@
 	"almondstand.dev/entry/jobs"
 	"almondstand.dev/entry/lag"
 	"almondstand.dev/telemetry/uptime"
+	"almondstand.dev/wire/fleetwire"
+	"almondstand.dev/wire/wirev1"
+	"almondstand.dev/wire/wirev1/wirev1connect"
 )
 
 type fakeMembers struct {
@@ -161,3 +166,53 @@
 	m, _, _ := s.nextMessage(time.Second, heartbeatBusy)
 	assert.Assert(t, m != nil, "no heartbeat is due for the open run")
 }
+
+// attachService serves the guards' streams of a Server.
+type attachService struct {
+	wirev1connect.UnimplementedFleetServiceHandler
+	*Server
+}
+
+func (a attachService) Attach(ctx context.Context, st *stream) error { return a.Server.Attach(ctx, st) }
+
+// Guards against a run that is not over when its caller submits its job to another entry: the next
+// message lets the guard continue the run, because the end of the caller's connection has not been
+// read yet. The message must carry the stop.
+func TestMessagesCarryStopsOfDisconnectedCallers(t *testing.T) {
+	logger := slog.New(slog.DiscardHandler)
+	var gone atomic.Bool
+	e := jobs.New(jobs.Options{Logger: logger, Scope: tally.NoopScope, Disconnected: func(context.Context) bool { return gone.Load() }})
+	mux := http.NewServeMux()
+	mux.Handle(fleetwire.NewHandler(attachService{Server: New(Options{Logger: logger, Lag: lag.New(tally.NoopScope, logger)}, e, &fakeMembers{})}))
+	l, err := fleetwire.Listen(t.Context(), "127.0.0.1:0")
+	assert.NilError(t, err)
+	server := fleetwire.NewServer(mux)
+	go func() { _ = server.Serve(l) }()
+	defer func() { _ = server.Close() }()
+	transport := fleetwire.NewTransport(time.Second)
+	defer transport.Close()
+	st := fleetwire.NewClient(&http.Client{Transport: transport}, l.Addr().String()).Attach(t.Context())
+	assert.NilError(t, st.Send(&wirev1.AttachRequest{Handshake: &wirev1.GuardHandshake{Guard: "g", Incarnation: 1}, ClockUs: 1}))
+	assert.NilError(t, st.Send(&wirev1.AttachRequest{ClockUs: 2, Capacity: &wirev1.Capacity{
+		Service: "s", Runner: "r", Open: true, Total: fleetwire.ToAmounts(work.Amounts{CPUMilli: 4000}),
+	}}))
+	go func() {
+		job := work.Job{ID: "j", Steps: []work.Step{{Count: 1, Need: work.Amounts{CPUMilli: 1000}, Declared: 60 * time.Millisecond}}}
+		terms := planner.Terms{Contract: "c", Service: "s", MaxAttempts: 2, TargetFactor: 1.6, TargetMargin: 60 * time.Millisecond}
+		e.Submit(t.Context(), job, terms, uptime.Now()+5*time.Second)
+	}()
+	next := func() *wirev1.AttachResponse {
+		m, err := st.Receive()
+		assert.NilError(t, err)
+		return m
+	}
+	for len(next().GetStarts()) == 0 {
+	}
+	gone.Store(true)
+	// One message may have been built before.
+	stops := len(next().GetStops())
+	if stops == 0 {
+		stops = len(next().GetStops())
+	}
+	assert.Equal(t, stops, 1)
+}
