--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -117,7 +117,7 @@
 }
 
 func (f *Handler) submit(w http.ResponseWriter, req *http.Request, table *route.Table, c *route.Contract, id string) {
-	arrived := uptime.Now()
+	arrived := uptime.Now() - ingress.ReceivedBefore(req.Context())
 	if f.closed.Load() {
 		f.rejectEarly(w, req, "this entry is ending")
 		return
@@ -142,6 +142,10 @@
 		f.rejectInvalid(w, req, c, id, err)
 		return
 	}
+	if uptime.Now() >= arrived+timeout {
+		f.rejectInvalid(w, req, c, id, ingress.ErrDeadlineExceeded)
+		return
+	}
 	answer := f.jobs.Submit(req.Context(), job, terms(c), arrived+timeout)
 	f.writeOutcome(w, answer)
 }
