--- a/e2e/proofs_test.go
+++ b/e2e/proofs_test.go
@@ -21,7 +21,7 @@
 		assert.Check(t, functions[name], "no test file has %s", name)
 	}
 	checks := specChecks(t)
-	for _, name := range findNames(page, "`((?:start|contract|quota)/[a-z-]+)`") {
+	for _, name := range findNames(page, "`((?:start|contract|quota|run|crash)/[a-z-]+)`") {
 		assert.Check(t, checks[name], "spec/checks.txt has no %s", name)
 	}
 }
