e2e: a task whose run failed during a stall of its entry is not started again for a caller that left

An entry orders nothing for 100 ms after it was paused for 500 ms or more, because it reads the end of a run and the end of its caller's connection in any order then. Shorter stalls had no test. TestTaskOfCallerThatLeftIsNotStartedAgain stalls the entry for 320 ms, in which tasks fail and their callers leave.

--- a/e2e/fleet_caller_test.go
+++ b/e2e/fleet_caller_test.go
@@ -38,3 +38,32 @@
 	}
 	assert.Equal(t, f.Checker.Starts(), before)
 }
+
+// Guards against a task that is started again after its caller has left: an entry that was stalled,
+// too briefly to be taken for paused, read the failure of the task's run before the end of the
+// caller's connection.
+func TestTaskOfCallerThatLeftIsNotStartedAgain(t *testing.T) {
+	parallel(t)
+	const rounds, callers, runTime, settle, stalled = 4, 4, 200 * time.Millisecond, 20 * time.Millisecond, 300 * time.Millisecond
+	// Many runners, so that their failed runs eject few of them.
+	f := startFleet(t, 1, 8)
+	for range rounds {
+		ctx, leave := context.WithCancel(t.Context())
+		var gone sync.WaitGroup
+		for range callers {
+			job := fleet.NewJob(1, int(runTime.Milliseconds()))
+			job.Fails = true
+			gone.Go(func() { f.SubmitOnce(ctx, f.Entries[0], fleet.Prefix, job) })
+		}
+		waitUntil(t, time.Second, "the tasks are not running", func() bool { return f.Checker.Running() == callers })
+		f.Entries[0].Process().Suspend()
+		time.Sleep(settle)
+		starts := f.Checker.Starts()
+		leave()
+		gone.Wait()
+		time.Sleep(stalled)
+		f.Entries[0].Process().Resume()
+		time.Sleep(runTime)
+		assert.Equal(t, f.Checker.Starts(), starts)
+	}
+}
