entry/jobs: tests of a paused process wait for the first reading of the clock

TestNoStartsRightAfterProcessPause failed 3 of 20 times under -race: it simulates a pause by setting back the last reading of the clock, and Run, which had not begun yet, replaced it by the current time, so no pause was seen and a task was started. The product reads the clock from its start on.

--- a/entry/jobs/jobs_test.go
+++ b/entry/jobs/jobs_test.go
@@ -98,6 +98,21 @@
 	assert.Equal(t, len(g.starts), 0)
 }
 
+// awaitFirstReading waits until Run has read the clock for the first time. A pause that is
+// simulated before that has no effect.
+func awaitFirstReading(t *testing.T, e *Engine) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		e.mu.Lock()
+		running := e.lastCheck > 0
+		e.mu.Unlock()
+		if running {
+			return
+		}
+	}
+	t.Fatal("the engine does not read the clock")
+}
+
 // An entry is paused while a task runs. Its guard stops the run, and the caller retries at another
 // entry. After the pause the entry reads the end of the run before the caller's disconnect; it
 // must not start the task again, because the job already runs through the other entry.
@@ -106,6 +121,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- e.Run(ctx) }()
+	awaitFirstReading(t, e)
 	caller, leave := context.WithCancel(t.Context())
 	answer := make(chan planner.Answer, 1)
 	go func() { answer <- submit(caller, e) }()
@@ -128,6 +144,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- e.Run(ctx) }()
+	awaitFirstReading(t, e)
 	answer := make(chan planner.Answer, 1)
 	go func() { answer <- submit(t.Context(), e) }()
 	s := <-g.starts
