--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -17,8 +17,9 @@
 	reason string
 }{
 	{5, "planned operations only: no request may be cut, a configuration is in force within 2 s"},
-	{2, "a guard's stream to an entry went silent, and the entry never got runners again"},
-	{11, "the same fault with another cause: no recovery"},
+	{2, "a guard's stream to an entry went silent, and the entry never got runners again; later with callers that leave, " +
+		"a guard reported that a run never started, and started it: tasks ran twice once their job was resubmitted"},
+	{11, "the same faults with another cause of the first: no recovery"},
 	{1001, "a stop order was lost with a session: tasks ran on, and ran twice once their job was resubmitted"},
 }
 
