dispatch/planner: a failing test for an entry that takes all endpoints for slow

Callers: an entry refused every job for 15 s (no_room_in_time) with four idle runners. Cause, by reading: an endpoint's ratio of actual to expected run times follows seven runs, its service's mean follows many more, so each endpoint counts as slow beside the others; nothing starts there that could not wait, and without runs neither ratio changes.

--- a/dispatch/planner/retest_test.go
+++ b/dispatch/planner/retest_test.go
@@ -61,3 +61,30 @@
 	}
 	assert.Assert(t, started >= 2 && started <= 8, "%d started", started)
 }
+
+// Guards against an entry that regards all endpoints of a service as slow and starts nothing more:
+// the first runs take longer than declared.
+func TestServiceWhoseRunsTakeLongerThanDeclaredIsServed(t *testing.T) {
+	const run = 2600 * ms
+	f := newFleet(t, 4, 4)
+	w := work.Job{ID: "long", Steps: []work.Step{{Count: 8, Need: core, Declared: 300 * ms}}}
+	assert.Equal(t, f.Submit(f.now, f.now+6*time.Second, w, terms), Accepted)
+	starts := f.act().Starts
+	for _, s := range starts {
+		f.report(s, Running)
+	}
+	f.now += run
+	for _, s := range starts {
+		f.ReportRun(f.now, s.Endpoint, s.Run, Done, run)
+	}
+	started := 0
+	for n := range 600 {
+		f.now += 50 * ms
+		a := f.submit(fmt.Sprint(n), 4, 20*ms)
+		for _, s := range a.Starts {
+			started++
+			f.ReportRun(f.now+20*ms, s.Endpoint, s.Run, Done, 20*ms)
+		}
+	}
+	assert.Assert(t, started > 0)
+}
