guard: wording of an event and of three tests' comments

Callers: no change. The text of event 2212 and the comments say what was reported and in which order; EVENTS.md is made anew. The tests of guard/runs and the catalogue pass.

--- a/guard/host/events.go
+++ b/guard/host/events.go
@@ -36,7 +36,7 @@
 		"If several of these lines name the same job, its task crashes the runners that start it: its entry fails the job after two or three crashes (job.not_completed, crashes_runners).")
 	runUnknown = eventlog.Define(2212, "guard.run_unknown", slog.LevelWarn,
 		"The guard reported to an entry that it has no such run, so that the entry counts the run as never started: the entry ordered its stop (asked stop) or listed it as open when it attached (asked attach).",
-		"None for single lines: orders were lost or overtaken. A later guard.run_started of the same job, index and attempt by the same entry is a fault of the guard.")
+		"None for single lines: orders were lost or arrived in another order. A later guard.run_started of the same job, index and attempt by the same entry is a fault of the guard.")
 	stopOrdered = eventlog.Define(2213, "guard.stop_ordered", slog.LevelInfo,
 		"An entry ordered the stop of a run. age_ms is the age of the order's message.", "See job.run_stopped at the entry.")
 	adoptPostponed = eventlog.Define(2214, "guard.adopt_postponed", slog.LevelWarn,
--- a/guard/runs/tombstone_test.go
+++ b/guard/runs/tombstone_test.go
@@ -23,7 +23,7 @@
 	assert.Assert(t, start == nil, "started after it was reported as never started")
 }
 
-// Guards against a run that starts after an attaching entry was told that it never started.
+// Guards against a run that starts after its guard reported to an attaching entry that it never started.
 func TestOrderAfterAttachIsNotStarted(t *testing.T) {
 	table := newTable(2)
 	x := order("j", 0)
@@ -116,7 +116,7 @@
 }
 
 // Guards against a report that is lost with a session: the entry asks for the run again, which
-// was reported as over, and is told that it runs, or nothing.
+// was reported as over, and gets the report that it runs, or none.
 func TestRunReportedOverIsReportedAgain(t *testing.T) {
 	table, _, id := silentRunner(t)
 	got := table.Resume(testStart+910*ms, entryA, []work.RunID{id})
@@ -137,7 +137,7 @@
 }
 
 // Guards against an order that hides the end of its run: an entry that orders a run again, and
-// then asks for it, is told that it never started.
+// then asks for it, gets the report that it never started.
 func TestOrderOfEndedRunLeavesItsReport(t *testing.T) {
 	table := newTable(1)
 	x := order("j", 0)
