entry/jobs: two tests share the resubmission of a job that is being stopped

Tests: TestResubmittedJobWaitsAndRuns and TestCallerOfCompletedJobGetsItsAnswer began with the same nine lines. Change: resubmitWhileStopping holds them; the assertions stay as they are.

--- a/entry/jobs/jobs_test.go
+++ b/entry/jobs/jobs_test.go
@@ -64,18 +64,26 @@
 	assert.Equal(t, submit(t.Context(), e).Outcome, planner.Expired)
 }
 
-// A job is submitted again while its earlier run is being stopped. Once that run ends, the job
-// runs again.
-func TestResubmittedJobWaitsAndRuns(t *testing.T) {
-	e, g := newEngine()
+// resubmitWhileStopping submits the job, disconnects its caller, and submits it again while its run
+// is being stopped. It returns the start of that run and the answer to the second submission.
+func resubmitWhileStopping(t *testing.T, e *Engine, g *fakeGuard) (older planner.Start, second <-chan planner.Answer) {
+	t.Helper()
 	ctx, leave := context.WithCancel(t.Context())
 	go func() { submit(ctx, e) }()
-	older := <-g.starts
+	older = <-g.starts
 	leave()
 	time.Sleep(50 * time.Millisecond)
-	second := make(chan planner.Answer, 1)
-	go func() { second <- submit(t.Context(), e) }()
+	answer := make(chan planner.Answer, 1)
+	go func() { answer <- submit(t.Context(), e) }()
 	time.Sleep(50 * time.Millisecond)
+	return older, answer
+}
+
+// A job is submitted again while its earlier run is being stopped. Once that run ends, the job
+// runs again.
+func TestResubmittedJobWaitsAndRuns(t *testing.T) {
+	e, g := newEngine()
+	older, second := resubmitWhileStopping(t, e, g)
 	e.ApplyUpdate("g", g, GuardUpdate{Reports: []Report{{Run: older.Run, Change: planner.Stopped}}})
 	newer := <-g.starts
 	e.ApplyUpdate("g", g, GuardUpdate{Reports: []Report{{Run: newer.Run, Change: planner.Running}, {Run: newer.Run, Change: planner.Done}}})
@@ -87,14 +95,7 @@
 // run is being stopped, and one of them gets its answer before the other is scheduled.
 func TestCallerOfCompletedJobGetsItsAnswer(t *testing.T) {
 	e, g := newEngine()
-	ctx, leave := context.WithCancel(t.Context())
-	go func() { submit(ctx, e) }()
-	older := <-g.starts
-	leave()
-	time.Sleep(50 * time.Millisecond)
-	second := make(chan planner.Answer, 1)
-	go func() { second <- submit(t.Context(), e) }()
-	time.Sleep(50 * time.Millisecond)
+	older, second := resubmitWhileStopping(t, e, g)
 	e.mu.Lock()
 	now := uptime.Now()
 	e.report(now, "g", Report{Run: older.Run, Change: planner.Stopped})
