--- a/e2e/fleet/fleet.go
+++ b/e2e/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -93,15 +94,26 @@
 	// Restarting is locked while the node is being restarted.
 	Restarting sync.Mutex
 
-	mu      sync.Mutex
-	process *harness.Process
+	mu sync.Mutex
+	// processes are all processes of the node, the current one last.
+	processes []*harness.Process
 }
 
 // Process returns the node's most recently started process.
 func (n *Node) Process() *harness.Process {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.process
+	if len(n.processes) == 0 {
+		return nil
+	}
+	return n.processes[len(n.processes)-1]
+}
+
+// Processes returns all processes of the node, the current one last.
+func (n *Node) Processes() []*harness.Process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.processes)
 }
 
 // Start starts a new process of the node.
@@ -111,7 +123,7 @@
 		return err
 	}
 	n.mu.Lock()
-	n.process = p
+	n.processes = append(n.processes, p)
 	n.mu.Unlock()
 	return nil
 }
--- a/e2e/harness/process.go
+++ b/e2e/harness/process.go
@@ -60,7 +60,7 @@
 
 // start starts a program and retains the last part of its output.
 func start(name string, env []string, path string, args ...string) (*Process, error) {
-	p := &Process{Name: name, log: &tailBuffer{limit: maxLogBytes}, done: make(chan struct{})}
+	p := &Process{Name: name, log: &tailBuffer{limit: maxFullLogBytes}, done: make(chan struct{})}
 	p.cmd = exec.Command(path, args...)
 	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout = p.log
@@ -103,7 +103,13 @@
 func (p *Process) Err() error { return p.err }
 
 // Log returns the last part of the process's output, at most maxLogBytes.
-func (p *Process) Log() string { return p.log.String() }
+func (p *Process) Log() string {
+	text := p.log.String()
+	return text[max(len(text)-maxLogBytes, 0):]
+}
+
+// FullLog returns the last part of the process's output, at most maxFullLogBytes.
+func (p *Process) FullLog() string { return p.log.String() }
 
 func (p *Process) signal(s syscall.Signal) {
 	select {
@@ -145,8 +151,10 @@
 const (
 	// clockTicks is the number of clock ticks per second (USER_HZ), the unit of processor
 	// time in /proc. It is fixed on Linux.
-	clockTicks  = 100
-	maxLogBytes = 256 << 10
+	clockTicks = 100
+	// maxLogBytes bounds the output that Log returns, maxFullLogBytes that of FullLog.
+	maxLogBytes     = 256 << 10
+	maxFullLogBytes = 16 << 20
 )
 
 // tailBuffer is an io.Writer that retains the last limit bytes written.
@@ -160,8 +168,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.data = append(t.data, b...)
-	if excess := len(t.data) - t.limit; excess > 0 {
-		t.data = append(t.data[:0], t.data[excess:]...)
+	// Up to twice the limit is kept, so that not every write moves the data.
+	if len(t.data) > 2*t.limit {
+		t.data = append(t.data[:0], t.data[len(t.data)-t.limit:]...)
 	}
 	return len(b), nil
 }
@@ -169,7 +178,7 @@
 func (t *tailBuffer) String() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return string(t.data)
+	return string(t.data[max(len(t.data)-t.limit, 0):])
 }
 
 // Hangup sends SIGHUP, on which the process reloads its settings file.
--- a/e2e/soak/run.go
+++ b/e2e/soak/run.go
@@ -55,8 +55,10 @@
 	Violations []string
 	Answers    map[int]int
 	Starts     int
-	logs       map[string]string
-	duration   time.Duration
+	// trace are the lines about the jobs of violations and about the runners' processes.
+	trace    string
+	logs     map[string]string
+	duration time.Duration
 }
 
 // Text formats the report. If an invariant was violated it includes the faults, the
@@ -73,6 +75,7 @@
 	for _, violation := range r.Violations {
 		_, _ = fmt.Fprintln(&b, "  broken", violation)
 	}
+	_, _ = fmt.Fprintf(&b, "== trace\n%s", r.trace)
 	for id, log := range r.logs {
 		_, _ = fmt.Fprintf(&b, "== %s\n%s\n", id, log)
 	}
@@ -126,6 +129,9 @@
 	report.Starts = f.Checker.Starts()
 	report.duration = time.Since(r.startTime)
 	report.logs = map[string]string{}
+	if len(report.Violations) > 0 {
+		report.trace = traceViolations(report.Violations, f)
+	}
 	for _, n := range append(append([]*fleet.Node{}, f.Entries...), f.Guards...) {
 		if len(report.Violations) > 0 {
 			n.Process().DumpGoroutines()
--- /dev/null
+++ b/e2e/soak/trace.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"almondstand.dev/e2e/fleet"
+	"almondstand.dev/standin/worker"
+)
+
+const (
+	// maxTracedJobs bounds the jobs and maxTraceLines the lines of a trace.
+	maxTracedJobs = 40
+	maxTraceLines = 20_000
+)
+
+var (
+	tracedJob = regexp.MustCompile(`(?:task|job) ([0-9a-f]{16})`)
+	// processEvent matches the guard's events about the runners' processes.
+	processEvent = regexp.MustCompile(`"msg":"guard\.(runner_adopted|runner_left|runner_crashed|adopt_postponed|greet_failed|look_failed|start_failed|stop_failed)"`)
+	jobName      = regexp.MustCompile(`[0-9a-f]{16}`)
+)
+
+// traceLine is a line of a process or a runner.
+type traceLine struct {
+	at           time.Time
+	source, text string
+}
+
+// traceViolations returns the lines about the jobs that violations name and about the runners'
+// processes, from all processes and runners of a fleet, in the order of their times.
+func traceViolations(violations []string, f *fleet.Fleet) string {
+	jobs := jobsOf(violations)
+	lines := runnerLines(f.Checker.Trace(), jobs)
+	for _, n := range slices.Concat(f.Entries, f.Guards) {
+		for _, p := range n.Processes() {
+			lines = append(lines, processLines(fmt.Sprintf("%s (%d)", n.ID, p.PID()), p.FullLog(), jobs)...)
+		}
+	}
+	return formatTrace(lines)
+}
+
+// jobsOf returns the jobs that violations name, up to maxTracedJobs.
+func jobsOf(violations []string) map[string]bool {
+	jobs := map[string]bool{}
+	for _, v := range violations {
+		if m := tracedJob.FindStringSubmatch(v); m != nil && len(jobs) < maxTracedJobs {
+			jobs[m[1]] = true
+		}
+	}
+	return jobs
+}
+
+func runnerLines(events []worker.TraceEvent, jobs map[string]bool) []traceLine {
+	var lines []traceLine
+	for _, e := range events {
+		if e.Job == "" || jobs[e.Job] {
+			lines = append(lines, traceLine{e.At, "runner", e.Text})
+		}
+	}
+	return lines
+}
+
+// processLines returns the lines of a process's log that name one of the jobs or are about a
+// runner's process.
+func processLines(source, log string, jobs map[string]bool) []traceLine {
+	var lines []traceLine
+	for text := range strings.Lines(log) {
+		named := slices.ContainsFunc(jobName.FindAllString(text, -1), func(j string) bool { return jobs[j] })
+		if !named && !processEvent.MatchString(text) {
+			continue
+		}
+		var event struct{ Time time.Time }
+		if json.Unmarshal([]byte(text), &event) == nil {
+			lines = append(lines, traceLine{event.Time, source, strings.TrimSpace(text)})
+		}
+	}
+	return lines
+}
+
+// formatTrace sorts lines by time and returns the last maxTraceLines of them.
+func formatTrace(lines []traceLine) string {
+	slices.SortStableFunc(lines, func(a, b traceLine) int { return a.at.Compare(b.at) })
+	var b strings.Builder
+	for _, l := range lines[max(len(lines)-maxTraceLines, 0):] {
+		_, _ = fmt.Fprintf(&b, "%s %s: %s\n", l.at.Format("15:04:05.000000"), l.source, l.text)
+	}
+	return b.String()
+}
--- a/standin/worker/judge.go
+++ b/standin/worker/judge.go
@@ -19,6 +19,7 @@
 	// rejectedJobs are jobs that were rejected without any attempt having been accepted.
 	rejectedJobs map[string]bool
 	startedJobs  map[string]bool
+	events       []TraceEvent
 }
 
 // RunLocation identifies a run and the runner process that executes it.
--- a/standin/worker/orders.go
+++ b/standin/worker/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -16,6 +17,11 @@
 	Token int64  `json:"fencing_token"`
 	Seen  int64  `json:"last_seen"`
 	Wait  int64  `json:"wait_ms"`
+
+	path      string
+	arrivedAt time.Time
+	// receiver is the start time of the process at which the request arrived.
+	receiver time.Time
 }
 
 type response struct {
@@ -41,6 +47,7 @@
 		expected := req.Header.Get("X-Almondstand-Expected-Instance")
 		otherInstance := expected != "" && expected != r.instance
 		resumed, processStart := r.resumedCh, r.processStart
+		body.path, body.arrivedAt, body.receiver = req.URL.Path, time.Now(), processStart
 		held := f.Suspended && !dead && !otherInstance
 		if held {
 			r.waiting++
@@ -51,24 +58,31 @@
 			<-resumed
 			answer, executed := r.executeHeld(do, body, processStart)
 			if !executed {
+				r.recordUnexecuted(body, "not executed, its process has ended")
 				panic(http.ErrAbortHandler)
 			}
 			r.writeResponse(w, req, body, answer, processStart)
 			return
 		case dead:
+			r.recordUnexecuted(body, "not executed, no process")
 			panic(http.ErrAbortHandler)
 		case f.Unresponsive, f.Suspended:
+			r.recordUnexecuted(body, "not executed, unresponsive")
 			<-req.Context().Done()
 			return
 		case otherInstance:
+			r.recordUnexecuted(body, "not executed, meant for "+expected)
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		case rand.Float64() < f.LateShare && (!f.LateStarts || req.URL.Path == startPath):
 			instance := r.Instance()
+			r.recordUnexecuted(body, "left unanswered, takes effect late")
 			time.AfterFunc(f.LateBy, func() {
 				if r.Instance() == instance {
 					do(body)
+					return
 				}
+				r.recordUnexecuted(body, "not executed, its instance has ended")
 			})
 			<-req.Context().Done()
 			return
@@ -151,6 +165,9 @@
 	if token < r.token {
 		return false
 	}
+	if token > r.token {
+		r.recordProcess(fmt.Sprintf("token raised from %d to %d", r.token, token))
+	}
 	r.token = token
 	return true
 }
@@ -175,9 +192,10 @@
 // report that it drains was acknowledged: the platform's drain_ms.
 const maxStartAfterDrainAck = 2 * time.Second
 
-func (r *Runner) start(b requestBody) response {
+func (r *Runner) start(b requestBody) (answer response) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	defer r.recordExecuted(b, &answer)
 	r.startRequests++
 	if r.dead || !r.checkFencingToken(b.Token) {
 		return response{status: http.StatusConflict, reason: "fence"}
@@ -250,13 +268,15 @@
 	r.lastEndedSeq++
 	r.endedRuns = append(r.endedRuns, endedRun{r.lastEndedSeq, task, x.number, outcome})
 	r.Checker.runEnded(task, r.location(x), outcome)
+	r.Checker.record(jobOf(task), "runner %s: process %s of %s: %s run %d ended %s", r.address, clockTime(r.processStart), r.instance, task, x.number, outcome)
 	close(r.runEndedCh)
 	r.runEndedCh = make(chan struct{})
 }
 
-func (r *Runner) stop(b requestBody) response {
+func (r *Runner) stop(b requestBody) (answer response) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	defer r.recordExecuted(b, &answer)
 	if r.dead || !r.checkFencingToken(b.Token) {
 		return response{status: http.StatusConflict, reason: "fence"}
 	}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -233,6 +233,7 @@
 	r.runs, r.rejectedUpTo, r.endedRuns = map[string]*run{}, map[string]int{}, nil
 	r.runEndedCh = make(chan struct{})
 	r.draining, r.drainAckedAt, r.dead = false, time.Time{}, false
+	r.recordProcess("started")
 }
 
 // SetFault replaces the injected faults, for requests and runs from now on.
@@ -282,6 +283,9 @@
 }
 
 func (r *Runner) crash() {
+	if !r.dead {
+		r.recordProcess(fmt.Sprintf("ended with %d runs", len(r.runs)))
+	}
 	r.dead = true
 	for task, x := range r.runs {
 		x.timer.Stop()
