--- a/e2e/soak/trace.go
+++ b/e2e/fleet/trace.go
@@ -1,4 +1,4 @@
-package soak
+package fleet
 
 import (
 	"encoding/json"
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"almondstand.dev/e2e/fleet"
 	"almondstand.dev/standin/worker"
 )
 
@@ -31,9 +30,9 @@
 	source, text string
 }
 
-// traceViolations returns the lines about the jobs that violations name and about the runners'
-// processes, from all processes and runners of a fleet, in the order of their times.
-func traceViolations(violations []string, f *fleet.Fleet) string {
+// Trace returns the lines about the jobs that violations name and about the runners' processes,
+// from all processes and runners of the fleet, in the order of their times.
+func (f *Fleet) Trace(violations []string) string {
 	jobs := jobsOf(violations)
 	lines := runnerLines(f.Checker.Trace(), jobs)
 	for _, n := range slices.Concat(f.Entries, f.Guards) {
--- a/e2e/soak/trace_test.go
+++ b/e2e/fleet/trace_test.go
@@ -1,4 +1,4 @@
-package soak
+package fleet
 
 import (
 	"strings"
--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"regexp"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -37,7 +35,7 @@
 		f.Close()
 		if violations := f.Checker.Violations(); len(violations) > 0 {
 			t.Errorf("violations:\n%s", strings.Join(violations, "\n"))
-			t.Logf("log lines of these jobs:\n%s", logLinesOfJobs(strings.Join(violations, "\n"), append(f.Entries, f.Guards...)))
+			t.Logf("trace of these jobs:\n%s", f.Trace(violations))
 		}
 		if t.Failed() {
 			for _, n := range append(f.Entries, f.Guards...) {
@@ -58,26 +56,6 @@
 	return f
 }
 
-// jobID matches the id that names a job in violations and in logs.
-var jobID = regexp.MustCompile(`\b[0-9a-f]{16}\b`)
-
-// logLinesOfJobs returns the lines of all logs that name a job in the given violations.
-func logLinesOfJobs(violations string, nodes []*fleet.Node) string {
-	named := map[string]bool{}
-	for _, id := range jobID.FindAllString(violations, -1) {
-		named[id] = true
-	}
-	var lines []string
-	for _, n := range nodes {
-		for _, line := range strings.Split(n.Process().Log(), "\n") {
-			if slices.ContainsFunc(jobID.FindAllString(line, -1), func(id string) bool { return named[id] }) {
-				lines = append(lines, n.ID+" "+line)
-			}
-		}
-	}
-	return strings.Join(lines, "\n")
-}
-
 func lastLines(text string, n int) string {
 	lines := strings.Split(text, "\n")
 	return strings.Join(lines[max(len(lines)-n, 0):], "\n")
--- a/e2e/soak/run.go
+++ b/e2e/soak/run.go
@@ -130,7 +130,7 @@
 	report.duration = time.Since(r.startTime)
 	report.logs = map[string]string{}
 	if len(report.Violations) > 0 {
-		report.trace = traceViolations(report.Violations, f)
+		report.trace = f.Trace(report.Violations)
 	}
 	for _, n := range append(append([]*fleet.Node{}, f.Entries...), f.Guards...) {
 		if len(report.Violations) > 0 {
