--- a/standin/worker/orders.go
+++ b/standin/worker/orders.go
@@ -161,14 +161,14 @@
 
 // checkFencingToken reports whether a request's fencing token is current, and records a
 // higher one. The caller holds the lock.
-func (r *Runner) checkFencingToken(token int64) bool {
-	if token < r.token {
+func (r *Runner) checkFencingToken(b requestBody) bool {
+	if b.Token < r.token {
 		return false
 	}
-	if token > r.token {
-		r.recordProcess(fmt.Sprintf("token raised from %d to %d", r.token, token))
+	if b.Token > r.token {
+		r.recordProcess(fmt.Sprintf("token raised from %d to %d by %s, arrived %s at %s", r.token, b.Token, b.path, clockTime(b.arrivedAt), r.receiverOf(b)))
 	}
-	r.token = token
+	r.token = b.Token
 	return true
 }
 
@@ -197,7 +197,7 @@
 	defer r.mu.Unlock()
 	defer r.recordExecuted(b, &answer)
 	r.startRequests++
-	if r.dead || !r.checkFencingToken(b.Token) {
+	if r.dead || !r.checkFencingToken(b) {
 		return response{status: http.StatusConflict, reason: "fence"}
 	}
 	if !r.extendLease(b.Until) {
@@ -277,7 +277,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer r.recordExecuted(b, &answer)
-	if r.dead || !r.checkFencingToken(b.Token) {
+	if r.dead || !r.checkFencingToken(b) {
 		return response{status: http.StatusConflict, reason: "fence"}
 	}
 	r.rejectedUpTo[b.Task] = max(r.rejectedUpTo[b.Task], b.Run)
@@ -292,7 +292,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.polls++
-	if r.dead || !r.checkFencingToken(b.Token) {
+	if r.dead || !r.checkFencingToken(b) {
 		return response{status: http.StatusConflict, reason: "fence"}
 	}
 	if b.Until > 0 {
--- a/standin/worker/trace.go
+++ b/standin/worker/trace.go
@@ -45,12 +45,16 @@
 	if b.Task == "" {
 		return
 	}
-	process := "its process"
-	if !b.receiver.Equal(r.processStart) {
-		process = "process " + clockTime(b.receiver)
-	}
 	r.Checker.record(jobOf(b.Task), "runner %s: process %s of %s: %s %s run %d token %d valid until %d ms, arrived %s at %s: %s; clock %d ms, token %d",
-		r.address, clockTime(r.processStart), r.instance, b.path, b.Task, b.Run, b.Token, b.Until, clockTime(b.arrivedAt), process, done, r.clock().Milliseconds(), r.token)
+		r.address, clockTime(r.processStart), r.instance, b.path, b.Task, b.Run, b.Token, b.Until, clockTime(b.arrivedAt), r.receiverOf(b), done, r.clock().Milliseconds(), r.token)
+}
+
+// receiverOf describes the process at which a request arrived. The caller holds the lock.
+func (r *Runner) receiverOf(b requestBody) string {
+	if b.receiver.Equal(r.processStart) {
+		return "its process"
+	}
+	return "process " + clockTime(b.receiver)
 }
 
 // recordUnexecuted records why a request was not executed.
--- a/standin/worker/trace_test.go
+++ b/standin/worker/trace_test.go
@@ -32,7 +32,7 @@
 		time.Sleep(tickInterval)
 	}
 	events := r.Checker.Trace()
-	for i, want := range []string{"started", "left unanswered", "ended with 0 runs", "started", "token raised from 0 to 7", "executed, status 200 ok"} {
+	for i, want := range []string{"started", "left unanswered", "ended with 0 runs", "started", "token raised from 0 to 7 by " + startPath + ", arrived ", "executed, status 200 ok"} {
 		assert.Assert(t, strings.Contains(events[i].Text, want), "%d: %s", i, events[i].Text)
 	}
 	last := events[len(events)-1]
