standin/worker: a process that ends at once frees its address

The runner stayed dead until its next restart, and the report named a violation that none of the product's processes had caused. TestRestartListensAgainAtOnce failed before.

--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -110,6 +110,7 @@
 	pastCapacities []pastCapacity
 	address        string
 	server         *http.Server
+	listener       net.Listener
 	// listening is false while no process runs.
 	listening    bool
 	processStart time.Time
@@ -193,7 +194,7 @@
 	mux.HandleFunc("POST /run-stop", r.handle(r.stop))
 	mux.HandleFunc("POST /hold", r.handle(r.poll))
 	server := &http.Server{Handler: mux}
-	r.server, r.listening = server, true
+	r.server, r.listener, r.listening = server, l, true
 	go func() { _ = server.Serve(l) }()
 }
 
@@ -318,6 +319,8 @@
 func (r *Runner) kill() {
 	r.crash()
 	_ = r.server.Close()
+	// The server closes only a listener that it already serves.
+	_ = r.listener.Close()
 	r.listening = false
 }
 
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// Guards against a false violation when a process ends before its server has begun to serve.
+func TestRestartListensAgainAtOnce(t *testing.T) {
+	r := &Runner{Checker: NewChecker()}
+	assert.NilError(t, r.Listen("127.0.0.1"))
+	for range 200 {
+		r.Restart()
+	}
+	r.Kill()
+	assert.DeepEqual(t, r.Checker.Violations(), []string(nil))
+}
+
 // Guards against the stand-in hiding a run that goes on after its lease has expired: its process
 // was suspended, and an extension that had waited takes effect before the run ends.
 func TestRunOfSuspendedRunnerContinuesWithItsLease(t *testing.T) {
