--- a/e2e/fleet/trace.go
+++ b/e2e/fleet/trace.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxTracedJobs bounds the jobs and maxTraceLines the lines of a trace.
-	maxTracedJobs = 40
+	maxTracedJobs = 100
 	maxTraceLines = 20_000
 )
 
