standin/worker: chosen requests are held and executed by the next process

Fault.Hold selects requests that get no response; ExecuteHeld and RestartExecutingHeld execute them, the latter in a process of the same id before it serves any other request. So a test forces the order of a late start, stop or poll and a restart, which Fault.LateShare meets by chance only.

--- a/standin/worker/orders.go
+++ b/standin/worker/orders.go
@@ -31,11 +31,17 @@
 	maxWait  time.Duration
 }
 
-const startPath = "/run-start"
+// Paths of the requests.
+const (
+	StartPath = "/run-start"
+	StopPath  = "/run-stop"
+	PollPath  = "/hold"
+)
 
 // handle wraps a request handler with the check of the expected instance and the
 // injected faults.
-func (r *Runner) handle(do func(requestBody) response) http.HandlerFunc {
+func (r *Runner) handle(path string) http.HandlerFunc {
+	do := func(b requestBody) response { return r.do(path, b) }
 	return func(w http.ResponseWriter, req *http.Request) {
 		var body requestBody
 		if json.NewDecoder(req.Body).Decode(&body) != nil {
@@ -52,11 +58,15 @@
 		if held {
 			r.waiting++
 		}
+		kept := !dead && !otherInstance && !f.Unresponsive && !f.Suspended && r.hold(path, body)
 		r.mu.Unlock()
 		switch {
+		case kept:
+			<-req.Context().Done()
+			return
 		case held:
 			<-resumed
-			answer, executed := r.executeHeld(do, body, processStart)
+			answer, executed := r.executeWaiting(do, body, processStart)
 			if !executed {
 				r.recordUnexecuted(body, "not executed, its process has ended")
 				panic(http.ErrAbortHandler)
@@ -74,7 +84,7 @@
 			r.recordUnexecuted(body, "not executed, meant for "+expected)
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
-		case rand.Float64() < f.LateShare && (!f.LateStarts || req.URL.Path == startPath):
+		case rand.Float64() < f.LateShare && (!f.LateStarts || path == StartPath):
 			instance := r.Instance()
 			r.recordUnexecuted(body, "left unanswered, takes effect late")
 			time.AfterFunc(f.LateBy, func() {
@@ -91,9 +101,28 @@
 	}
 }
 
-// executeHeld executes a request that arrived while its process was suspended, unless the process
+// do executes a request.
+func (r *Runner) do(path string, b requestBody) response {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.execute(path, b)
+}
+
+// execute executes a request. The caller holds the lock.
+func (r *Runner) execute(path string, b requestBody) response {
+	switch path {
+	case StartPath:
+		return r.start(b)
+	case StopPath:
+		return r.stop(b)
+	default:
+		return r.poll(b)
+	}
+}
+
+// executeWaiting executes a request that arrived while its process was suspended, unless the process
 // has ended since.
-func (r *Runner) executeHeld(do func(requestBody) response, body requestBody, processStart time.Time) (answer response, executed bool) {
+func (r *Runner) executeWaiting(do func(requestBody) response, body requestBody, processStart time.Time) (answer response, executed bool) {
 	r.mu.Lock()
 	executed = !r.dead && r.processStart.Equal(processStart)
 	r.mu.Unlock()
@@ -192,9 +221,8 @@
 // report that it drains was acknowledged: the platform's drain_ms.
 const maxStartAfterDrainAck = 2 * time.Second
 
+// start executes a start request. The caller holds the lock.
 func (r *Runner) start(b requestBody) (answer response) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	defer r.recordExecuted(b, &answer)
 	r.startRequests++
 	if r.dead || !r.checkFencingToken(b) {
@@ -273,9 +301,8 @@
 	r.runEndedCh = make(chan struct{})
 }
 
+// stop executes a stop request. The caller holds the lock.
 func (r *Runner) stop(b requestBody) (answer response) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	defer r.recordExecuted(b, &answer)
 	if r.dead || !r.checkFencingToken(b) {
 		return response{status: http.StatusConflict, reason: "fence"}
@@ -288,9 +315,8 @@
 	return response{status: http.StatusOK}
 }
 
+// poll executes a request for the run listing. The caller holds the lock.
 func (r *Runner) poll(b requestBody) response {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.polls++
 	if r.dead || !r.checkFencingToken(b) {
 		return response{status: http.StatusConflict, reason: "fence"}
--- a/standin/worker/trace_test.go
+++ b/standin/worker/trace_test.go
@@ -23,7 +23,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), late/5)
 	defer cancel()
 	body := `{"task":"j.0.0.0","run_id":3,"task_spec":"{\"ms\":60000}","until_ms":3600500,"fencing_token":7}`
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address()+startPath, bytes.NewReader([]byte(body)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address()+StartPath, bytes.NewReader([]byte(body)))
 	assert.NilError(t, err)
 	_, err = http.DefaultClient.Do(req)
 	assert.Assert(t, err != nil)
@@ -32,7 +32,7 @@
 		time.Sleep(tickInterval)
 	}
 	events := r.Checker.Trace()
-	for i, want := range []string{"started", "left unanswered", "ended with 0 runs", "started", "token raised from 0 to 7 by " + startPath + ", arrived ", "executed, status 200 ok"} {
+	for i, want := range []string{"started", "left unanswered", "ended with 0 runs", "started", "token raised from 0 to 7 by " + StartPath + ", arrived ", "executed, status 200 ok"} {
 		assert.Assert(t, strings.Contains(events[i].Text, want), "%d: %s", i, events[i].Text)
 	}
 	last := events[len(events)-1]
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -69,6 +69,9 @@
 	Suspended bool
 	// NoReports keeps the runner from sending reports.
 	NoReports bool
+	// Hold selects requests that get no response and are held until ExecuteHeld or
+	// RestartExecutingHeld executes them; nil selects none. It must not call the runner.
+	Hold func(Call) bool
 }
 
 type run struct {
@@ -140,6 +143,10 @@
 	// startRequests counts the start requests received, including those for a run that
 	// exists already; polls counts the requests for the run listing.
 	startRequests, polls int
+	// copies counts the copies of each start and stop received while Fault.Hold was set.
+	copies map[Call]int
+	// held are the requests that Fault.Hold selected, in the order of their arrival.
+	held []heldRequest
 }
 
 // Listen makes the runner listen on a free port of the host.
@@ -190,9 +197,9 @@
 // runner yet.
 func (r *Runner) serve(l net.Listener) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+startPath, r.handle(r.start))
-	mux.HandleFunc("POST /run-stop", r.handle(r.stop))
-	mux.HandleFunc("POST /hold", r.handle(r.poll))
+	for _, path := range []string{StartPath, StopPath, PollPath} {
+		mux.HandleFunc("POST "+path, r.handle(path))
+	}
 	server := &http.Server{Handler: mux}
 	r.server, r.listener, r.listening = server, l, true
 	go func() { _ = server.Serve(l) }()
@@ -311,7 +318,7 @@
 		if !r.KeepsID {
 			r.incarnation++
 		}
-		r.restart()
+		r.restart(false)
 	})
 }
 
@@ -325,8 +332,9 @@
 }
 
 // restart begins a process at the same address, unless one is running or the stand-in is
-// closed. The caller holds the lock.
-func (r *Runner) restart() {
+// closed. With executeHeld, it executes the held requests before it serves any. The caller holds
+// the lock.
+func (r *Runner) restart(executeHeld bool) {
 	if r.closed || !r.dead {
 		return
 	}
@@ -336,6 +344,9 @@
 		return
 	}
 	r.reset()
+	if executeHeld {
+		r.executeHeld("")
+	}
 	r.serve(l)
 }
 
@@ -351,7 +362,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.kill()
-	r.restart()
+	r.restart(false)
 }
 
 // Drain makes the runner report the state draining, from its next report until its
@@ -379,7 +390,7 @@
 		r.reset()
 		return
 	}
-	r.restart()
+	r.restart(false)
 }
 
 // Instance returns the instance id of the current incarnation.
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -17,7 +17,7 @@
 	r.cpu = r.CPU
 	r.reset()
 	for i := range n {
-		r.start(requestBody{Task: string(rune('a' + i)), Run: 1, Spec: `{"ms":60000}`, Until: time.Hour.Milliseconds() + 500})
+		r.do(StartPath, requestBody{Task: string(rune('a' + i)), Run: 1, Spec: `{"ms":60000}`, Until: time.Hour.Milliseconds() + 500})
 	}
 	return r
 }
@@ -45,7 +45,7 @@
 		r.expire()
 		var expiry sync.WaitGroup
 		expiry.Go(r.expireLease)
-		r.poll(requestBody{Until: time.Hour.Milliseconds() + 900})
+		r.do(PollPath, requestBody{Until: time.Hour.Milliseconds() + 900})
 		extendedFor := r.runCount()
 		expiry.Wait()
 		assert.Equal(t, r.runCount(), extendedFor)
@@ -75,10 +75,10 @@
 	assert.Equal(t, r.runCount(), 1)
 	other := newTestRunner(0)
 	other.Checker = r.Checker
-	other.start(requestBody{Task: "a", Run: 2, Spec: `{"ms":60000}`, Until: time.Hour.Milliseconds() + 500})
+	other.do(StartPath, requestBody{Task: "a", Run: 2, Spec: `{"ms":60000}`, Until: time.Hour.Milliseconds() + 500})
 	assert.Equal(t, len(r.Checker.Violations()), 0)
 	r.SetFault(Fault{})
-	r.poll(requestBody{Until: time.Hour.Milliseconds() + 900})
+	r.do(PollPath, requestBody{Until: time.Hour.Milliseconds() + 900})
 	assert.Equal(t, len(r.Checker.Violations()), 1)
 }
 
@@ -98,7 +98,7 @@
 // process, would show the runs of the older one as ended.
 func TestPollOfEndedProcessHasNoAnswer(t *testing.T) {
 	r := newTestRunner(1)
-	server := httptest.NewServer(r.handle(r.poll))
+	server := httptest.NewServer(r.handle(PollPath))
 	defer server.Close()
 	answered := make(chan error, 1)
 	go func() {
