--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -116,3 +116,33 @@
 	r.mu.Unlock()
 	assert.Assert(t, <-answered != nil, "answered by the next process")
 }
+
+// Guards against a held start that is answered, is executed before it is to be, or is executed by
+// another instance.
+func TestHeldStartIsExecutedByTheNextProcess(t *testing.T) {
+	r := &Runner{CPU: 1 << 40, Checker: NewChecker()}
+	assert.NilError(t, r.Listen("127.0.0.1"))
+	defer r.Kill()
+	r.SetFault(Fault{Hold: FirstStarts})
+	send := func() error {
+		client := &http.Client{Timeout: 100 * time.Millisecond}
+		res, err := client.Post("http://"+r.Address()+StartPath, "application/json", strings.NewReader(`{"task":"a","run_id":1,"task_spec":"{\"ms\":60000}","until_ms":3600500}`))
+		if err != nil {
+			return err
+		}
+		return res.Body.Close()
+	}
+	assert.Assert(t, send() != nil, "the first copy is answered")
+	assert.Equal(t, r.Held(StartPath), 1)
+	assert.Equal(t, r.Checker.Starts(), 0)
+	assert.NilError(t, send())
+	assert.Equal(t, r.Checker.Starts(), 1)
+	r.RestartExecutingHeld()
+	assert.Equal(t, r.Checker.Starts(), 2)
+	assert.Equal(t, r.Held(StartPath), 0)
+	r.SetFault(Fault{Hold: AllStarts})
+	assert.Assert(t, send() != nil, "a held start is answered")
+	r.RestartWithNewID()
+	r.ExecuteHeld(StartPath)
+	assert.Equal(t, r.Checker.Starts(), 2)
+}
