guard, entry, planner: a task with a late start starts at its runner only

Callers' tasks ran twice at the same time: a start that its runner had left unanswered was executed by the next process under the runner's id, after the task had been started at another runner.

Cause: a guard's report that a run is over is about the process that it called. It was used as if it were about every process under the id, and only by the entry that got it. The next process knows no fencing token, no stop and no ended run until the guard's first call.

Change: a guard sends every entry the tasks of which a start may still be executed, no later than the end of the run, and all that are known to an entry that attaches. One id has one process at a time, and its guard starts nothing before it has fenced the process and ended what it finds there. A job that cannot start for this reason is not answered with "nothing has run". The open runs of a guard that died count as late starts. Runners that name no start time are not affected: their next process has another id and rejects the start.

TestLateStartsReachEntriesOutsideTheSubset fails: a guard has sessions with twelve entries, and no other entry is sent its late starts.

--- a/dispatch/planner/crash.go
+++ b/dispatch/planner/crash.go
@@ -132,6 +132,11 @@
 	if slices.ContainsFunc(x.suspects, func(s suspect) bool { return s.task == t }) {
 		return
 	}
+	if t.crashedAt == e && p.hasLateStart(now, t) {
+		// A late start kept the task there, so the crash says as much about the runner.
+		return
+	}
+	t.crashedAt = e
 	x.suspects = append(x.suspects, suspect{t, c.Newest})
 	if x.common {
 		p.crashCounts.CommonCause++
@@ -230,13 +235,14 @@
 	return down >= minCommonCrashes && (all-down)*commonSurvivorDivisor <= all
 }
 
-// placedTogether returns how many of the first waiting tasks are placed together: a suspect is
-// placed alone.
-func placedTogether(waiting []*task) int {
-	if waiting[0].crashes > 0 {
+// placedTogether returns how many of the first waiting tasks are placed together: a suspect, or a
+// task with a late start, is placed alone.
+func (p *Planner) placedTogether(now time.Duration, waiting []*task) int {
+	alone := func(t *task) bool { return t.crashes > 0 || p.hasLateStart(now, t) }
+	if alone(waiting[0]) {
 		return 1
 	}
-	n := slices.IndexFunc(waiting, func(t *task) bool { return t.crashes > 0 })
+	n := slices.IndexFunc(waiting, alone)
 	if n < 0 {
 		return len(waiting)
 	}
--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -80,11 +80,16 @@
 }
 
 // closeOrphans closes the runs that an endpoint's earlier guards were given.
-func (p *Planner) closeOrphans(e *endpoint) {
+func (p *Planner) closeOrphans(now time.Duration, e *endpoint) {
 	for _, t := range e.runs {
 		if !t.orphaned {
 			continue
 		}
+		if t.keepsID {
+			// The earlier guard may have left starts unanswered. The current one has fenced its
+			// runner's process, but not the next process under the runner's id.
+			p.RecordLateStart(now, e.id, t.id(), work.LateStartWindow)
+		}
 		// Whether it ran is unknown: its guard's records are lost.
 		t.job.mayHaveRun = true
 		p.closeRun(t)
@@ -136,7 +141,7 @@
 		return
 	}
 	if r.Reconciled {
-		p.closeOrphans(e)
+		p.closeOrphans(now, e)
 	}
 	if r.Service != "" {
 		p.setService(e, p.service(r.Service))
--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -50,6 +50,8 @@
 	// crashes counts the runners that crashed while running the task, newestCrashes those of
 	// them on which it had started last.
 	crashes, newestCrashes int
+	// crashedAt is the endpoint of the last crash that counts.
+	crashedAt *endpoint
 	// suspect is true while the open run is of a task with crashes.
 	suspect bool
 	// overruns counts the runs that were stopped for taking too long.
@@ -57,6 +59,9 @@
 	done     bool
 	// endpoint is where the open run is; nil if there is none.
 	endpoint *endpoint
+	// keepsID is true if the open run's runner names its start time, so that its next process may
+	// have the same id.
+	keepsID bool
 	// ordered is when the start order was sent, running when the run started by its guard's
 	// report; running is zero before that report.
 	ordered, running time.Duration
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -71,7 +71,7 @@
 		case noCapacity:
 			all = false
 			missed = append(missed, step)
-		case suspectWaits:
+		case taskWaits:
 			all = false
 		}
 	}
@@ -100,9 +100,10 @@
 const (
 	allPlaced placeResult = iota
 	noCapacity
-	// suspectWaits: a task suspected of crashing its runner waits for a runner without another
-	// suspect; tasks that need as much may still find capacity.
-	suspectWaits
+	// taskWaits: a task suspected of crashing its runner waits for a runner without another
+	// suspect, or a task with a late start for the runner that may execute it; tasks that need as
+	// much may still find capacity.
+	taskWaits
 )
 
 func (p *Planner) placeStep(now time.Duration, j *job, step int) placeResult {
@@ -112,10 +113,16 @@
 			waiting = append(waiting, t)
 		}
 	}
+	result := allPlaced
 	for len(waiting) > 0 {
-		e, n := p.pick(now, j, step, placedTogether(waiting), waiting[0])
+		e, n := p.pick(now, j, step, p.placedTogether(now, waiting), waiting[0])
+		if e == nil && p.hasLateStart(now, waiting[0]) {
+			result = taskWaits
+			waiting = waiting[1:]
+			continue
+		}
 		if e == nil && waiting[0].crashes > 0 {
-			return suspectWaits
+			return taskWaits
 		}
 		if e == nil {
 			return noCapacity
@@ -125,7 +132,7 @@
 		}
 		waiting = waiting[n:]
 	}
-	return allPlaced
+	return result
 }
 
 // pick returns the endpoint for the next tasks of a step, of which first is one, and the
@@ -136,6 +143,9 @@
 	var bestScore score
 	found := 0
 	consider := func(e *endpoint) {
+		if p.mayRunElsewhere(now, first, e) {
+			return
+		}
 		sc := p.score(now, j, step, want, e)
 		if first.crashes > 0 {
 			sc = sc.forSuspect(e)
@@ -249,6 +259,7 @@
 	j := t.job
 	t.attempt++
 	t.endpoint = e
+	t.keepsID = e.runner.StartedMilli > 0
 	t.ordered = now
 	t.running = 0
 	t.stopping = false
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -16,6 +16,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -87,6 +88,10 @@
 	// attemptsSince, and olderAttempts those of the span before that, by job id.
 	attempts, olderAttempts map[string]int
 	attemptsSince           time.Duration
+	// lateStarts are the starts that may still be executed, by task. lateStartsPruned is when
+	// those that can't be executed any more were last removed.
+	lateStarts       map[work.TaskID][]lateStart
+	lateStartsPruned time.Duration
 	// crashes are the crashes of the last seconds, oldest first.
 	crashes     []*crash
 	crashCounts CrashCounts
@@ -125,6 +130,8 @@
 		services:  map[string]*service{},
 		estimates: map[string]*estimate{},
 		attempts:  map[string]int{},
+
+		lateStarts: map[work.TaskID][]lateStart{},
 	}
 }
 
@@ -342,6 +349,7 @@
 	// The startup time counts from the first event, also when that event brings no job.
 	p.inStartupGrace(now)
 	p.forgetAttempts(now)
+	p.forgetLateStarts(now)
 	for _, s := range p.services {
 		p.endOverdue(now, s)
 		if now >= p.pausedUntil {
@@ -371,11 +379,11 @@
 	for _, j := range append([]*job(nil), s.unstarted...) {
 		switch {
 		case now > j.latestStart(j.minCriticalPath):
-			p.end(now, j, Refused, ReasonTooLittleTime)
+			p.refuse(now, j, ReasonTooLittleTime)
 		case now >= j.keepUntil:
-			p.refuse(now, j)
+			p.refuse(now, j, j.service.shortage())
 		case now > j.startBy && !waitingForecast.drainsWithin(waiting, j.keepUntil-now):
-			p.refuse(now, j)
+			p.refuse(now, j, j.service.shortage())
 		}
 	}
 	for _, j := range append([]*job(nil), s.started...) {
@@ -385,14 +393,24 @@
 	}
 }
 
-func (p *Planner) refuse(now time.Duration, j *job) {
-	reason := ReasonOverload
-	if len(j.service.endpoints) == 0 {
-		reason = ReasonNoRunner
+// refuse ends a job of which no task has started. If one of its tasks has a late start, the job was
+// submitted before, and its tasks may have run.
+func (p *Planner) refuse(now time.Duration, j *job, reason Reason) {
+	if slices.ContainsFunc(j.tasks, func(t *task) bool { return p.hasLateStart(now, t) }) {
+		p.end(now, j, Expired, ReasonLateStart)
+		return
 	}
 	p.end(now, j, Refused, reason)
 }
 
+// shortage returns the reason for which jobs find no capacity.
+func (s *service) shortage() Reason {
+	if len(s.endpoints) == 0 {
+		return ReasonNoRunner
+	}
+	return ReasonOverload
+}
+
 // checkStarted ends started jobs whose caller's deadline is due, and stops runs that take too
 // long. It returns the time of the next check.
 func (p *Planner) checkStarted(now time.Duration) time.Duration {
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -58,6 +58,9 @@
 	ReasonTooLittleTime    Reason = "too_little_time"
 	ReasonCallerGone       Reason = "caller_gone"
 	ReasonGuardUnreachable Reason = "guard_unreachable"
+	// ReasonLateStart: a start of a task, ordered for an earlier submission of the job, may still
+	// be executed by a runner at which the task can't be started now.
+	ReasonLateStart Reason = "late_start"
 	// ReasonRunTooLong: a run takes far longer than expected.
 	ReasonRunTooLong Reason = "runs_too_long"
 )
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -28,7 +28,7 @@
 			"the time until its first start, and its total time.",
 		"fits_no_runner: the job requests more than any runner has; no_runner: check the guards' sessions; "+
 			"too_little_time: the deadline leaves less than half of the estimated time, or a run failed too late for a retry; "+
-			"crashes_runners: several runners crashed while running the same task, see its job.run_wrong lines; no_room_in_time: the load exceeds the runners' capacity; guard_unreachable: check the network to the guards.")
+			"crashes_runners: several runners crashed while running the same task, see its job.run_wrong lines; no_room_in_time: the load exceeds the runners' capacity; late_start: see guard.start_late; guard_unreachable: check the network to the guards.")
 	callerGone = eventlog.Define(1259, "job.caller_gone", slog.LevelInfo,
 		"A caller's connection ended before its answer, waited_ms after the job was accepted. The job is cancelled if callers_left is zero.", "None.")
 	processPaused = eventlog.Define(1258, "entry.stood_still", slog.LevelWarn,
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -346,10 +346,18 @@
 	return e.plan.CountAccepting()
 }
 
-// GuardUpdate is the content of one guard message: its capacity, if it changed, and reports of runs.
+// GuardUpdate is the content of one guard message: its capacity, if it changed, late starts and
+// reports of runs.
 type GuardUpdate struct {
-	Status  *planner.EndpointStatus
-	Reports []Report
+	Status     *planner.EndpointStatus
+	LateStarts []LateStart
+	Reports    []Report
+}
+
+// LateStart is a task of which a start may be executed by the guard's runner within the time left.
+type LateStart struct {
+	Task work.TaskID
+	Left time.Duration
 }
 
 // Report is a state change of a run.
@@ -377,6 +385,10 @@
 	if e.guards[id] != g {
 		return
 	}
+	// A report on the end of a run would otherwise let its task start elsewhere.
+	for _, l := range n.LateStarts {
+		e.plan.RecordLateStart(now, id, l.Task, l.Left)
+	}
 	for _, r := range n.Reports {
 		e.metrics.countChange(r.Change)
 		logChange(e.logger, id, r, e.report(now, id, r))
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -163,8 +163,14 @@
 				Crash:  crashOf(r.GetCrash()),
 			})
 		}
+		for _, l := range m.GetLateStarts() {
+			update.LateStarts = append(update.LateStarts, jobs.LateStart{
+				Task: fleetwire.FromTaskName(l.GetTask()),
+				Left: time.Duration(l.GetLeftMs()) * time.Millisecond,
+			})
+		}
 		s.removeEnded(update.Reports)
-		if update.Status != nil || len(update.Reports) > 0 {
+		if update.Status != nil || len(update.LateStarts) > 0 || len(update.Reports) > 0 {
 			s.server.jobs.ApplyUpdate(s.guard, s, update)
 		}
 		messageAge := s.messageAge(m.GetClockUs())
--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -48,12 +48,11 @@
 	retryDelay = 30 * time.Millisecond
 	// expiredPollInterval is the time between polls of a runner whose leases have all expired.
 	expiredPollInterval = 500 * time.Millisecond
-	// lateStartWindow is the time for which a copy of a start that went unanswered may still be
-	// executed: seconds, according to the platform. For so long the runner is polled also while
-	// it is idle, so that a process that starts under the same id, which knows no fencing token
-	// and no stop, is fenced before such a copy reaches it.
-	lateStartWindow = 3 * time.Second
-	// endedPollInterval is the time between polls of an ended process within lateStartWindow.
+	// earlyFenceWindow is the time after an unanswered start for which the runner is polled also
+	// while it is idle. A process that starts under the same id knows no fencing token and no
+	// stop; if it is fenced early, copies of the start that reach it later have no effect.
+	earlyFenceWindow = 3 * time.Second
+	// endedPollInterval is the time between polls of an ended process within earlyFenceWindow.
 	endedPollInterval = 5 * time.Millisecond
 	// malformedLogInterval is the minimum time between log lines about malformed reports, and
 	// malformedLogBytes bounds how many bytes of a report's id and error are logged.
@@ -96,6 +95,8 @@
 type Sink interface {
 	// Deliver hands reports to the sessions of their owners.
 	Deliver([]runs.Report)
+	// LateStartsChanged signals that LateStarts has more to return.
+	LateStartsChanged()
 	// CapacityChanged signals that the result of Capacity has changed.
 	CapacityChanged()
 }
@@ -137,9 +138,10 @@
 	meanPollTime time.Duration
 	// lastPollLost is the uptime at which a poll was last found to be lost; zero for never.
 	lastPollLost time.Duration
-	// lateStartsUntil is the uptime until which a copy of a start that went unanswered may be
-	// executed.
-	lateStartsUntil time.Duration
+	// fenceEarlyUntil is the uptime until which the runner is polled also while it is idle.
+	fenceEarlyUntil time.Duration
+	// lateStartsSignalled is the highest number of a late start of which the sink was notified.
+	lateStartsSignalled uint64
 
 	sweep chan struct{}
 	poll  chan struct{}
@@ -316,14 +318,53 @@
 	p := h.process
 	until := h.lease(p)
 	h.table.ValidUntil(s.Name, until)
+	h.table.StartSent(s.Name)
 	delay := p.hedge.delay()
 	h.calls.Go(func() {
-		h.handleStartReply(p, s, h.send(startTimeout, delay, func(ctx context.Context) (time.Duration, error) {
+		answer := h.send(startTimeout, delay, func(ctx context.Context) (time.Duration, error) {
 			return p.api.Start(ctx, s.Name, s.Spec, until)
-		}))
+		})
+		h.handleStartReply(p, s, answer)
+		if answer.copies.inFlight > 0 {
+			unanswered := answer.copies.wait()
+			h.mu.Lock()
+			h.settleStart(p, s, unanswered)
+			h.mu.Unlock()
+			h.signalLateStarts()
+		}
 	})
 }
 
+// settleStart records that no copy of a start is in flight any more. h.mu is held.
+func (h *Host) settleStart(p *process, s *runs.Start, unanswered bool) {
+	// The next process under the id of one that reports no start time rejects its starts.
+	late := unanswered && p.StartedMilli > 0
+	h.table.StartSettled(uptime.Now(), s.Name, late)
+	if late {
+		startLate.Log(h.ctx, h.logger, slog.String("job", s.Run.Task.Job), slog.Int("index", s.Run.Task.Index),
+			slog.Int("attempt", s.Run.Attempt), slog.Int("run", s.Name.Number))
+	}
+}
+
+// LateStarts returns the late starts with a higher sequence number, and the highest one.
+func (h *Host) LateStarts(after uint64) ([]runs.LateStart, uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.LateStartsSince(uptime.Now(), after)
+}
+
+// signalLateStarts notifies the sink of late starts that it has not been notified of.
+func (h *Host) signalLateStarts() {
+	h.mu.Lock()
+	_, last := h.table.LateStartsSince(uptime.Now(), h.lateStartsSignalled)
+	changed := last > h.lateStartsSignalled
+	h.lateStartsSignalled = last
+	h.mu.Unlock()
+	if changed {
+		h.sink.LateStartsChanged()
+	}
+}
+
 // handleStartReply handles the result of a start.
 func (h *Host) handleStartReply(p *process, s *runs.Start, answer reply) {
 	now := uptime.Now()
@@ -331,7 +372,10 @@
 	h.mu.Lock()
 	p.recordReply(answer, h.monotonic())
 	if answer.hedged || errors.Is(err, runner.ErrOutcomeUnknown) {
-		h.lateStartsUntil = now + lateStartWindow
+		h.fenceEarlyUntil = now + earlyFenceWindow
+	}
+	if answer.copies.inFlight == 0 {
+		h.settleStart(p, s, answer.copies.unanswered)
 	}
 	var reports []runs.Report
 	switch reason, known := startRefusal(err); {
@@ -400,6 +444,7 @@
 		runEnded.Log(h.ctx, h.logger, slog.String("job", r.Run.Task.Job), slog.Int("index", r.Run.Task.Index), slog.Int("attempt", r.Run.Attempt),
 			slog.String("state", r.State.String()), slog.String("reason", r.Refusal.String()), slog.String("entry", r.Owner.Entry))
 	}
+	h.signalLateStarts()
 	h.sink.CapacityChanged()
 	if len(reports) > 0 {
 		h.sink.Deliver(reports)
--- a/guard/host/host_test.go
+++ b/guard/host/host_test.go
@@ -172,6 +172,8 @@
 
 func (s *reportRecorder) CapacityChanged() {}
 
+func (s *reportRecorder) LateStartsChanged() {}
+
 func (s *reportRecorder) Deliver(r []runs.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -107,7 +107,7 @@
 func (h *Host) needsPoll() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.process != nil && (!h.table.Idle() || h.hasUnread() || h.expectsLateStart())
+	return h.process != nil && (!h.table.Idle() || h.hasUnread() || h.fencesEarly())
 }
 
 // hasUnread reports whether the current process's run listing has not been read, or ended runs in
@@ -116,9 +116,8 @@
 	return !h.table.ListingRead() || h.table.LastEndSeq() > h.process.ackedEnd
 }
 
-// expectsLateStart reports whether a copy of a start that went unanswered may still be executed.
-// h.mu is held.
-func (h *Host) expectsLateStart() bool { return uptime.Now() < h.lateStartsUntil }
+// fencesEarly reports whether a start went unanswered a short time ago. h.mu is held.
+func (h *Host) fencesEarly() bool { return uptime.Now() < h.fenceEarlyUntil }
 
 // pollRound sends a poll and waits for its answer until the hedge delay has passed; an
 // unanswered poll then continues in the background.
@@ -217,7 +216,7 @@
 		reports = h.table.LeaseExpired(now, errors.Is(err, runner.ErrConnectionRefused))
 		pause = expiredPollInterval
 	}
-	if errors.Is(err, runner.ErrConnectionRefused) && h.expectsLateStart() {
+	if errors.Is(err, runner.ErrConnectionRefused) && h.fencesEarly() {
 		pause = endedPollInterval
 	}
 	h.sendStops(now)
@@ -234,7 +233,7 @@
 func (h *Host) logPollFailure(ctx context.Context, p *process, err error) {
 	h.mu.Lock()
 	now := uptime.Now()
-	frequent := errors.Is(err, runner.ErrConnectionRefused) && h.expectsLateStart()
+	frequent := errors.Is(err, runner.ErrConnectionRefused) && h.fencesEarly()
 	shouldLog := !frequent || now-h.pollLoggedAt >= expiredPollInterval
 	if shouldLog {
 		h.pollLoggedAt = now
--- a/guard/host/orders.go
+++ b/guard/host/orders.go
@@ -37,6 +37,27 @@
 	// another copy was sent after that one.
 	attempt  int
 	needless bool
+	// copies are those of the call that are still in flight.
+	copies copies
+}
+
+// copies are the copies of a call that are in flight. unanswered is true if another copy went
+// unanswered before.
+type copies struct {
+	answers    <-chan reply
+	inFlight   int
+	unanswered bool
+}
+
+// wait waits until none is in flight, at most for the timeout of the call, and reports whether a
+// copy of the call went unanswered.
+func (c copies) wait() (unanswered bool) {
+	unanswered = c.unanswered
+	for range c.inFlight {
+		answer := <-c.answers
+		unanswered = unanswered || errors.Is(answer.err, runner.ErrOutcomeUnknown)
+	}
+	return unanswered
 }
 
 // send makes a call and hedges it whenever it goes unanswered for the delay; each copy has its
@@ -58,6 +79,7 @@
 			})
 		}
 		if inFlight == 0 {
+			last.copies.unanswered = unanswered
 			return last
 		}
 		answer, ok := await(answers, delay, sent < maxSends)
@@ -66,6 +88,7 @@
 		}
 		inFlight--
 		answer.hedged, answer.needless = sent > 1, answer.attempt < sent
+		answer.copies = copies{answers, inFlight, unanswered}
 		if answer.err == nil {
 			return answer
 		}
--- a/guard/runs/crash.go
+++ b/guard/runs/crash.go
@@ -66,6 +66,7 @@
 
 func (t *Table) reportCrash(now time.Duration, r *run, c *Crash) Report {
 	r.endReported = true
+	t.keepLateStart(now, r)
 	report := Report{Owner: r.owner, Run: r.id, State: Crashed, StartedAt: r.startedAt, EndedAt: now, Crash: c}
 	t.keep(now, report)
 	return report
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -66,6 +66,8 @@
 	// endReported is true once the owner has been notified that the run is over, and
 	// crashReported once it has been notified of the runner's crash.
 	endReported, crashReported bool
+	// startInFlight is true while copies of the start are in flight that may go unanswered.
+	startInFlight bool
 	// unresolved is true once the process that the start was sent to is over or unresponsive
 	// while another process under the same id may still execute the start.
 	unresolved bool
@@ -98,6 +100,9 @@
 	lastHeard   map[Owner]time.Duration
 	endedRuns   map[ownedRun]endedRun
 	endedOrder  []ownedRun
+	// lateStarts are in the order of their numbers, of which lateStartSeq is the highest.
+	lateStarts   []LateStart
+	lateStartSeq uint64
 	// lastNeed is the resource request of the latest order.
 	lastNeed work.Amounts
 }
@@ -412,6 +417,9 @@
 		return nil
 	}
 	r.endReported = true
+	if s != Done {
+		t.keepLateStart(now, r)
+	}
 	report := Report{Owner: r.owner, Run: r.id, State: s, StartedAt: r.startedAt, EndedAt: now}
 	if s == NotStarted {
 		report.Refusal = reason
--- a/guard/runs/sweep.go
+++ b/guard/runs/sweep.go
@@ -186,6 +186,7 @@
 
 // Prune removes records past their retention time.
 func (t *Table) Prune(now time.Duration) {
+	t.pruneLateStarts(now)
 	n := 0
 	for _, id := range t.endedOrder {
 		if f, ok := t.endedRuns[id]; ok && now-f.at < endedRetention {
--- a/guard/uplink/outbox.go
+++ b/guard/uplink/outbox.go
@@ -8,6 +8,7 @@
 
 	"almondstand.dev/guard/runs"
 	"almondstand.dev/telemetry/uptime"
+	"almondstand.dev/wire/fleetwire"
 	"almondstand.dev/wire/wirev1"
 )
 
@@ -136,12 +137,15 @@
 		case <-timer.C:
 		}
 		reports, capacity, wait := s.take(time.Now())
-		if len(reports) == 0 && !capacity && time.Since(heartbeat) < heartbeatInterval {
+		// The late starts are read after the reports were taken, so that a report on the end of a
+		// run is never sent before the late start of that run.
+		late := s.takeLateStarts(uptime.Now())
+		if len(reports) == 0 && len(late) == 0 && !capacity && time.Since(heartbeat) < heartbeatInterval {
 			timer.Reset(min(wait, heartbeatInterval-time.Since(heartbeat)))
 			continue
 		}
 		clock := uptime.Now()
-		m := &wirev1.AttachRequest{ClockUs: clock.Microseconds(), Reports: reports}
+		m := &wirev1.AttachRequest{ClockUs: clock.Microseconds(), Reports: reports, LateStarts: late}
 		if capacity {
 			m.Capacity = s.capacity(clock)
 		}
@@ -157,6 +161,18 @@
 	}
 }
 
+// takeLateStarts returns the late starts that the session has not sent yet. Only the sender calls
+// it.
+func (s *session) takeLateStarts(now time.Duration) []*wirev1.LateStart {
+	late, last := s.up.host.LateStarts(s.lateStartsSent)
+	s.lateStartsSent = last
+	var m []*wirev1.LateStart
+	for _, l := range late {
+		m = append(m, &wirev1.LateStart{Task: fleetwire.ToTaskName(l.Task), LeftMs: uint32((l.Until - now).Milliseconds())})
+	}
+	return m
+}
+
 // take returns what is to be sent now; capacity is true if the capacity is to be included, and
 // wait is the time until something is due.
 func (s *session) take(now time.Time) (reports []*wirev1.RunReport, capacity bool, wait time.Duration) {
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -41,6 +41,8 @@
 	attachedAt time.Time
 	cancel     context.CancelCauseFunc
 	wake       chan struct{}
+	// lateStartsSent is the number of the last late start that was sent.
+	lateStartsSent uint64
 
 	mu      sync.Mutex
 	reports []runs.Report
--- a/guard/uplink/uplink.go
+++ b/guard/uplink/uplink.go
@@ -62,6 +62,8 @@
 	// HasCapacity reports whether another run of the size that was requested last fits.
 	HasCapacity() bool
 	EntryAlive(o runs.Owner, at time.Duration)
+	// LateStarts returns the late starts with a higher sequence number, and the highest one.
+	LateStarts(after uint64) ([]runs.LateStart, uint64)
 	Reconcile(o runs.Owner, open []work.RunID) []runs.Report
 	Submit(sent time.Duration, o runs.Owner, orders []runs.Order, cancels []work.RunID)
 }
@@ -208,6 +210,15 @@
 	}
 }
 
+// LateStartsChanged implements host.Sink.
+func (u *Uplink) LateStartsChanged() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, s := range u.current {
+		notify(s.wake)
+	}
+}
+
 // CapacityChanged implements host.Sink.
 func (u *Uplink) CapacityChanged() {
 	free := u.host.HasCapacity()
--- a/spec/run.pml
+++ b/spec/run.pml
@@ -47,6 +47,10 @@
 #if LEAVES + STOPS + RECONNECTS > 0
 #define TOMBSTONES              /* a guard may have to answer for a run that it does not hold */
 #endif
+/* With LATE_STARTS every start in transit reaches the runner's next process, also one to whose
+   other copy, or to whose stop, the older process has responded. The guard reports it to both
+   entries as a late start within a tick, and with the final report on its run at the latest;
+   until it is over they order the task at this guard only. */
 
 /* ---- properties --------------------------------------------------------- */
 
@@ -72,6 +76,7 @@
 #define MOVED 10                /* a guard found its run at the runner's newer process */
 #define ORDER_BARRED 11         /* an order arrived after its run was reported as never started */
 #define STOPPED_START_BARRED 12 /* a start arrived at the runner after the stop that its entry had ordered */
+#define LATE_AFTER_ANSWER 14    /* a start reached a newer process after its run was over for its guard */
 #define OLD_SESSION 13          /* an order of an older session arrived after its run was reported as never started */
 #ifndef SEE
 #define SEE 0
@@ -99,6 +104,8 @@
 bool s_twin[2];                 /* a retry is in transit as well: the first copy got no response */
 bool s_again[2];                /* the start was sent twice */
 byte s_process[2];              /* the process that it was sent to */
+byte s_sent[2];                 /* the time at which it was sent */
+bool late[2];                   /* the entries know of a late start there */
 
 /* guards; a restart loses everything but the token */
 byte g_token[2];
@@ -151,6 +158,13 @@
 #endif
 /* a guard detects its runner's new process within a tick */
 #define MET(g) (g_process[g] == process[g])
+/* the guard has reported its start as late, if a copy went unanswered; a guard's next incarnation
+   knows nothing of it */
+#ifdef LATE_STARTS
+#define SETTLED(g) (!s_on[g] || late[g] || s_sent[g] == now || s_token[g] != g_token[g])
+#else
+#define SETTLED(g) true
+#endif
 /* the guard waits for the response to its start or to its stop */
 #define IN_DOUBT(g) (g_state[g] == SENT || (g_state[g] == ENDING && !g_barred[g]))
 /* the response to the start that the runner executes reaches the guard */
@@ -163,7 +177,12 @@
 #define RECORD(g, e, try) skip
 #endif
 #define ANSWER(g, e, try) RECORD(g, e, try); if :: OPEN_AT(e, g, try) -> FREE_OF(e) :: else fi
-#define TELL(g) ANSWER(g, g_owner[g], g_try[g])
+#ifdef LATE_STARTS
+#define REPORT_LATE(g) if :: s_on[g] && s_number[g] == g_number[g] -> late[g] = true :: else fi
+#else
+#define REPORT_LATE(g) skip
+#endif
+#define TELL(g) REPORT_LATE(g); ANSWER(g, g_owner[g], g_try[g])
 #define FORGET(g) g_number[g] = 0; g_owner[g] = 0; g_until[g] = 0; g_barred[g] = false; g_try[g] = 0; g_stopped[g] = false
 #ifdef NO_TOMBSTONE
 #define BURIED(g) false
@@ -225,7 +244,7 @@
 	byte i;
 
 end1:	do
-	:: atomic { now < MAX && MET(0) && MET(1) && !(unnoticed && up[0] && now >= broke_at + DETECT) ->
+	:: atomic { now < MAX && MET(0) && MET(1) && SETTLED(0) && SETTLED(1) && !(unnoticed && up[0] && now >= broke_at + DETECT) ->
 		now++;
 		for (i : 0 .. 1) {
 			if
@@ -253,7 +272,12 @@
 	x_on[g] = true; x_try[g] = tries[0]
 }
 
-#define MAY_ORDER(e, g) (up[e] && wants[e] && at[e] == 0 && tries[e] < TRIES && !m_on[g])
+#ifdef NO_LATE_STARTS
+#define LATE_ELSEWHERE(g) false
+#else
+#define LATE_ELSEWHERE(g) late[1 - (g)]
+#endif
+#define MAY_ORDER(e, g) (up[e] && wants[e] && at[e] == 0 && tries[e] < TRIES && !m_on[g] && !LATE_ELSEWHERE(g))
 
 proctype entry(byte e)
 {
@@ -305,7 +329,7 @@
 	:: s_twin[i] -> s_twin[i] = false
 	:: else ->
 		s_on[i] = false; s_again[i] = false;
-		s_number[i] = 0; s_token[i] = 0; s_until[i] = 0; s_process[i] = 0
+		s_number[i] = 0; s_token[i] = 0; s_until[i] = 0; s_process[i] = 0; s_sent[i] = 0
 	fi
 }
 
@@ -316,17 +340,24 @@
 	/* its process ends, and a new one starts with its ID; a start in transit to which the older
 	   process has responded doesn't reach the new one */
 	:: atomic { runner_restarts < RUNNER_RESTARTS ->
+#ifndef LATE_STARTS
 		if
 		:: s_on[i] && !(g_number[i] == s_number[i] && IN_DOUBT(i)) -> s_twin[i] = false; copy_done(i)
 		:: else
 		fi;
+#endif
 		runner_restarts++;
 		process[i]++;
 		holds[i] = 0; barred[i] = 0; token[i] = 0; lease[i] = 0
 	}
 	:: atomic { s_on[i] ->
 		if
-		:: s_process[i] != process[i] -> REACHED(LATE_AT_NEXT)
+		:: s_process[i] != process[i] ->
+			REACHED(LATE_AT_NEXT);
+			if
+			:: g_number[i] != s_number[i] && s_token[i] >= token[i] -> REACHED(LATE_AFTER_ANSWER)
+			:: else
+			fi
 		:: else
 		fi;
 		if
@@ -356,6 +387,10 @@
 		fi;
 		copy_done(i)
 	}
+#ifdef LATE_STARTS
+	/* no copy of a late start can be executed any more, and what it started is over */
+	:: atomic { late[i] && !s_on[i] && holds[i] == 0 -> late[i] = false }
+#endif
 	/* the runner is unhealthy and rejects one copy; the other may arrive later */
 	:: atomic { s_on[i] && s_again[i] && s_token[i] >= token[i] ->
 		if
@@ -413,6 +448,9 @@
 			hold_until(i, until);
 			g_until[i] = until;
 			s_on[i] = true; s_number[i] = g_number[i]; s_token[i] = g_token[i]; s_until[i] = until; s_process[i] = g_process[i];
+#ifdef LATE_STARTS
+			s_sent[i] = now;
+#endif
 			until = 0
 		:: else -> ANSWER(i, m_from[i], m_try[i])
 		fi;
@@ -450,6 +488,10 @@
 		s_twin[i] = true;
 		s_again[i] = true
 	}
+#ifdef LATE_STARTS
+	/* a copy of the start goes unanswered */
+	:: atomic { s_on[i] && !late[i] && s_token[i] == g_token[i] -> late[i] = true }
+#endif
 	/* the guard's wait for the start's response has timed out, or its entry's heartbeats have
 	   stopped */
 	:: atomic { g_state[i] == SENT || g_state[i] == KNOWN ->
--- a/wire/fleetwire/fleetwire.go
+++ b/wire/fleetwire/fleetwire.go
@@ -140,10 +140,12 @@
 	return &wirev1.TaskName{Job: t.Job, Step: uint32(t.Step), Index: uint32(t.Index)}
 }
 
+// FromTaskName converts a task name from the wire to a task ID.
+func FromTaskName(t *wirev1.TaskName) work.TaskID {
+	return work.TaskID{Job: t.GetJob(), Step: int(t.GetStep()), Index: int(t.GetIndex())}
+}
+
 // ToRunID converts a task name and an attempt from the wire to a run ID.
 func ToRunID(t *wirev1.TaskName, attempt uint32) work.RunID {
-	return work.RunID{
-		Task:    work.TaskID{Job: t.GetJob(), Step: int(t.GetStep()), Index: int(t.GetIndex())},
-		Attempt: int(attempt),
-	}
+	return work.RunID{Task: FromTaskName(t), Attempt: int(attempt)}
 }
