guard/host: of several copies of a start that wait for connections, one is sent

Runners were sent starts two and three times on hosts short of processor time, with no copy lost, and the copies added to the shortage: callers were turned away.

Cause: a hedge counted from the moment at which a copy was made, not from the one at which it could be sent. While the check of a new connection took longer than the hedge delay, each copy opened a connection of its own, and all were sent when their checks were answered. A hedge that still waited when the call was answered was sent afterwards: the connection of the answered copy, or its own, was given to it.

Change: the delay counts from the moment at which a copy has a connection. A copy that waits for one for the delay is followed by another, so that a check that is lost doesn't delay the start; the first that has a connection cancels those that wait, and so does the first byte of an answer. What is cancelled without a connection was not sent and does not count as a copy. Dials go on and their connections are kept. A start that is lost on its connection is sent again after the delay as before.

--- /dev/null
+++ b/guard/host/hedge_test.go
@@ -0,0 +1,104 @@
+package host
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/platform/runner"
+)
+
+// lost is the delay of a request that is not answered.
+const lost = time.Hour
+
+// slowRunner is an HTTP server that answers the n-th check of a new connection, and the n-th start,
+// after the n-th of its delays, and all others at once.
+type slowRunner struct {
+	checkDelays, startDelays []time.Duration
+	checks, starts           atomic.Int64
+}
+
+func (s *slowRunner) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	// The server detects that the client has disconnected only after the body was read.
+	_, _ = io.Copy(io.Discard, req.Body)
+	delays, n := s.checkDelays, s.checks.Add(1)
+	if req.URL.Path == "/run-start" {
+		s.checks.Add(-1)
+		delays, n = s.startDelays, s.starts.Add(1)
+	}
+	if n <= int64(len(delays)) {
+		select {
+		case <-time.After(delays[n-1]):
+		case <-req.Context().Done():
+			return
+		}
+	}
+	_, _ = io.WriteString(w, `{"clock_ms":5,"born":7}`)
+}
+
+// start sends a start to the runner, and returns the reply and the time that it took.
+func (s *slowRunner) start(t *testing.T) (reply, time.Duration) {
+	t.Helper()
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	client := runner.New(runner.Target{Address: strings.TrimPrefix(server.URL, "http://"), Incarnation: work.Incarnation{ID: "i", StartedMilli: 7}})
+	t.Cleanup(client.Close)
+	h := &Host{ctx: t.Context()}
+	start := time.Now()
+	answer := h.send(startTimeout, minHedgeDelay, func(ctx context.Context) (time.Duration, error) {
+		return client.Start(ctx, work.RunnerRunID{Number: 1}, "", 0)
+	})
+	took := time.Since(start)
+	assert.NilError(t, answer.err)
+	// Copies that still wait for a connection would be sent by now.
+	time.Sleep(startTimeout)
+	h.calls.Wait()
+	return answer, took
+}
+
+// Guards against a start that is sent on each of several new connections, because the checks of
+// these take longer than the hedge delay.
+func TestStartWaitingForConnectionsIsSentOnce(t *testing.T) {
+	s := &slowRunner{checkDelays: []time.Duration{50 * time.Millisecond, 50 * time.Millisecond, 50 * time.Millisecond}}
+	answer, _ := s.start(t)
+	assert.Equal(t, s.starts.Load(), int64(1))
+	assert.Assert(t, !answer.needless)
+}
+
+// Guards against a hedge that is sent after the start was answered, once it has a connection.
+func TestHedgeWithoutConnectionIsNotSentAfterTheAnswer(t *testing.T) {
+	s := &slowRunner{
+		checkDelays: []time.Duration{0, 80 * time.Millisecond, 80 * time.Millisecond},
+		startDelays: []time.Duration{40 * time.Millisecond},
+	}
+	_, _ = s.start(t)
+	assert.Equal(t, s.starts.Load(), int64(1))
+}
+
+// Guards against a start that waits for the timeout of a check that is lost.
+func TestLostCheckOfConnectionIsHedged(t *testing.T) {
+	s := &slowRunner{checkDelays: []time.Duration{lost}}
+	_, took := s.start(t)
+	assert.Assert(t, took < startTimeout, "%v", took)
+	assert.Equal(t, s.starts.Load(), int64(1))
+}
+
+// Guards against a start that is not sent again after it was lost on a connection for which
+// several copies had waited.
+func TestStartLostAfterSlowChecksIsSentAgain(t *testing.T) {
+	s := &slowRunner{
+		checkDelays: []time.Duration{30 * time.Millisecond, 30 * time.Millisecond, 30 * time.Millisecond},
+		startDelays: []time.Duration{lost, lost},
+	}
+	_, took := s.start(t)
+	assert.Assert(t, took < startTimeout, "%v", took)
+	assert.Equal(t, s.starts.Load(), int64(3))
+}
--- a/guard/host/orders.go
+++ b/guard/host/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"almondstand.dev/platform/runner"
@@ -39,53 +40,148 @@
 	needless bool
 }
 
-// send makes a call and hedges it whenever it goes unanswered for the delay; each copy has its
-// own timeout. The first success ends it, whatever happened to the other copies.
+// update is a change of a copy of a call: it has a connection, or it is over.
+type update struct {
+	connected bool
+	reply     reply
+}
+
+// copies are the copies of one call.
+type copies struct {
+	mu sync.Mutex
+	// waiting holds the functions that cancel the copies without a connection, by attempt, and
+	// canceled the copies that were cancelled so.
+	waiting  map[int]context.CancelFunc
+	canceled map[int]bool
+	// latest is the latest copy that was begun or sent.
+	latest int
+}
+
+// add records a copy that has no connection yet.
+func (c *copies) add(attempt int, cancel context.CancelFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting[attempt], c.latest = cancel, attempt
+}
+
+// connected records that a copy is sent, cancels those that wait for a connection, and reports
+// whether the copy was still wanted.
+func (c *copies) connected(attempt int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.canceled[attempt] {
+		return false
+	}
+	delete(c.waiting, attempt)
+	c.cancelWaitingLocked()
+	c.latest = attempt
+	return true
+}
+
+// cancelWaiting cancels the copies that wait for a connection.
+func (c *copies) cancelWaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelWaitingLocked()
+}
+
+// cancelWaitingLocked is cancelWaiting while c.mu is held.
+func (c *copies) cancelWaitingLocked() {
+	for attempt, cancel := range c.waiting {
+		cancel()
+		c.canceled[attempt] = true
+	}
+	clear(c.waiting)
+}
+
+// over records the end of a copy. It reports whether the copy had been cancelled, and whether
+// another was begun after it.
+func (c *copies) over(attempt int) (canceled, followed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.waiting, attempt)
+	return c.canceled[attempt], attempt < c.latest
+}
+
+// send makes a call and hedges it whenever it goes unanswered for the delay, counted from the
+// moment at which it has a connection; each copy has its own timeout. The first success ends it,
+// whatever happened to the other copies. A copy that waits for a connection for the delay is
+// followed by another, and only the first of them that has one is sent.
 func (h *Host) send(timeout, delay time.Duration, call func(context.Context) (time.Duration, error)) reply {
-	answers := make(chan reply, maxSends)
-	inFlight, sent, unanswered := 0, 0, false
+	// There are at most maxSends copies for each that is sent, with two updates each.
+	updates := make(chan update, 2*maxSends*maxSends)
+	c := copies{waiting: map[int]context.CancelFunc{}, canceled: map[int]bool{}}
+	defer c.cancelWaiting()
+	// sent counts the copies that may have been sent or may still be.
+	attempts, inFlight, sent, unanswered := 0, 0, 0, false
 	last := reply{err: runner.ErrOutcomeUnknown}
-	for {
-		if sent < maxSends && h.ctx.Err() == nil {
-			sent++
-			inFlight++
-			attempt := sent
-			h.calls.Go(func() {
-				ctx, cancel := context.WithTimeout(h.ctx, timeout)
-				defer cancel()
-				clock, err := call(ctx)
-				answers <- reply{clock: clock, err: err, attempt: attempt}
-			})
-		}
-		if inFlight == 0 {
-			return last
+	sendCopy := func() {
+		if sent == maxSends || h.ctx.Err() != nil {
+			return
 		}
-		answer, ok := await(answers, delay, sent < maxSends)
+		attempts++
+		inFlight++
+		sent++
+		attempt := attempts
+		ctx, cancel := context.WithTimeout(h.ctx, timeout)
+		c.add(attempt, cancel)
+		ctx = runner.WithProgress(ctx, runner.Progress{
+			Connected: func() {
+				if c.connected(attempt) {
+					updates <- update{connected: true}
+				}
+			},
+			// The answered copy's connection is not to be used by one that waits for it.
+			Answered: c.cancelWaiting,
+		})
+		h.calls.Go(func() {
+			defer cancel()
+			clock, err := call(ctx)
+			updates <- update{reply: reply{clock: clock, err: err, attempt: attempt}}
+		})
+	}
+	sendCopy()
+	for inFlight > 0 {
+		change, ok := await(updates, delay, sent < maxSends)
 		if !ok {
+			sendCopy()
+			continue
+		}
+		if change.connected {
 			continue
 		}
 		inFlight--
-		answer.hedged, answer.needless = sent > 1, answer.attempt < sent
+		answer := change.reply
+		canceled, followed := c.over(answer.attempt)
+		if canceled && errors.Is(answer.err, runner.ErrUnreachable) {
+			sent--
+			continue
+		}
+		answer.hedged, answer.needless = sent > 1, followed
 		if answer.err == nil {
 			return answer
 		}
 		last = answer
 		if errors.Is(answer.err, runner.ErrOutcomeUnknown) {
 			unanswered = true
+			if !canceled {
+				sendCopy()
+			}
 			continue
 		}
 		// The runner rejected the call; sending it again is of no use.
 		last.definite = inFlight == 0 && !unanswered
 		return last
 	}
+	return last
 }
 
-// await waits for an answer, no longer than the delay if the call may be hedged.
-func await(answers <-chan reply, delay time.Duration, bounded bool) (reply, bool) {
+// await waits for an update, no longer than the delay if the call may be hedged.
+func await(updates <-chan update, delay time.Duration, bounded bool) (update, bool) {
 	if !bounded {
-		return <-answers, true
+		return <-updates, true
 	}
-	return awaitFor(answers, delay)
+	return awaitFor(updates, delay)
 }
 
 // awaitFor waits up to the limit for a value. A time span in which this process was not
