guard/host: a call's timeout leaves out the time for which the guard did not run

Starts were sent again, or reported as failed, and stops repeated, although their answers had arrived: callers were turned away.

Cause: the timeout of a copy is a timer of this process. After a stall it fires before what has arrived is read; the copy counts as unanswered and is sent again at once. The hedge's timer left stalls out already, the timeout did not.

Change: a timer that is late by 6 ms or more is followed by another 12 ms, three times at most, in which an answer that has arrived is read. Starts, stops and polls have it; a process that runs has the timeouts that it had.

--- a/guard/host/hedge_test.go
+++ b/guard/host/hedge_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os/exec"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -102,3 +105,49 @@
 	assert.Assert(t, took < startTimeout, "%v", took)
 	assert.Equal(t, s.starts.Load(), int64(3))
 }
+
+// stallProcess stops this process from after the delay on for the duration.
+func stallProcess(t *testing.T, delay, duration time.Duration) {
+	t.Helper()
+	script := fmt.Sprintf("sleep %f; kill -STOP $PPID; sleep %f; kill -CONT $PPID", delay.Seconds(), duration.Seconds())
+	child := exec.Command("sh", "-c", script)
+	assert.NilError(t, child.Start())
+	t.Cleanup(func() { assert.NilError(t, child.Wait()) })
+}
+
+// Guards against a call that counts as unanswered because this process was stalled until after the
+// timeout, while the answer arrived.
+func TestAnswerThatArrivesDuringAStallIsRead(t *testing.T) {
+	const timeout = 150 * time.Millisecond
+	for range 5 {
+		answered := make(chan time.Time, 1)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			_, _ = io.Copy(io.Discard, req.Body)
+			time.Sleep(timeout - 10*time.Millisecond)
+			answered <- time.Now()
+		}))
+		ctx, cancel := withTimeout(t.Context(), timeout)
+		stallProcess(t, timeout/4, 2*timeout)
+		start := time.Now()
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, http.NoBody)
+		assert.NilError(t, err)
+		res, err := http.DefaultClient.Do(req)
+		took := time.Since(start)
+		assert.NilError(t, err, "after %v, answered after %v", took, (<-answered).Sub(start))
+		assert.Assert(t, took > timeout, "the process was not stalled: %v", took)
+		_ = res.Body.Close()
+		cancel()
+		server.Close()
+	}
+}
+
+// Guards against a call that is never given up.
+func TestTimeoutEnds(t *testing.T) {
+	ctx, cancel := withTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	<-ctx.Done()
+	took := time.Since(start)
+	assert.Assert(t, errors.Is(context.Cause(ctx), context.DeadlineExceeded))
+	assert.Assert(t, took >= 20*time.Millisecond && took < 150*time.Millisecond, "%v", took)
+}
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -176,7 +176,7 @@
 		until = 0
 	}
 	h.mu.Unlock()
-	called, cancel := context.WithTimeout(ctx, wait+pollMargin)
+	called, cancel := withTimeout(ctx, wait+pollMargin)
 	listing, err := p.api.Poll(called, until, seen, wait)
 	cancel()
 	h.opt.Metrics.poll(err)
--- a/guard/host/orders.go
+++ b/guard/host/orders.go
@@ -23,6 +23,10 @@
 	// timerStall is how late a timer must fire to show that this process was stalled itself.
 	// The answer may have arrived during the stall and not have been read yet.
 	timerStall = 6 * time.Millisecond
+	// readDelay is the time that this process has after a stall to read an answer, and
+	// maxReadDelays bounds how often it has it for one call.
+	readDelay     = 12 * time.Millisecond
+	maxReadDelays = 3
 )
 
 // reply is the result of a call.
@@ -123,7 +127,7 @@
 		inFlight++
 		sent++
 		attempt := attempts
-		ctx, cancel := context.WithTimeout(h.ctx, timeout)
+		ctx, cancel := withTimeout(h.ctx, timeout)
 		c.add(attempt, cancel)
 		ctx = runner.WithProgress(ctx, runner.Progress{
 			Connected: func() {
@@ -184,6 +188,32 @@
 	return awaitFor(updates, delay)
 }
 
+// withTimeout returns a context that is cancelled after the limit. If this process was not scheduled
+// at that time, it has readDelay to read an answer that has arrived.
+func withTimeout(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	var mu sync.Mutex
+	var timer *time.Timer
+	due, delays := time.Now().Add(limit), 0
+	mu.Lock()
+	defer mu.Unlock()
+	timer = time.AfterFunc(limit, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if now := time.Now(); now.Sub(due) >= timerStall && delays < maxReadDelays {
+			due = now.Add(readDelay)
+			delays++
+			timer.Reset(readDelay)
+			return
+		}
+		cancel(context.DeadlineExceeded)
+	})
+	return ctx, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
+}
+
 // awaitFor waits up to the limit for a value. A time span in which this process was not
 // scheduled does not count, because a value that arrived during it has not been read yet.
 func awaitFor[T any](values <-chan T, limit time.Duration) (value T, ok bool) {
