--- a/guard/host/orders.go
+++ b/guard/host/orders.go
@@ -57,7 +57,7 @@
 	// canceled the copies that were cancelled so.
 	waiting  map[int]context.CancelFunc
 	canceled map[int]bool
-	// latest is the latest copy that was begun or sent.
+	// latest is the latest copy that was made or sent.
 	latest int
 }
 
@@ -99,7 +99,7 @@
 }
 
 // over records the end of a copy. It reports whether the copy had been cancelled, and whether
-// another was begun after it.
+// another was made after it.
 func (c *copies) over(attempt int) (canceled, followed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
