--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -325,8 +325,8 @@
 			return p.api.Start(ctx, s.Name, s.Spec, until)
 		})
 		h.handleStartReply(p, s, answer)
-		if answer.copies.inFlight > 0 {
-			unanswered := answer.copies.wait()
+		if answer.rest.inFlight > 0 {
+			unanswered := answer.rest.wait()
 			h.mu.Lock()
 			h.settleStart(p, s, unanswered)
 			h.mu.Unlock()
@@ -374,8 +374,8 @@
 	if answer.hedged || errors.Is(err, runner.ErrOutcomeUnknown) {
 		h.fenceEarlyUntil = now + earlyFenceWindow
 	}
-	if answer.copies.inFlight == 0 {
-		h.settleStart(p, s, answer.copies.unanswered)
+	if answer.rest.inFlight == 0 {
+		h.settleStart(p, s, answer.rest.unanswered)
 	}
 	var reports []runs.Report
 	switch reason, known := startRefusal(err); {
