guard/host: a refused call extends no lease

Callers whose tasks ran on a runner that had crashed got no answer until their deadlines: the guard reported the end of the runs when the next process had reported itself, or never.

Cause: a guard reports the runs of an ended process once its lease has expired. An extension counts from the moment at which a call is sent, since the call may be executed without an answer. Polls of the ended process, whose connections were refused, counted too and kept its lease from expiring; so did starts.

Change: an extension by a call whose connection was refused is taken back, unless it has been extended again since. Such a call has reached no process, so nothing was extended.

--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -316,7 +316,9 @@
 // sendStart sends a start. h.mu is held.
 func (h *Host) sendStart(s *runs.Start) {
 	p := h.process
+	before := p.leasedUntil
 	until := h.lease(p)
+	after := p.leasedUntil
 	h.table.ValidUntil(s.Name, until)
 	h.table.StartSent(s.Name)
 	delay := p.hedge.delay()
@@ -324,6 +326,11 @@
 		answer := h.send(startTimeout, delay, func(ctx context.Context) (time.Duration, error) {
 			return p.api.Start(ctx, s.Name, s.Spec, until)
 		})
+		if errors.Is(answer.err, runner.ErrConnectionRefused) && answer.definite {
+			h.mu.Lock()
+			p.revokeLease(before, after)
+			h.mu.Unlock()
+		}
 		h.handleStartReply(p, s, answer)
 		if answer.rest.inFlight > 0 {
 			unanswered := answer.rest.wait()
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -164,8 +164,10 @@
 		h.mu.Unlock()
 		return 0
 	}
-	remaining, hasRuns := p.leasedUntil-h.monotonic(), h.table.HasRuns()
+	before := p.leasedUntil
+	remaining, hasRuns := before-h.monotonic(), h.table.HasRuns()
 	until := h.lease(p)
+	after := p.leasedUntil
 	seen := h.table.LastEndSeq()
 	wait := pollWait
 	if p.unresponsive || h.table.Idle() && h.hasUnread() || seen > p.ackedEnd && !h.table.AcceptsStarts() {
@@ -184,6 +186,9 @@
 	}
 	now := uptime.Now()
 	h.mu.Lock()
+	if errors.Is(err, runner.ErrConnectionRefused) {
+		p.revokeLease(before, after)
+	}
 	if h.process != p || asked <= p.requestedAt || p.outdated(asked, listing, err) {
 		// The answer is of another process, or a poll that was requested later has been read
 		// already: run listings are read in the order of their requests.
--- a/guard/host/process.go
+++ b/guard/host/process.go
@@ -71,6 +71,14 @@
 	return p.clock.earliest(monotonic + span)
 }
 
+// revokeLease takes back an extension of the lease from one time to another by a call that did not
+// reach the process, unless it has been extended again since.
+func (p *process) revokeLease(before, after time.Duration) {
+	if p.leasedUntil == after {
+		p.leasedUntil = before
+	}
+}
+
 // outdated reports whether a run listing whose poll was in flight together with that of the
 // last one read describes an earlier moment of the runner's clock. It may list a run whose end
 // has been read already, which would then count as an orphan.
--- a/guard/host/restart_test.go
+++ b/guard/host/restart_test.go
@@ -311,3 +311,19 @@
 	x.runner.Report(t.Context())
 	assert.Equal(t, x.run("10"), runs.Done)
 }
+
+// Guards against runs that stay open after their runner's process has crashed: each poll of the
+// ended process counted as an extension of its lease, and callers waited until their deadlines.
+func TestRunsOfCrashedProcessAreOverWithItsLease(t *testing.T) {
+	const limit = runs.DefaultLeaseExtension + leaseEndMargin + 500*time.Millisecond
+	x := newRestartFixture(t, &worker.Runner{OmitStartTime: true})
+	id := x.order(99, 1, `{"ms":60000,"cpu":1000}`)
+	x.until("the run begins", func() bool { return x.runner.Checker.Running() == 1 })
+	time.Sleep(startTimeout)
+	x.runner.Kill()
+	start := time.Now()
+	assert.Equal(t, x.finalReport(id).State, runs.Crashed)
+	took := time.Since(start)
+	t.Logf("reported %s after the crash", took)
+	assert.Assert(t, took < limit, "reported %s after the crash", took)
+}
