dispatch/planner: endpoints are slow only beside their peers, and a third of them at most

Callers: an entry refused every job (no_room_in_time) on idle runners, for good, after runs that took far longer than declared; in a soak for 15 s with four idle runners.

Cause: an endpoint's run time ratio (weight 0.15, cut at 10) was compared with its service's (weight 0.05, cut at 4). When all endpoints took longer than expected, each was above 1.7 times the service; nothing bounded their number. The run of a slow endpoint was forecast as its ratio, known by the old expectations, times the new ones: the delay counted twice. Jobs without that time started nothing, so no run changed either ratio. Evidence, TestServiceWhoseRunsTakeLongerThanDeclaredIsServed: after eight runs of 2.6 s declared as 300 ms both endpoints are at 4.66, the service at 2.01, the expected run time at 1,387 ms; the forecast is 6.5 s for callers who wait for 1.5 s, at each of 600 jobs.

Change: an endpoint's run times are averaged as ratios to the level of its service's, with one weight and one cut, and compared with the mean speed of its usable peers. At most a third of the usable endpoints are slow, the slowest ones; of two one, of one none. A slow endpoint that is idle gets a job that has no time for it after a second, then in doubled intervals up to 32 s; three runs in a row at the peers' speed end the state. Forecasts use the ratio to the peers. Gauge endpoints_slow. Why it works: what all endpoints have in common is no longer a difference between them, at least two thirds are never held back, and the rest get runs that clear them.

--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -42,6 +42,7 @@
 	reportedAt time.Duration
 	runs       map[work.TaskID]*task
 	health     health
+	speed      speed
 	// suspects counts the open runs of tasks that have crashes attributed to them.
 	suspects int
 }
@@ -142,7 +143,7 @@
 		p.setService(e, p.service(r.Service))
 	}
 	if r.Runner != e.runner {
-		e.health = health{}
+		e.health, e.speed = health{}, speed{}
 		e.maxTotal = work.Amounts{}
 	}
 	e.reportedAt = now
--- a/dispatch/planner/health.go
+++ b/dispatch/planner/health.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Limits of outlier ejection and of the slow tier.
+// Limits of outlier ejection.
 const (
 	// ejectionStreak is the number of failed runs, with no successful one between, that ejects
 	// an endpoint: three in a row happen once in 125 where a fifth of the runs fails.
@@ -19,8 +19,6 @@
 	// endpoint gets nothing; after it one task at a time is tried there.
 	minEjectionTime = 700 * time.Millisecond
 	maxEjectionTime = 4 * time.Second
-	// slowRatio is the ratio of run times to its peers' from which an endpoint is used last.
-	slowRatio = 1.7
 	// startAnswerTimeout is how long a guard may leave a start order unanswered before nothing
 	// more is sent to it. Its own limit for the runner's answer is 150 ms, and it reports a
 	// started run at most 80 ms later.
@@ -30,8 +28,8 @@
 // health tracks failures and run times of an endpoint, for outlier ejection.
 type health struct {
 	failureStreak int
-	// failureRate is the share of failed runs, meanRatio the mean ratio of actual to expected
-	// run times.
+	// failureRate is the share of failed runs, meanRatio the mean ratio of run times to the level
+	// of the service's run times, zero before the first run.
 	failureRate  float64
 	meanRatio    float64
 	ejectionTime time.Duration
@@ -40,23 +38,14 @@
 	ejected      bool
 }
 
-// runTimeRatio returns the ratio of the endpoint's run times to the expected ones, 1 before
-// the first run.
-func (h *health) runTimeRatio() float64 {
-	if h.meanRatio == 0 {
-		return 1
-	}
-	return h.meanRatio
-}
-
-// recordSuccess records a successful run.
+// recordSuccess records a successful run, given the ratio of its run time to the service's level.
 func (h *health) recordSuccess(ratio float64) {
 	h.failureStreak = 0
 	h.failureRate += endpointAverageWeight * (0 - h.failureRate)
 	if h.meanRatio == 0 {
 		h.meanRatio = 1
 	}
-	h.meanRatio += endpointAverageWeight * (min(ratio, 10) - h.meanRatio)
+	h.meanRatio += endpointAverageWeight * (ratio - h.meanRatio)
 	if h.ejected {
 		h.ejected = false
 		h.failureRate = min(h.failureRate, ejectionFailureRate/2)
@@ -82,12 +71,12 @@
 const (
 	tierNormal tier = iota
 	tierSlow
-	// tierProbe: ejected, but due for a single trial task.
+	// tierProbe: due for a single trial task, after its ejection or because it is slow.
 	tierProbe
 	tierUnusable
 )
 
-func (e *endpoint) tier(now time.Duration, s *service) tier {
+func (e *endpoint) tier(now time.Duration) tier {
 	switch {
 	case !e.attached || !e.open || e.unanswered(now):
 		return tierUnusable
@@ -95,7 +84,7 @@
 		return tierUnusable
 	case e.health.ejected:
 		return tierProbe
-	case e.health.runTimeRatio() > slowRatio*s.meanRatio:
+	case e.speed.slow:
 		return tierSlow
 	default:
 		return tierNormal
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -26,6 +26,10 @@
 // place starts the tasks that fit. A task that needs less than one for which there is no
 // capacity may still fit beside the running ones, so the jobs after it are tried too.
 func (p *Planner) place(now time.Duration, s *service) {
+	if len(s.started)+len(s.unstarted) == 0 {
+		return
+	}
+	s.updateSlow(now)
 	var missed []work.Step
 	for _, j := range s.order(now) {
 		if len(missed) >= maxMissedNeeds {
@@ -120,6 +124,9 @@
 		if e == nil {
 			return noCapacity
 		}
+		if e.speed.slow && !j.canWait(now, step, e) {
+			e.speed.startProbe(now)
+		}
 		for _, t := range waiting[:n] {
 			p.start(now, t, e)
 		}
@@ -199,13 +206,19 @@
 }
 
 func (p *Planner) score(now time.Duration, j *job, step, want int, e *endpoint) score {
-	st := e.tier(now, j.service)
+	st := e.tier(now)
 	spec := j.work.Steps[step]
 	if st == tierUnusable || !e.hasLabel(spec.Label) {
 		return score{}
 	}
 	free := e.free()
 	tasks := (spec.Need.CountFitting(free, capacityShareDivisor*want) + capacityShareDivisor - 1) / capacityShareDivisor
+	if st == tierSlow && !j.canWait(now, step, e) {
+		if !e.probeDue(now) {
+			return score{}
+		}
+		st = tierProbe
+	}
 	if st == tierProbe {
 		tasks = min(tasks, 1)
 	}
@@ -215,9 +228,6 @@
 	if tasks <= 0 {
 		return score{}
 	}
-	if st == tierSlow && !j.canWait(now, step, e) {
-		return score{}
-	}
 	freeShare := 0.0
 	if e.total.CPUMilli > 0 {
 		freeShare = float64(free.CPUMilli) / float64(e.total.CPUMilli)
@@ -229,7 +239,7 @@
 // canWait reports whether a run at a slow endpoint would still end before the caller's
 // deadline.
 func (j *job) canWait(now time.Duration, step int, e *endpoint) bool {
-	run := time.Duration(float64(j.expected[step]) * e.health.runTimeRatio())
+	run := time.Duration(float64(j.expected[step]) * e.relativeRunTime())
 	return now+run < j.deadline-answerMargin
 }
 
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -109,10 +109,10 @@
 	shortSince time.Duration
 	// arrivals is the rate at which work arrives.
 	arrivals arrivalRate
-	// failureRate is the share of runs that fail, over all endpoints, and meanRatio the mean
-	// ratio of actual to expected run times.
+	// failureRate is the share of runs that fail, over all endpoints.
 	failureRate float64
-	meanRatio   float64
+	// runTimes is the level of the service's run times.
+	runTimes level
 }
 
 // New returns a planner without endpoints.
@@ -131,7 +131,7 @@
 func (p *Planner) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
-		s = &service{name: name, meanRatio: 1}
+		s = &service{name: name, runTimes: newLevel()}
 		p.services[name] = s
 	}
 	return s
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -133,12 +133,14 @@
 		j.doneTasks++
 	}
 	expected := j.expected[t.step]
-	ratio := float64(ran) / float64(max(expected, time.Millisecond))
+	ratio := e.service.runTimes.relative(float64(ran) / float64(max(expected, time.Millisecond)))
 	e.health.recordSuccess(ratio)
 	p.updateFailureRate(e.service, 0)
-	e.service.meanRatio += averageWeight * (min(ratio, 4) - e.service.meanRatio)
-	if e.health.runTimeRatio() <= slowRatio*e.service.meanRatio {
+	if e.speed.slow {
+		e.recordSlowRun(now, ratio)
+	} else {
 		// Run times on a slow runner do not reflect the tasks.
+		e.service.runTimes.add(ratio)
 		p.recordRunTime(now, j, ran, j.work.Steps[t.step].Declared)
 	}
 	if j.outcome != 0 {
--- a/entry/edge/gauges.go
+++ b/entry/edge/gauges.go
@@ -26,6 +26,7 @@
 	waiting := scope.Gauge("jobs_waiting")
 	running := scope.Gauge("jobs_running")
 	droppedLines := scope.Gauge("log_lines_left_out")
+	slow := scope.Gauge("endpoints_slow")
 	suspects := scope.Gauge("crash_suspects")
 	taskCrashes := scope.Tagged(map[string]string{"cause": "task"}).Gauge("runner_crashes")
 	commonCauseCrashes := scope.Tagged(map[string]string{"cause": "common"}).Gauge("runner_crashes")
@@ -44,6 +45,7 @@
 		for state, n := range e.jobs.Endpoints() {
 			endpointsByState[state].Update(float64(n))
 		}
+		slow.Update(float64(e.jobs.SlowEndpoints()))
 		count := e.jobs.Count("")
 		waiting.Update(float64(count.Waiting))
 		oldest.Update(count.Oldest.Seconds())
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -332,6 +332,13 @@
 	return e.plan.CountEndpoints(uptime.Now())
 }
 
+// SlowEndpoints counts the endpoints that are used last because they take longer than their peers.
+func (e *Engine) SlowEndpoints() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.plan.CountSlow()
+}
+
 // CrashCounts returns counts of the crashes that guards reported, by how the planner classified them.
 func (e *Engine) CrashCounts() planner.CrashCounts {
 	e.mu.Lock()
