dispatch/planner: run times are learnt from slow endpoints where a contract has no others

Callers: jobs of a contract that only a few labelled runners can run were forecast, and their runs stopped as too long, by run times of an earlier time.

Cause: once such tasks take longer, their runners count as slow beside those of other contracts, and run times on slow endpoints are not learnt, so the expectation stays and keeps them slow.

Change: they are learnt when the contract has had no run on another endpoint for a second. Why it works: the expectation follows, and with it the ratio, so the endpoint is no longer slow. With runs elsewhere nothing changes.

--- a/dispatch/planner/estimate.go
+++ b/dispatch/planner/estimate.go
@@ -16,6 +16,9 @@
 	// contract differ by a factor of two. Work that by this measure cannot be done before the
 	// caller's deadline is not started: its caller would wait in vain.
 	minRunTimeFactor = 0.5
+	// maxNormalRunAge is the time without runs on endpoints that are not slow after which a
+	// contract's run times are learnt from slow ones.
+	maxNormalRunAge = time.Second
 	// minRetestInterval and maxRetestInterval are the bounds of the interval between two jobs
 	// of a contract that are accepted against its learnt run times.
 	minRetestInterval = time.Second
@@ -29,6 +32,8 @@
 	meanRan, meanDeclared float64
 	// updatedAt is when a run time was last added.
 	updatedAt time.Duration
+	// normalRunAt is when a run last ended on an endpoint that is not slow.
+	normalRunAt time.Duration
 	// retestAt is the earliest time of the next retest, retestInterval the last interval, which
 	// doubles with each retest.
 	retestAt, retestInterval time.Duration
@@ -79,8 +84,15 @@
 	return true
 }
 
+// learnsFrom reports whether the run time of a run that ended now is learnt. On a slow endpoint run
+// times do not reflect the tasks, unless the contract has had no runs on others for
+// maxNormalRunAge: then its tasks may be what takes long.
+func (e *estimate) learnsFrom(now time.Duration, slow bool) bool {
+	return !slow || now-e.normalRunAt >= maxNormalRunAge
+}
+
 // reset resets the learnt run times.
-func (e *estimate) reset() { *e = estimate{} }
+func (e *estimate) reset() { *e = estimate{normalRunAt: e.normalRunAt} }
 
 func (e *estimate) learn(now, ran, declared time.Duration) {
 	e.updatedAt = now
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -136,11 +136,14 @@
 	ratio := e.service.runTimes.relative(float64(ran) / float64(max(expected, time.Millisecond)))
 	e.health.recordSuccess(ratio)
 	p.updateFailureRate(e.service, 0)
+	estimate := p.estimate(j.terms.Contract)
 	if e.speed.slow {
 		e.recordSlowRun(now, ratio)
 	} else {
-		// Run times on a slow runner do not reflect the tasks.
 		e.service.runTimes.add(ratio)
+		estimate.normalRunAt = now
+	}
+	if estimate.learnsFrom(now, e.speed.slow) {
 		p.recordRunTime(now, j, ran, j.work.Steps[t.step].Declared)
 	}
 	if j.outcome != 0 {
--- a/dispatch/planner/slow_test.go
+++ b/dispatch/planner/slow_test.go
@@ -157,3 +157,48 @@
 	f.DetachEndpoint(f.id(2))
 	assert.Equal(t, len(f.submitHurried("hurried").Starts), 1)
 }
+
+// setLabel gives an endpoint with one core a label.
+func (f *fleet) setLabel(i int, label string) {
+	f.UpdateEndpoint(f.now, f.id(i), EndpointStatus{Service: "teardown", Runner: work.Incarnation{ID: "r"}, AcceptsStarts: true, Total: core, Labels: []string{label}})
+}
+
+// Guards against a contract whose run times are not learnt any more: only one runner has the label
+// that its tasks need, and counts as slow because they take longer than before.
+func TestRunTimesOfALabelledEndpointAreLearnt(t *testing.T) {
+	f := newFleet(t, 1, 1, 1)
+	f.setLabel(0, "gpu")
+	labelled := terms
+	labelled.Contract = "labelled"
+	var forecast JobForecast
+	for i := range 80 {
+		run := 50 * ms
+		if i >= 20 {
+			run = 300 * ms
+		}
+		f.serveOthers(i)
+		id := fmt.Sprint("labelled", i)
+		w := work.Job{ID: id, Steps: []work.Step{{Count: 1, Need: core, Label: "gpu", Declared: 50 * ms}}}
+		assert.Equal(t, f.Submit(f.now, f.now+1500*ms, w, labelled), Accepted)
+		forecast = f.Forecast(id)
+		s := f.act().Starts[0]
+		f.now += run
+		f.ReportRun(f.now, s.Endpoint, s.Run, Done, run)
+		f.act()
+	}
+	assert.Assert(t, forecast.ExpectedRunTime > 250*ms, "expected %s", forecast.ExpectedRunTime)
+}
+
+// serveOthers serves a job on the endpoints without the label, at the declared run time.
+func (f *fleet) serveOthers(n int) {
+	w := work.Job{ID: fmt.Sprint("other", n), Steps: []work.Step{{Count: 2, Need: core, Declared: 50 * ms}}}
+	f.setCapacity(1, 1, 0)
+	f.setCapacity(2, 1, 0)
+	assert.Equal(f.t, f.Submit(f.now, f.now+1500*ms, w, terms), Accepted)
+	starts := f.act().Starts
+	f.now += 50 * ms
+	for _, s := range starts {
+		f.ReportRun(f.now, s.Endpoint, s.Run, Done, 50*ms)
+	}
+	f.act()
+}
