dispatch/planner: failed tasks eject an endpoint only if it fails more than its peers

Callers: a contract whose tasks fail wherever they run took its service away from all others: a sound contract beside one completed 9 of 400 jobs on four endpoints, none on a lone one.

Cause: three failed runs in a row eject an endpoint whatever its peers do, and nothing bounds how many are ejected. Once all are, each is tried with one task at a time, which the failing contract mostly gets; its failure doubles the ejection time.

Change: a failed task ejects, or prolongs an ejection, only where the endpoint's failure rate is twice the mean of its peers', ejected ones included, and never a lone endpoint. Starts that are refused, unanswered, crash the runner or are stopped eject as before. Why it works: what fails everywhere raises the peers' mean as well, and the more are ejected, the higher it is, so that about half at most can be. Left as it was: the rate of an endpoint that fails alone is far above twice its peers'.

TestContractThatAlwaysFailsDoesNotEjectItsService failed before (0 of 400 on one endpoint), now 99 % and more on one to six endpoints; three failing runners of ten are still ejected after a few runs each (passes before and after).

--- a/dispatch/planner/health.go
+++ b/dispatch/planner/health.go
@@ -12,6 +12,10 @@
 	// than losing its capacity.
 	ejectionFailureRate = 0.3
 	ejectionPeerFactor  = 3
+	// taskFailurePeerFactor times the mean failure rate of its peers is the least failure rate at
+	// which failed tasks eject an endpoint: a contract whose tasks fail anywhere must not eject
+	// all endpoints of its service.
+	taskFailurePeerFactor = 2
 	// endpointAverageWeight is the weight of a new run in the endpoint's averages, which thus
 	// cover the last seven or so.
 	endpointAverageWeight = 0.15
@@ -55,16 +59,56 @@
 
 // recordFailure records a failed run; serviceFailureRate is the failure rate of the service.
 func (h *health) recordFailure(now time.Duration, serviceFailureRate float64) {
+	h.countFailure()
+	if h.ejected || h.failing(serviceFailureRate) {
+		h.eject(now)
+	}
+}
+
+func (h *health) countFailure() {
 	h.failureStreak++
 	h.failureRate += endpointAverageWeight * (1 - h.failureRate)
-	if h.failureStreak < ejectionStreak && (h.failureRate < ejectionFailureRate || h.failureRate < ejectionPeerFactor*serviceFailureRate) && !h.ejected {
-		return
-	}
+}
+
+// failing reports whether the last runs call for an ejection.
+func (h *health) failing(serviceFailureRate float64) bool {
+	return h.failureStreak >= ejectionStreak ||
+		h.failureRate >= ejectionFailureRate && h.failureRate >= ejectionPeerFactor*serviceFailureRate
+}
+
+func (h *health) eject(now time.Duration) {
 	h.ejected = true
 	h.ejectionTime = min(max(2*h.ejectionTime, minEjectionTime), maxEjectionTime)
 	h.ejectedUntil = now + h.ejectionTime
 }
 
+// recordTaskFailed records a run whose task failed, which may be the fault of the endpoint or of the
+// task.
+func (e *endpoint) recordTaskFailed(now time.Duration) {
+	h := &e.health
+	h.countFailure()
+	peers, known := e.peersFailureRate()
+	if known && h.failureRate >= taskFailurePeerFactor*peers && (h.ejected || h.failing(e.service.failureRate)) {
+		h.eject(now)
+	}
+}
+
+// peersFailureRate returns the mean failure rate of the other endpoints of the service that accept
+// starts; known is false if there are none.
+func (e *endpoint) peersFailureRate() (rate float64, known bool) {
+	n := 0
+	for _, o := range e.service.endpoints {
+		if o != e && o.attached && o.open {
+			rate += o.health.failureRate
+			n++
+		}
+	}
+	if n == 0 {
+		return 0, false
+	}
+	return rate / float64(n), true
+}
+
 // tier is the preference tier of an endpoint for a placement; lower is better.
 type tier int
 
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -65,7 +65,7 @@
 		t.job.mayHaveRun = true
 		t.failures++
 		t.avoid = e
-		e.health.recordFailure(now, e.service.failureRate)
+		e.recordTaskFailed(now)
 		p.updateFailureRate(e.service, 1)
 		if t.failures >= t.job.terms.MaxAttempts && t.job.outcome == 0 {
 			p.end(now, t.job, Failed, ReasonTaskFailed)
