dispatch/planner: run times are learnt from runs that are stopped as too long again

Callers: once the tasks of a contract took longer than the limits by their older run times, no job of it completed any more.

Cause: a run is stopped at three times the expected time, and at twice that where the task is tried again, until the caller's time is over. Run times are learnt from completed runs only, so the expectation stays. The first stop blames the endpoint. Evidence: tasks learnt with 20 ms that now take a second, callers who wait for 1.5 s: 0 of 32 jobs after 15 s (TestContractWhoseTasksOutgrowTheirLimitIsServed, failed before).

Change: where an earlier run of the task was stopped as too long elsewhere, the time that the next one ran until its stop is learnt; it is a lower bound. Why it works: each such job raises the expectation until a whole run is within the limit. An endpoint that hangs is not learnt from, as the run after it, elsewhere, completes.

--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -57,6 +57,7 @@
 		ran = now - t.running
 	}
 	stopping := t.stopping
+	overran := c == Stopped && t.overranBefore() && ran > t.job.expected[t.step]
 	p.closeRun(t)
 	switch c {
 	case Done:
@@ -75,6 +76,11 @@
 		if !stopping {
 			e.health.recordFailure(now, e.service.failureRate)
 		}
+		if overran {
+			// The run time is longer still. Without it, a contract whose tasks now take longer
+			// than the limits by its older run times would never complete a run.
+			p.recordRunTime(now, t.job, ran, t.job.work.Steps[t.step].Declared)
+		}
 		t.avoid = e
 	case NotStarted:
 		if !stopping {
@@ -250,6 +256,12 @@
 	return next
 }
 
+// overranBefore reports whether an earlier run of the task than the open one was stopped for taking
+// too long: then the task is the cause, not the endpoint.
+func (t *task) overranBefore() bool {
+	return t.overruns > 1 || t.overruns == 1 && t.stopReason != ReasonRunTooLong
+}
+
 // peerRunTimesKnown reports whether enough of the job's tasks have finished to tell how long
 // one runs.
 func (j *job) peerRunTimesKnown() bool {
--- a/dispatch/planner/retest_test.go
+++ b/dispatch/planner/retest_test.go
@@ -88,3 +88,51 @@
 	}
 	assert.Assert(t, started > 0)
 }
+
+// Guards against a contract whose tasks come to take longer than the limit by their older run times:
+// each run is stopped, none is learnt, and no job completes again.
+func TestContractWhoseTasksOutgrowTheirLimitIsServed(t *testing.T) {
+	const step, long = 10 * ms, time.Second
+	f := newFleet(t, 4, 4, 4, 4)
+	for i := range 40 {
+		f.runFor(fmt.Sprint("short", i), 20*ms)
+	}
+	started := map[Start]time.Duration{}
+	submittedLate, completedLate := 0, 0
+	for begin := f.now; f.now < begin+30*time.Second; f.now += step {
+		if since := f.now - begin; since%(400*ms) == 0 && since < 28*time.Second {
+			w := work.Job{ID: "early", Steps: []work.Step{{Count: 1, Need: core, Declared: 20 * ms}}}
+			if since > 15*time.Second {
+				w.ID = "late"
+				submittedLate++
+			}
+			w.ID += fmt.Sprint(since)
+			assert.Equal(t, f.Submit(f.now, f.now+1500*ms, w, terms), Accepted)
+		}
+		for s, at := range started {
+			if f.now-at >= long {
+				f.ReportRun(f.now, s.Endpoint, s.Run, Done, long)
+				delete(started, s)
+			}
+		}
+		a := f.act()
+		for _, s := range a.Starts {
+			f.report(s, Running)
+			started[s] = f.now
+		}
+		for _, stop := range a.Stops {
+			for s := range started {
+				if s.Run == stop.Run {
+					f.report(s, Stopped)
+					delete(started, s)
+				}
+			}
+		}
+		for _, e := range a.Ended {
+			if e.Outcome == Completed && e.Job[:4] == "late" {
+				completedLate++
+			}
+		}
+	}
+	assert.Assert(t, completedLate*10 >= submittedLate*9, "%d of %d completed after 15 s", completedLate, submittedLate)
+}
