dispatch/planner: a peer that is due for its probe counts as recovered

Change: such a peer counts with the rate after a successful probe at most. Why it works: the failing endpoint is then compared with 0.15, is ejected as well, and the peer gets its probe.

--- a/dispatch/planner/eject_test.go
+++ b/dispatch/planner/eject_test.go
@@ -80,3 +80,39 @@
 	assert.Equal(t, f.CountEndpoints(f.now)[Ejected], len(failing))
 	assert.Assert(t, failed <= len(failing)*(ejectionStreak+2), "%d runs failed", failed)
 }
+
+// Guards against a runner that fails all tasks and stays in use because its peer, which has
+// recovered by now, failed them before while it was alone: jobs have one attempt, so none is retried there.
+func TestFailingRunnerIsEjectedAfterItsPeerRecovered(t *testing.T) {
+	for n := 2; n <= 4; n++ {
+		f := newFleet(t)
+		for i := range n {
+			f.AttachEndpoint(f.id(i), "a", true)
+			f.setCapacity(i, 2, 0)
+		}
+		once := terms
+		once.MaxAttempts = 1
+		failing := f.id(0)
+		for i := 1; i < n; i++ {
+			f.DetachEndpoint(f.id(i))
+		}
+		completed := 0
+		for i := range 600 {
+			if i == 100 {
+				for i := 1; i < n; i++ {
+					f.AttachEndpoint(f.id(i), "a", false)
+				}
+			}
+			if i == 200 {
+				failing = f.id(1)
+			}
+			f.now += 10 * ms
+			f.submitTerms(fmt.Sprint("job", i), 1, once)
+			done := f.runOut("job", func(s Start) bool { return s.Endpoint == failing })
+			if i >= 300 {
+				completed += done
+			}
+		}
+		assert.Assert(t, completed >= 285, "%d endpoints: %d of 300 completed", n, completed)
+	}
+}
--- a/dispatch/planner/health.go
+++ b/dispatch/planner/health.go
@@ -12,6 +12,8 @@
 	// than losing its capacity.
 	ejectionFailureRate = 0.3
 	ejectionPeerFactor  = 3
+	// recoveredFailureRate limits the failure rate of an endpoint after a successful probe.
+	recoveredFailureRate = ejectionFailureRate / 2
 	// taskFailurePeerFactor times the mean failure rate of its peers is the least failure rate at
 	// which failed tasks eject an endpoint: a contract whose tasks fail anywhere must not eject
 	// all endpoints of its service.
@@ -52,7 +54,7 @@
 	h.meanRatio += endpointAverageWeight * (ratio - h.meanRatio)
 	if h.ejected {
 		h.ejected = false
-		h.failureRate = min(h.failureRate, ejectionFailureRate/2)
+		h.failureRate = min(h.failureRate, recoveredFailureRate)
 	}
 	h.ejectionTime = 0
 }
@@ -87,19 +89,24 @@
 func (e *endpoint) recordTaskFailed(now time.Duration) {
 	h := &e.health
 	h.countFailure()
-	peers, known := e.peersFailureRate()
+	peers, known := e.peersFailureRate(now)
 	if known && h.failureRate >= taskFailurePeerFactor*peers && (h.ejected || h.failing(e.service.failureRate)) {
 		h.eject(now)
 	}
 }
 
 // peersFailureRate returns the mean failure rate of the other endpoints of the service that accept
-// starts; known is false if there are none.
-func (e *endpoint) peersFailureRate() (rate float64, known bool) {
+// starts; known is false if there are none. An ejected one that is due for its probe may have
+// recovered, so it counts with the rate after a successful probe at most.
+func (e *endpoint) peersFailureRate(now time.Duration) (rate float64, known bool) {
 	n := 0
 	for _, o := range e.service.endpoints {
 		if o != e && o.attached && o.open {
-			rate += o.health.failureRate
+			r := o.health.failureRate
+			if o.health.ejected && now >= o.health.ejectedUntil {
+				r = min(r, recoveredFailureRate)
+			}
+			rate += r
 			n++
 		}
 	}
