dispatch/planner: the level of a service's run times is bounded

Runs whose time is not known count as zero; after a thousand of them the level was so low that ordinary run times stayed at the cut of their ratio for dozens of runs, and no endpoint could be told from another (TestLevelStaysInBounds, failed before). The level stays between 0.01 and 100. The order of equally slow endpoints is now a valid one.

--- a/dispatch/planner/slow.go
+++ b/dispatch/planner/slow.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -26,6 +27,12 @@
 	maxRunTimeRatio = 10
 )
 
+// Bounds of the level: declared run times are off by less.
+const (
+	minLevel level = 0.01
+	maxLevel level = 100
+)
+
 // level is the mean ratio of actual to expected run times in the last runs of a service, without
 // those on slow endpoints. Ratios to the level stay comparable when the expectations change, also
 // those of an endpoint that has no runs in the meantime.
@@ -41,7 +48,7 @@
 // add adds a run, given the ratio of its run time to the level. The weight is that of an endpoint's
 // averages: an endpoint that gets all the runs is at the level.
 func (l *level) add(relative float64) {
-	*l *= level(1 + endpointAverageWeight*(relative-1))
+	*l = min(max(*l*level(1+endpointAverageWeight*(relative-1)), minLevel), maxLevel)
 }
 
 // speed compares an endpoint's run times with those of its peers: the usable endpoints of its
@@ -109,12 +116,7 @@
 	}
 	limit := maxSlow(usable)
 	if len(slow) > limit {
-		slices.SortStableFunc(slow, func(a, b *endpoint) int {
-			if a.health.meanRatio > b.health.meanRatio {
-				return -1
-			}
-			return 1
-		})
+		slices.SortStableFunc(slow, func(a, b *endpoint) int { return cmp.Compare(b.health.meanRatio, a.health.meanRatio) })
 	}
 	for i, e := range slow {
 		e.setSlow(now, i < limit)
--- a/dispatch/planner/slow_test.go
+++ b/dispatch/planner/slow_test.go
@@ -202,3 +202,23 @@
 	}
 	f.act()
 }
+
+// Guards against run times of zero, of runs whose start was not reported, that take the level of a
+// service's run times so low that slow endpoints are not found for long.
+func TestLevelStaysInBounds(t *testing.T) {
+	f := newFleet(t, 1)
+	run := func(id string, d time.Duration) {
+		f.now += time.Second
+		s := f.submit(id, 1, 50*ms).Starts[0]
+		f.ReportRun(f.now, s.Endpoint, s.Run, Done, d)
+		f.act()
+	}
+	for i := range 1000 {
+		run(fmt.Sprint("zero", i), 0)
+	}
+	for i := range 40 {
+		run(fmt.Sprint("usual", i), 50*ms)
+	}
+	r := f.services["teardown"].runTimes.relative(1)
+	assert.Assert(t, r < maxRunTimeRatio, "ratio %f", r)
+}
