--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -57,6 +57,7 @@
 		ran = now - t.running
 	}
 	stopping := t.stopping
+	overran := c == Stopped && t.overranBefore() && ran > t.job.expected[t.step]
 	p.closeRun(t)
 	switch c {
 	case Done:
@@ -65,7 +66,7 @@
 		t.job.mayHaveRun = true
 		t.failures++
 		t.avoid = e
-		e.health.recordFailure(now, e.service.failureRate)
+		e.recordTaskFailed(now)
 		p.updateFailureRate(e.service, 1)
 		if t.failures >= t.job.terms.MaxAttempts && t.job.outcome == 0 {
 			p.end(now, t.job, Failed, ReasonTaskFailed)
@@ -75,6 +76,11 @@
 		if !stopping {
 			e.health.recordFailure(now, e.service.failureRate)
 		}
+		if overran {
+			// The run time is longer still. Without it, a contract whose tasks now take longer
+			// than the limits by its older run times would never complete a run.
+			p.recordRunTime(now, t.job, ran, t.job.work.Steps[t.step].Declared)
+		}
 		t.avoid = e
 	case NotStarted:
 		if !stopping {
@@ -133,12 +139,17 @@
 		j.doneTasks++
 	}
 	expected := j.expected[t.step]
-	ratio := float64(ran) / float64(max(expected, time.Millisecond))
+	ratio := e.service.runTimes.relative(float64(ran) / float64(max(expected, time.Millisecond)))
 	e.health.recordSuccess(ratio)
 	p.updateFailureRate(e.service, 0)
-	e.service.meanRatio += averageWeight * (min(ratio, 4) - e.service.meanRatio)
-	if e.health.runTimeRatio() <= slowRatio*e.service.meanRatio {
-		// Run times on a slow runner do not reflect the tasks.
+	estimate := p.estimate(j.terms.Contract)
+	if e.speed.slow {
+		e.recordSlowRun(now, ratio)
+	} else {
+		e.service.runTimes.add(ratio)
+		estimate.normalRunAt = now
+	}
+	if estimate.learnsFrom(now, e.speed.slow) {
 		p.recordRunTime(now, j, ran, j.work.Steps[t.step].Declared)
 	}
 	if j.outcome != 0 {
@@ -245,6 +256,12 @@
 	return next
 }
 
+// overranBefore reports whether an earlier run of the task than the open one was stopped for taking
+// too long: then the task is the cause, not the endpoint.
+func (t *task) overranBefore() bool {
+	return t.overruns > 1 || t.overruns == 1 && t.stopReason != ReasonRunTooLong
+}
+
 // peerRunTimesKnown reports whether enough of the job's tasks have finished to tell how long
 // one runs.
 func (j *job) peerRunTimesKnown() bool {
