entry: log why an entry isn't serving, rechecks, and rejections of the quota

A job rejected as isolated or over_quota left no trace of the reason: 503 isolated stands for six conditions, and of a recheck only its consequences were logged. Event 1555 names the condition and the age of the last contact, 1559 gives for each recheck its duration, result and the calls to each peer, 1603 the limits behind an over_quota, and 1550 when a failed call was sent. No change of behaviour.

--- a/entry/peer/events.go
+++ b/entry/peer/events.go
@@ -32,6 +32,9 @@
 	eventGuardsRefused = eventlog.Define(1558, "peer.guards_refused", slog.LevelInfo,
 		"A peer's list of guards could not be fetched or was incomplete; nothing of it was used. Guards also announce themselves.",
 		"Check the peer if this persists.")
+	eventRechecked = eventlog.Define(1559, "peer.rechecked", slog.LevelInfo,
+		"New work waited for an immediate gossip round, because this entry could not tell whether it is isolated. uncertain: no answer settled it in time. For each peer: the age of its last answered call, and of the call in flight (-1 if there is none).",
+		"With uncertain, check the peers whose calls stay in flight, and the processor load of their hosts.")
 	eventLeaveUnfinished = eventlog.Define(1556, "peer.leave_unfinished", slog.LevelWarn,
 		"This entry exited before its tasks and the quota leases it granted had ended; the others wait for its registration lease to expire before they use its share.",
 		"Allow more time for a graceful shutdown.")
--- a/entry/peer/exchange.go
+++ b/entry/peer/exchange.go
@@ -32,8 +32,11 @@
 
 func (p *Peers) gossipOnce(ctx context.Context, target member.Info, s *peerState) {
 	id := quota.PeerID{ID: target.ID, Incarnation: target.Incarnation}
+	asked := p.opts.Now()
+	s.recordSent(asked)
 	from, err := p.callExchange(ctx, p.pool.client(target.Address), id, s)
 	if err == nil && from == id {
+		s.recordAnswered(asked)
 		return
 	}
 	// The address may have been taken over by another process, whose answer does not show
@@ -44,7 +47,8 @@
 	}
 	p.meter.failed.Inc(1)
 	eventExchangeFailed.Log(ctx, p.opts.Logger,
-		slog.String("peer", target.ID), slog.String("error", err.Error()))
+		slog.String("peer", target.ID), slog.String("error", err.Error()),
+		slog.Int64("after_ms", p.opts.Now().Sub(asked).Milliseconds()))
 }
 
 // callExchange makes one Exchange call and applies the response; it returns the peer
--- a/entry/peer/gate.go
+++ b/entry/peer/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -32,22 +33,33 @@
 func (p *Peers) MayServe(now time.Time) (ok bool, retryAfter time.Duration) {
 	ok, retryAfter = p.checkServing(now)
 	if p.serving.last.Load() != ok && p.serving.last.Swap(ok) != ok {
-		p.logServing(ok)
+		p.logServing(ok, now)
 	}
 	return ok, retryAfter
 }
 
 func (p *Peers) checkServing(now time.Time) (bool, time.Duration) {
-	if !p.hasContracts() || p.withoutShare.Load() || !p.opts.Lease.MayAdmit(now) {
-		return false, retryStarting
-	}
-	if p.isolated(now) || p.leaving.Load() {
-		return false, retryIsolated
-	}
-	if !p.guardsContacted(now) {
-		return false, retryStarting
+	reason, retryAfter := p.notServingReason(now)
+	return reason == "", retryAfter
+}
+
+// notServingReason returns why this entry may not accept new work; empty if it may.
+func (p *Peers) notServingReason(now time.Time) (reason string, retryAfter time.Duration) {
+	switch {
+	case !p.hasContracts():
+		return "no contracts", retryStarting
+	case p.withoutShare.Load():
+		return "no share", retryStarting
+	case !p.opts.Lease.MayAdmit(now):
+		return "registration lease expired", retryStarting
+	case p.isolated(now):
+		return "isolated", retryIsolated
+	case p.leaving.Load():
+		return "leaving", retryIsolated
+	case !p.guardsContacted(now):
+		return "guards not contacted", retryStarting
 	}
-	return true, 0
+	return "", 0
 }
 
 // isolated uses the contact time at which the current share was determined: after a
@@ -55,16 +67,22 @@
 // share that the others may have taken over. Both clocks are checked, since the
 // monotonic clock stops while a machine is suspended.
 func (p *Peers) isolated(now time.Time) bool {
-	if member.Elapsed(*p.shareContact.Load(), now) <= p.opts.Isolation {
+	if p.contactAge(now) <= p.opts.Isolation {
 		return false
 	}
 	return len(p.opts.Members.Peers()) > 0
 }
 
-func (p *Peers) logServing(serving bool) {
+func (p *Peers) contactAge(now time.Time) time.Duration {
+	return member.Elapsed(*p.shareContact.Load(), now)
+}
+
+func (p *Peers) logServing(serving bool, now time.Time) {
 	if serving {
 		eventServing.Log(context.Background(), p.opts.Logger)
 		return
 	}
-	eventNotServing.Log(context.Background(), p.opts.Logger)
+	reason, _ := p.notServingReason(now)
+	eventNotServing.Log(context.Background(), p.opts.Logger,
+		slog.String("reason", reason), slog.Int64("contact_age_ms", p.contactAge(now).Milliseconds()))
 }
--- a/entry/peer/recheck.go
+++ b/entry/peer/recheck.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
+	"almondstand.dev/entry/quota"
 	"almondstand.dev/telemetry/uptime"
 )
 
@@ -78,7 +80,26 @@
 func (p *Peers) finishRecheck(done chan struct{}) {
 	defer close(done)
 	startedAt := uptime.Now()
-	for p.contactUncertain(p.opts.Now()) && uptime.Now()-startedAt < recheckLimit {
+	uncertain := p.contactUncertain(p.opts.Now())
+	for uncertain && uptime.Now()-startedAt < recheckLimit {
 		time.Sleep(recheckPoll)
+		uncertain = p.contactUncertain(p.opts.Now())
 	}
+	p.logRecheck(uptime.Now()-startedAt, uncertain)
+}
+
+func (p *Peers) logRecheck(took time.Duration, uncertain bool) {
+	now := p.opts.Now()
+	attrs := []slog.Attr{
+		slog.Int64("took_ms", took.Milliseconds()), slog.Bool("uncertain", uncertain),
+		slog.Bool("suspended", p.suspended.Load()), slog.Int64("contact_age_ms", p.contactAge(now).Milliseconds()),
+	}
+	for _, peer := range p.opts.Members.Peers() {
+		s := p.state(quota.PeerID{ID: peer.Info.ID, Incarnation: peer.Info.Incarnation})
+		answered, inFlight := s.callAges(now)
+		attrs = append(attrs, slog.Group(peer.Info.ID,
+			slog.String("status", peer.Status.String()),
+			slog.Int64("answered_ms", answered), slog.Int64("in_flight_ms", inFlight)))
+	}
+	eventRechecked.Log(context.Background(), p.opts.Logger, attrs...)
 }
--- a/entry/peer/state.go
+++ b/entry/peer/state.go
@@ -14,6 +14,8 @@
 	// inFlight: a gossip call is in progress. rerun: a later round found it so, and another
 	// call follows.
 	inFlight, rerun bool
+	// sentAt is when the last call was sent, answeredAt when the last answered one was.
+	sentAt, answeredAt time.Time
 	// sendAllMembers: the peer's view of the members differs; send it the full list.
 	sendAllMembers bool
 	// bare holds, for each bare endpoint, the newest stamp that the peer has sent or been
@@ -74,6 +76,33 @@
 	return rerun
 }
 
+func (s *peerState) recordSent(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sentAt = now
+}
+
+func (s *peerState) recordAnswered(asked time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answeredAt = asked
+}
+
+// callAges returns the time since the last answered call was sent, and since the call in
+// flight was sent, in milliseconds; -1 if there is none.
+func (s *peerState) callAges(now time.Time) (answered, inFlight int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answered, inFlight = -1, -1
+	if !s.answeredAt.IsZero() {
+		answered = now.Sub(s.answeredAt).Milliseconds()
+	}
+	if s.inFlight {
+		inFlight = now.Sub(s.sentAt).Milliseconds()
+	}
+	return answered, inFlight
+}
+
 // leavingResendPeriod is how long the notice that an endpoint is leaving is resent to a
 // peer. Every other announcement is followed by the endpoint's next one, so losing one
 // with its message does little harm; this one is the last.
--- a/entry/quota/account.go
+++ b/entry/quota/account.go
@@ -50,6 +50,7 @@
 	lastCalls map[string]uint64
 	// retryScheduledUntil is the end of the time already assigned to retries of rejected jobs.
 	retryScheduledUntil time.Time
+	rejections          rejections
 }
 
 // peerDemand is what a peer requested in its last call.
@@ -175,10 +176,12 @@
 	}
 	if float64(a.used)+requested > a.maxInFlight()+roundingSlack {
 		a.estimate.recordInFlightShortfall(float64(a.used), requested)
+		a.logRejection(tasks)
 		return Decision{RetryAfter: a.retryAfterInFlight()}
 	}
 	if requested > a.tokens+roundingSlack {
 		a.estimate.recordBurstShortfall(a.burstSize(), requested)
+		a.logRejection(tasks)
 		return Decision{RetryAfter: a.retryAfterTokens(requested)}
 	}
 	a.tokens -= requested
--- a/entry/quota/events.go
+++ b/entry/quota/events.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"time"
 
 	"almondstand.dev/eventlog"
 )
@@ -18,6 +19,9 @@
 	shareRejoining = eventlog.Define(1602, "quota.rejoining", slog.LevelWarn,
 		"Peers stopped counting this entry while it was isolated; it waits until all of them count it again.",
 		"None.")
+	shareRejected = eventlog.Define(1603, "quota.rejected", slog.LevelInfo,
+		"Jobs were rejected because this entry's part of a client account's limits was used up; the figures are those of the last one. At most one line per second and client account.",
+		"None if the client account exceeds its contract. With used and tokens far below the limits, this entry's share is suspended (1601) or its token bucket is still filling.")
 )
 
 func logShare(logger *slog.Logger, old, next Share) {
@@ -27,3 +31,30 @@
 	shareChanged.Log(context.Background(), logger,
 		slog.Int("entries", next.Entries), slog.Bool("holding", next.Holding))
 }
+
+// rejectionInterval is the shortest time between two log records of a client account's rejected
+// jobs.
+const rejectionInterval = time.Second
+
+// rejections rate-limits the log records of an account's rejected jobs. It is guarded by the
+// account's lock.
+type rejections struct {
+	loggedAt time.Time
+	// count is the number of jobs rejected since loggedAt.
+	count int
+}
+
+// logRejection logs the limits that led to the rejection of a job. The caller holds the lock.
+func (a *account) logRejection(tasks int) {
+	r := &a.rejections
+	r.count++
+	if !r.loggedAt.IsZero() && a.last.Sub(r.loggedAt) < rejectionInterval {
+		return
+	}
+	available := a.allowance.at(a.last, "")
+	shareRejected.Log(context.Background(), a.opts.Logger,
+		slog.String("client", a.name), slog.Int("jobs", r.count), slog.Int("tasks", tasks),
+		slog.Int("used", a.used), slog.Float64("in_flight", a.maxInFlight()),
+		slog.Float64("tokens", a.tokens), slog.Float64("burst", available.burst), slog.Float64("rate", available.rate))
+	r.count, r.loggedAt = 0, a.last
+}
