entry/quota: the tokens of a share outlast its suspension

Callers of an entry that had been suspended for a little less than its isolation time got 429 over_quota at a limit of 20,000 tasks a second, once its peers had answered. Suspending a share sets the base share to zero, which clamps the token bucket to zero, and the resumed share started with an empty bucket: at a third of the limit it gains 6.7 tokens in a millisecond, while the jobs that waited for the peers are admitted together.

The tokens that the suspension takes from the bucket are kept and returned when the share is resumed. Nobody else can use them: a share is resumed only if the peers have counted this entry without interruption. If they have not, the entry gives its share up and joins again; then the tokens are dropped. That also holds now where it gives up and joins in one step, which used to keep the bucket (Share.Joins).

--- a/entry/quota/account.go
+++ b/entry/quota/account.go
@@ -39,7 +39,9 @@
 	// the time up to which it has been filled.
 	tokens float64
 	last   time.Time
-	used   int
+	// suspendedTokens are the tokens of the base share while it is suspended.
+	suspendedTokens float64
+	used            int
 	// shrunkAt is when the base share last became smaller.
 	shrunkAt    time.Time
 	estimate    demandEstimate
@@ -89,11 +91,28 @@
 	}
 }
 
-func (a *account) setShare(now time.Time, client string, s Share) {
+// setShare replaces the share old by s. The tokens of a share outlast its suspension, since no
+// other entry can use them meanwhile; those of a share that was given up do not.
+func (a *account) setShare(now time.Time, client string, old, s Share) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.advance(now)
+	if s.Joins != old.Joins {
+		a.rebase(now, amounts{})
+		a.suspendedTokens = 0
+	}
+	before := a.tokens
 	a.rebase(now, s.base(client, a.limit))
+	switch {
+	case s.Suspended:
+		a.suspendedTokens += before - a.tokens
+	case s.Holding:
+		a.tokens += a.suspendedTokens
+		a.suspendedTokens = 0
+		a.clampTokens()
+	default:
+		a.suspendedTokens = 0
+	}
 }
 
 // base returns this entry's own part of a limit.
--- a/entry/quota/holder.go
+++ b/entry/quota/holder.go
@@ -75,6 +75,7 @@
 	membershipCompleteAt time.Time
 	holding              bool
 	suspended            bool
+	joins                int
 	// lastContact is the last contact before an isolation.
 	lastContact  time.Time
 	peersSettled bool
@@ -139,7 +140,7 @@
 	h.removeStaleReplies(s.Peers)
 	h.checkIsolation(now, s)
 	h.join(now, s)
-	share := Share{Entries: 1 + len(s.Peers), Holding: h.Holding()}
+	share := Share{Entries: 1 + len(s.Peers), Holding: h.Holding(), Suspended: h.Suspended(), Joins: h.joins}
 	if share.Holding && !h.peersSettled {
 		share.PendingClients = h.waitingClients(s.Peers)
 		h.peersSettled = len(share.PendingClients) == 0
@@ -176,6 +177,7 @@
 		return
 	}
 	h.holding = true
+	h.joins++
 	h.peersSettled = false
 }
 
--- a/entry/quota/holder_test.go
+++ b/entry/quota/holder_test.go
@@ -100,6 +100,35 @@
 	assert.Assert(t, h.Decide(second, membershipView(second, peerA, peerB)).Holding)
 }
 
+// Guards against jobs rejected as over quota after a short isolation, because the token bucket
+// starts empty, and against tokens of a share that other entries have used meanwhile.
+func TestTokensOutlastSuspension(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		counted time.Duration
+		want    bool
+	}{
+		{name: "counted without interruption", counted: 2 * time.Minute, want: true},
+		{name: "counted again", counted: 0, want: false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			h, now := isolatedHolder(t)
+			table := New(Options{})
+			table.SetShare(start, Share{Entries: 3, Holding: true, Joins: 1})
+			table.SetContracts(start, testContract())
+			table.SetShare(now, h.Decide(now, membershipView(start, peerA, peerB)))
+			assert.Assert(t, !table.Admit(now, client, 1).OK, "suspended")
+			now = now.Add(time.Millisecond)
+			h.Confirm(peerA, countedSince(now, tt.counted))
+			h.Confirm(peerB, countedSince(now, tt.counted))
+			share := h.Decide(now, membershipView(now, peerA, peerB))
+			assert.Assert(t, share.Holding)
+			table.SetShare(now, share)
+			assert.Equal(t, table.Admit(now, client, 10).OK, tt.want)
+		})
+	}
+}
+
 // Guards against resuming a share because of replies from before a second isolation.
 func TestRepliesBeforeASecondIsolationDoNotCount(t *testing.T) {
 	h, now := isolatedHolder(t)
--- a/entry/quota/quota.go
+++ b/entry/quota/quota.go
@@ -68,12 +68,19 @@
 	Entries int
 	// Holding is false while some of the other entries may not count this one.
 	Holding bool
+	// Suspended means that this entry may not use its share until the others confirm that they
+	// have counted it without interruption.
+	Suspended bool
+	// Joins is how often this entry has taken a share. Between two of them the others may have
+	// divided it among themselves.
+	Joins int
 	// PendingClients names clients of whose limits another entry still holds more than its share.
 	PendingClients map[string]bool
 }
 
 func (s Share) equal(o Share) bool {
-	if s.Entries != o.Entries || s.Holding != o.Holding || len(s.PendingClients) != len(o.PendingClients) {
+	if s.Entries != o.Entries || s.Holding != o.Holding || s.Suspended != o.Suspended || s.Joins != o.Joins ||
+		len(s.PendingClients) != len(o.PendingClients) {
 		return false
 	}
 	for c := range s.PendingClients {
@@ -162,11 +169,12 @@
 		return
 	}
 	logShare(t.opts.Logger, t.share, s)
+	old := t.share
 	t.share = s
 	t.metrics.entries.Update(float64(s.Entries))
 	t.metrics.holding.Update(boolGauge(s.Holding))
 	for name, a := range *t.accounts.Load() {
-		a.setShare(now, name, s)
+		a.setShare(now, name, old, s)
 	}
 }
 
--- a/entry/quota/quota_test.go
+++ b/entry/quota/quota_test.go
@@ -95,6 +95,7 @@
 	names      []string
 	tables     map[string]*Table
 	resumeAt   map[string]time.Time
+	suspended  map[string]bool
 	now        time.Time
 	oracle     bucket
 	requests   []request
@@ -110,7 +111,7 @@
 
 func newCluster(n int) *cluster {
 	c := testContract()
-	m := &cluster{tables: map[string]*Table{}, resumeAt: map[string]time.Time{}, now: start}
+	m := &cluster{tables: map[string]*Table{}, resumeAt: map[string]time.Time{}, suspended: map[string]bool{}, now: start}
 	m.oracle = bucket{rate: c.Rate, burst: float64(c.Burst), tokens: float64(c.Burst), last: start}
 	for i := range n {
 		name := fmt.Sprintf("e%d", i)
@@ -246,6 +247,13 @@
 	m.resumeAt[name] = m.now.Add(time.Duration(rapid.IntRange(1, 20000).Draw(t, "for")) * time.Millisecond)
 }
 
+// suspend suspends the share of one entry, or resumes it.
+func (m *cluster) suspend(t *rapid.T) {
+	name := m.pickRunning(t, "entry")
+	m.suspended[name] = !m.suspended[name]
+	m.tables[name].SetShare(m.now, Share{Entries: len(m.names), Holding: !m.suspended[name], Suspended: m.suspended[name]})
+}
+
 func (m *cluster) advance(t *rapid.T) {
 	m.wait(rapid.SampledFrom([]int{1, 100, 400, 1000, 1500, 2100}).Draw(t, "pass"))
 }
@@ -286,7 +294,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"admit": m.admit, "pump": m.submitMax, "gather": m.collect, "exchange": m.exchange, "deliver": m.deliver,
 			"send": m.send, "arrive": m.arrive, "arrive soon": m.arrive, "deliver soon": m.deliver,
-			"freeze": m.freeze, "pass": m.advance, "": m.check,
+			"freeze": m.freeze, "suspend": m.suspend, "resume": m.suspend, "pass": m.advance, "": m.check,
 		})
 	})
 }
