entry/peer: a recheck of the peers outlasts a suspension of the entry

Callers got 503 isolated from an entry whose peers would have answered in milliseconds: the 150 ms for which new work waits for a recheck counted the time in which the entry did not run. When the entry is suspended or gets no processor between the recheck's calls and their answers, the limit has passed when it runs again, and the recheck ends before the answers in the socket buffers are read.

A recheck in a process that runs ends as before.

--- a/entry/peer/peer.go
+++ b/entry/peer/peer.go
@@ -125,6 +125,9 @@
 	Logger    *slog.Logger
 	Scope     tally.Scope
 	Now       func() time.Time
+	// StalledTime returns the total time during which this process did not run; nil if that is
+	// not measured.
+	StalledTime func() time.Duration
 	// Jitter returns a number in [0,1).
 	Jitter func() float64
 }
@@ -146,6 +149,9 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.StalledTime == nil {
+		o.StalledTime = func() time.Duration { return 0 }
+	}
 	if o.Jitter == nil {
 		o.Jitter = rand.Float64
 	}
--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -130,9 +130,11 @@
 	bare     BareSource
 	relay    *relay.Relay
 	peers    *Peers
-	server   *http.Server
-	stop     context.CancelFunc
-	done     sync.WaitGroup
+	// stalled is the value of Options.StalledTime in nanoseconds.
+	stalled atomic.Int64
+	server  *http.Server
+	stop    context.CancelFunc
+	done    sync.WaitGroup
 }
 
 type options struct {
@@ -181,6 +183,7 @@
 		Members: e.members, Lease: registrar, Contracts: e.registry, Quota: e.quota, Bare: e.bare, Guards: o.guards,
 		Forward: o.forward, Seeds: o.seeds, Secret: secret,
 		Interval: cmp.Or(o.interval, 200*time.Millisecond), Isolation: 2 * time.Second,
+		StalledTime: func() time.Duration { return time.Duration(e.stalled.Load()) },
 	})
 	mux := http.NewServeMux()
 	mux.Handle(e.peers.Handler())
@@ -323,6 +326,41 @@
 	eventually(t, "serving again", a.serves)
 }
 
+// Guards against an entry that rejects new work as isolated because it was suspended while
+// it waited for its peers' answers.
+func TestRecheckOutlastsSuspension(t *testing.T) {
+	s := newStore(t)
+	a, b := newEntry(t, s, "a", options{}), newEntry(t, s, "b", options{relayed: true})
+	eventually(t, "serving", func() bool { return a.serves() && b.serves() })
+	a.store.cutOff()
+	assert.NilError(t, b.relay.Set(relay.State{ToTarget: relay.Stall, ToClient: relay.Stall}))
+	eventually(t, "not serving", func() bool { return !a.serves() })
+	result := make(chan bool, 1)
+	go func() {
+		ok, _ := a.peers.AwaitServing(t.Context())
+		result <- ok
+	}()
+	eventually(t, "a recheck", a.peers.recheckInProgress)
+	a.stalled.Store(int64(time.Minute))
+	time.Sleep(2 * recheckLimit)
+	assert.NilError(t, b.relay.Set(relay.State{ToTarget: relay.Pass, ToClient: relay.Pass}))
+	assert.Assert(t, <-result)
+}
+
+func (p *Peers) recheckInProgress() bool {
+	p.recheck.mu.Lock()
+	defer p.recheck.mu.Unlock()
+	if p.recheck.done == nil {
+		return false
+	}
+	select {
+	case <-p.recheck.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // A request is forwarded to its owner. When the owner crashes, the forwarding entry must
 // report at once that it does not answer. When a newer incarnation takes the owner's id,
 // a request addressed to the old incarnation must not be delivered to it.
--- a/entry/peer/recheck.go
+++ b/entry/peer/recheck.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"almondstand.dev/entry/quota"
-	"almondstand.dev/telemetry/uptime"
 )
 
 const (
-	// recheckLimit bounds how long new work waits for the result of a recheck.
+	// recheckLimit bounds how long new work waits for the result of a recheck, not counting the
+	// time in which this process did not run.
 	recheckLimit = 150 * time.Millisecond
 	// recheckPoll is how often the result is polled meanwhile.
 	recheckPoll = 2 * time.Millisecond
@@ -76,23 +76,25 @@
 }
 
 // finishRecheck ends the recheck once this entry is neither isolated nor its share
-// suspended, or after the time limit.
+// suspended, or after the time limit. If this process is suspended during the recheck, the
+// answers of the peers wait unread, so that time does not count.
 func (p *Peers) finishRecheck(done chan struct{}) {
 	defer close(done)
-	startedAt := uptime.Now()
+	startedAt, stalledBefore := time.Now(), p.opts.StalledTime()
+	stalled := func() time.Duration { return p.opts.StalledTime() - stalledBefore }
 	uncertain := p.contactUncertain(p.opts.Now())
-	for uncertain && uptime.Now()-startedAt < recheckLimit {
+	for uncertain && time.Since(startedAt)-stalled() < recheckLimit {
 		time.Sleep(recheckPoll)
 		uncertain = p.contactUncertain(p.opts.Now())
 	}
-	p.logRecheck(uptime.Now()-startedAt, uncertain)
+	p.logRecheck(time.Since(startedAt), stalled(), uncertain)
 }
 
-func (p *Peers) logRecheck(took time.Duration, uncertain bool) {
+func (p *Peers) logRecheck(took, stalled time.Duration, uncertain bool) {
 	now := p.opts.Now()
 	attrs := []slog.Attr{
-		slog.Int64("took_ms", took.Milliseconds()), slog.Bool("uncertain", uncertain),
-		slog.Bool("suspended", p.suspended.Load()), slog.Int64("contact_age_ms", p.contactAge(now).Milliseconds()),
+		slog.Int64("took_ms", took.Milliseconds()), slog.Int64("stalled_ms", stalled.Milliseconds()),
+		slog.Bool("uncertain", uncertain), slog.Bool("suspended", p.suspended.Load()), slog.Int64("contact_age_ms", p.contactAge(now).Milliseconds()),
 	}
 	for _, peer := range p.opts.Members.Peers() {
 		s := p.state(quota.PeerID{ID: peer.Info.ID, Incarnation: peer.Info.Incarnation})
