--- a/entry/peer/cluster_test.go
+++ b/entry/peer/cluster_test.go
@@ -425,7 +425,7 @@
 		if n.dead || n.left {
 			continue
 		}
-		if ok, _ := n.peers.checkServing(c.now); !ok || c.cutOffAlone(n) {
+		if reason, _ := n.peers.checkServing(c.now); reason != "" || c.cutOffAlone(n) {
 			continue
 		}
 		s := n.quota.Statuses(c.now)[0]
--- a/entry/peer/gate.go
+++ b/entry/peer/gate.go
@@ -31,20 +31,16 @@
 //   - when neither the store nor any peer has answered for a few seconds although
 //     there are peers: it may be the only entry that missed a change.
 func (p *Peers) MayServe(now time.Time) (ok bool, retryAfter time.Duration) {
-	ok, retryAfter = p.checkServing(now)
+	reason, retryAfter := p.checkServing(now)
+	ok = reason == ""
 	if p.serving.last.Load() != ok && p.serving.last.Swap(ok) != ok {
-		p.logServing(ok, now)
+		p.logServing(reason, now)
 	}
 	return ok, retryAfter
 }
 
-func (p *Peers) checkServing(now time.Time) (bool, time.Duration) {
-	reason, retryAfter := p.notServingReason(now)
-	return reason == "", retryAfter
-}
-
-// notServingReason returns why this entry may not accept new work; empty if it may.
-func (p *Peers) notServingReason(now time.Time) (reason string, retryAfter time.Duration) {
+// checkServing returns why this entry may not accept new work; the reason is empty if it may.
+func (p *Peers) checkServing(now time.Time) (reason string, retryAfter time.Duration) {
 	switch {
 	case !p.hasContracts():
 		return "no contracts", retryStarting
@@ -77,12 +73,11 @@
 	return member.Elapsed(*p.shareContact.Load(), now)
 }
 
-func (p *Peers) logServing(serving bool, now time.Time) {
-	if serving {
+func (p *Peers) logServing(reason string, now time.Time) {
+	if reason == "" {
 		eventServing.Log(context.Background(), p.opts.Logger)
 		return
 	}
-	reason, _ := p.notServingReason(now)
 	eventNotServing.Log(context.Background(), p.opts.Logger,
 		slog.String("reason", reason), slog.Int64("contact_age_ms", p.contactAge(now).Milliseconds()))
 }
