engine: event 1205 gives the arriving work of a forecast

A job is rejected as backlog also because of smaller jobs of its client account that are expected to arrive. The record did not show this term, so a rejection with a second of work ahead could not be told from a real backlog. No change of behaviour.

--- a/dispatch/scheduler/decide.go
+++ b/dispatch/scheduler/decide.go
@@ -126,18 +126,19 @@
 func (s *Scheduler) assess(l admission.Load, d admission.Demand) *BacklogForecast {
 	forecast := s.admissionController.Forecast(l, d)
 	return &BacklogForecast{
-		Queued:      l.Waiting,
-		InFlight:    len(s.inFlight),
-		UsableSlots: l.Slots,
-		ClientSlots: forecast.Slots,
-		Ejected:     s.health.Ejected(),
-		Work:        d.Work,
-		Longest:     d.Longest,
-		Ahead:       l.Ahead,
-		Learnt:      d.Learnt,
-		Drain:       forecast.Drain,
-		Allowed:     forecast.Allowed,
-		AnswerTime:  d.AnswerTime,
+		Queued:             l.Waiting,
+		InFlight:           len(s.inFlight),
+		UsableSlots:        l.Slots,
+		ClientSlots:        forecast.Slots,
+		Ejected:            s.health.Ejected(),
+		Work:               d.Work,
+		Longest:            d.Longest,
+		Ahead:              l.Ahead,
+		SmallerArrivalRate: l.SmallerArrivalRate,
+		Learnt:             d.Learnt,
+		Drain:              forecast.Drain,
+		Allowed:            forecast.Allowed,
+		AnswerTime:         d.AnswerTime,
 	}
 }
 
--- a/dispatch/scheduler/scheduler.go
+++ b/dispatch/scheduler/scheduler.go
@@ -164,6 +164,9 @@
 	// Work is the expected total run time of the job's tasks, Longest that of its
 	// longest task, Ahead that of the queued tasks that start before the job's.
 	Work, Longest, Ahead time.Duration
+	// SmallerArrivalRate is the rate, in slots, at which work of the client's smaller jobs is
+	// expected to arrive and go before the job's.
+	SmallerArrivalRate float64
 	// Learnt is true when these times come from measured runs.
 	Learnt bool
 	// Drain is the forecast time until the job is answered, Allowed the limit for that
--- a/entry/engine/events.go
+++ b/entry/engine/events.go
@@ -24,5 +24,5 @@
 		"Check the memory and the network of the endpoint's host.")
 	eventBacklogRejected = eventlog.Define(1205, "engine.backlog_rejected", slog.LevelInfo,
 		"Jobs were rejected because they could not be answered within the answer time of their contract; the figures are those of the last one. At most one line per second and service.",
-		"With tasks pending or open: the service is short of slots. With none: the run times estimated from earlier tasks (longest_ms) exceed the answer time; check whether endpoints were slow or this process was suspended.")
+		"With tasks pending or open: the service is short of slots. With none: the run times estimated from earlier tasks (longest_ms) exceed the answer time; check whether endpoints were slow or this process was suspended. With arriving (the slots that smaller jobs of the client account are expected to take) above rate: the forecast counts work that has not arrived yet.")
 )
--- a/entry/engine/rejection.go
+++ b/entry/engine/rejection.go
@@ -48,7 +48,7 @@
 		slog.Int("tasks", len(j.Tasks)), slog.Int("pending", a.Queued), slog.Int("open", a.InFlight),
 		slog.Float64("slots", a.UsableSlots), slog.Float64("rate", a.ClientSlots), slog.Int("set_aside", a.Ejected),
 		millis("work_ms", a.Work), millis("longest_ms", a.Longest), millis("ahead_ms", a.Ahead), slog.Bool("learnt", a.Learnt),
-		millis("drain_ms", a.Drain), millis("allowed_ms", a.Allowed), millis("answer_time_ms", a.AnswerTime),
+		slog.Float64("arriving", a.SmallerArrivalRate), millis("drain_ms", a.Drain), millis("allowed_ms", a.Allowed), millis("answer_time_ms", a.AnswerTime),
 		millis("retry_after_ms", r.RetryAfter))
 }
 
