entry/peer: the check for new work counts an answer that arrives during it

Callers got 503 isolated from an entry that served again milliseconds later and whose rechecks were all answered. AwaitServing asked first whether the entry serves, then whether that is uncertain. When a peer's answer arrived in between, nothing was uncertain any more, and the first result stood.

Uncertainty is determined first, and the result last. Contact only gets newer, so a result for the same time can't be isolated once nothing was uncertain. A share that is about to be withdrawn is marked as suspended first, so that new work waits instead of exceeding it.

--- a/entry/peer/cluster_test.go
+++ b/entry/peer/cluster_test.go
@@ -156,6 +156,8 @@
 	store   *keyStore
 	nodes   []*node
 	started int
+	// onMembersNow, if set, runs once when the members' clock is next read.
+	onMembersNow func()
 	// partitioned are two entries whose calls to each other fail.
 	partitioned  [2]*node
 	partitionEnd time.Time
@@ -180,7 +182,14 @@
 	clock := func() time.Time { return c.now }
 	half := func() float64 { return 0.5 }
 	n.members = member.New(member.Options{
-		Self: member.Info{ID: n.name, Incarnation: uint64(c.now.UnixNano()), Address: n.name, DataCentre: "z"}, Now: clock,
+		Self: member.Info{ID: n.name, Incarnation: uint64(c.now.UnixNano()), Address: n.name, DataCentre: "z"},
+		Now: func() time.Time {
+			if run := c.onMembersNow; run != nil {
+				c.onMembersNow = nil
+				run()
+			}
+			return c.now
+		},
 	})
 	n.registrar = member.NewRegistrar(member.RegistrarOptions{Store: n.storeConn, Table: n.members, Now: clock, Jitter: half})
 	n.quota = quota.New(quota.Options{Self: peerID(n.members.Self()).String(), Jitter: half})
@@ -492,3 +501,28 @@
 		assert.Equal(t, len(n.peers.selectPeers(c.now, n.members.Peers())), DefaultFanout)
 	}
 }
+
+// Guards against rejecting new work as isolated when a peer's answer arrives during the check.
+func TestAnswerDuringCheckCounts(t *testing.T) {
+	c := newCluster()
+	c.start("a")
+	c.start("b")
+	a, b := c.nodes[0], c.nodes[1]
+	for range 5 {
+		for _, n := range c.nodes {
+			assert.NilError(t, n.registrar.Step(t.Context()))
+			_, err := n.registrar.List(t.Context())
+			assert.NilError(t, err)
+		}
+		c.call(a, b, false)
+		c.call(b, a, false)
+		c.now = c.now.Add(time.Second)
+	}
+	ok, _ := a.peers.AwaitServing(t.Context())
+	assert.Assert(t, ok)
+	c.now = c.now.Add(quota.DefaultIsolation + time.Second)
+	c.onMembersNow = func() { c.call(a, b, false) }
+	ok, _ = a.peers.AwaitServing(t.Context())
+	assert.Assert(t, ok)
+	assert.Assert(t, c.onMembersNow == nil)
+}
--- a/entry/peer/recheck.go
+++ b/entry/peer/recheck.go
@@ -31,21 +31,19 @@
 // round.
 func (p *Peers) AwaitServing(ctx context.Context) (ok bool, retryAfter time.Duration) {
 	now := p.opts.Now()
-	ok, retryAfter = p.MayServe(now)
+	// An answer may arrive at any moment, so the result counts that is determined last.
 	if !p.contactUncertain(now) {
-		return ok, retryAfter
+		return p.MayServe(now)
 	}
-	done, first := p.recheck.joinOrStart(now, p.opts.Interval)
-	if done == nil {
-		return ok, retryAfter
-	}
-	if first {
-		p.RequestRound(true)
-		go p.finishRecheck(done)
-	}
-	select {
-	case <-done:
-	case <-ctx.Done():
+	if done, first := p.recheck.joinOrStart(now, p.opts.Interval); done != nil {
+		if first {
+			p.RequestRound(true)
+			go p.finishRecheck(done)
+		}
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
 	}
 	return p.MayServe(p.opts.Now())
 }
--- a/entry/peer/share.go
+++ b/entry/peer/share.go
@@ -21,6 +21,10 @@
 	if p.opts.Members.Info().Left {
 		share.Holding = false
 	}
+	if share.Suspended {
+		// Before the share is withdrawn, so that new work waits rather than exceeds it.
+		p.suspended.Store(true)
+	}
 	p.opts.Quota.SetShare(now, share)
 	present := make(map[quota.PeerID]bool, len(s.Peers))
 	for _, id := range s.Peers {
@@ -34,7 +38,7 @@
 	p.shares = present
 	p.shareContact.Store(&s.LastContact)
 	p.withoutShare.Store(p.holder.LacksHolder())
-	p.suspended.Store(p.holder.Suspended())
+	p.suspended.Store(share.Suspended)
 }
 
 func (p *Peers) clusterView(now time.Time) quota.MembershipView {
