--- a/entry/peer/recheck.go
+++ b/entry/peer/recheck.go
@@ -2,14 +2,16 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
-	"almondstand.dev/telemetry/uptime"
+	"almondstand.dev/entry/quota"
 )
 
 const (
-	// recheckLimit bounds how long new work waits for the result of a recheck.
+	// recheckLimit bounds how long new work waits for the result of a recheck, not counting the
+	// time in which this process did not run.
 	recheckLimit = 150 * time.Millisecond
 	// recheckPoll is how often the result is polled meanwhile.
 	recheckPoll = 2 * time.Millisecond
@@ -29,21 +31,19 @@
 // round.
 func (p *Peers) AwaitServing(ctx context.Context) (ok bool, retryAfter time.Duration) {
 	now := p.opts.Now()
-	ok, retryAfter = p.MayServe(now)
+	// An answer may arrive at any moment, so the result counts that is determined last.
 	if !p.contactUncertain(now) {
-		return ok, retryAfter
+		return p.MayServe(now)
 	}
-	done, first := p.recheck.joinOrStart(now, p.opts.Interval)
-	if done == nil {
-		return ok, retryAfter
-	}
-	if first {
-		p.RequestRound(true)
-		go p.finishRecheck(done)
-	}
-	select {
-	case <-done:
-	case <-ctx.Done():
+	if done, first := p.recheck.joinOrStart(now, p.opts.Interval); done != nil {
+		if first {
+			p.RequestRound(true)
+			go p.finishRecheck(done)
+		}
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
 	}
 	return p.MayServe(p.opts.Now())
 }
@@ -74,11 +74,32 @@
 }
 
 // finishRecheck ends the recheck once this entry is neither isolated nor its share
-// suspended, or after the time limit.
+// suspended, or after the time limit. If this process is suspended during the recheck, the
+// answers of the peers wait unread, so that time does not count.
 func (p *Peers) finishRecheck(done chan struct{}) {
 	defer close(done)
-	startedAt := uptime.Now()
-	for p.contactUncertain(p.opts.Now()) && uptime.Now()-startedAt < recheckLimit {
+	startedAt, stalledBefore := time.Now(), p.opts.StalledTime()
+	stalled := func() time.Duration { return p.opts.StalledTime() - stalledBefore }
+	uncertain := p.contactUncertain(p.opts.Now())
+	for uncertain && time.Since(startedAt)-stalled() < recheckLimit {
 		time.Sleep(recheckPoll)
+		uncertain = p.contactUncertain(p.opts.Now())
+	}
+	p.logRecheck(time.Since(startedAt), stalled(), uncertain)
+}
+
+func (p *Peers) logRecheck(took, stalled time.Duration, uncertain bool) {
+	now := p.opts.Now()
+	attrs := []slog.Attr{
+		slog.Int64("took_ms", took.Milliseconds()), slog.Int64("stalled_ms", stalled.Milliseconds()),
+		slog.Bool("uncertain", uncertain), slog.Bool("suspended", p.suspended.Load()), slog.Int64("contact_age_ms", p.contactAge(now).Milliseconds()),
+	}
+	for _, peer := range p.opts.Members.Peers() {
+		s := p.state(quota.PeerID{ID: peer.Info.ID, Incarnation: peer.Info.Incarnation})
+		answered, inFlight := s.callAges(now)
+		attrs = append(attrs, slog.Group(peer.Info.ID,
+			slog.String("status", peer.Status.String()),
+			slog.Int64("answered_ms", answered), slog.Int64("in_flight_ms", inFlight)))
 	}
+	eventRechecked.Log(context.Background(), p.opts.Logger, attrs...)
 }
