entry/peer: the test of a recheck that outlasts a suspension can't miss it

TestRecheckOutlastsSuspension failed in one of two whole runs, beside the other and other work. The test reports the stall once it has seen the recheck begin. If it is itself held back for 150 ms in between, the recheck is over before the stall: with a pause of 200 ms there the test fails 3 of 3 at the same line.

Each reading of the stalled time now adds a minute, so that the recheck finds a stall whenever it looks. The assertion is the same, and with stalls not taken off the limit the test fails 2 of 2. 0 of 24 failed in three copies with the race detector beside the whole runs.

--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -130,11 +130,12 @@
 	bare     BareSource
 	relay    *relay.Relay
 	peers    *Peers
-	// stalled is the value of Options.StalledTime in nanoseconds.
-	stalled atomic.Int64
-	server  *http.Server
-	stop    context.CancelFunc
-	done    sync.WaitGroup
+	// stalled is the value of Options.StalledTime, and stalls what each reading adds to it, in
+	// nanoseconds.
+	stalled, stalls atomic.Int64
+	server          *http.Server
+	stop            context.CancelFunc
+	done            sync.WaitGroup
 }
 
 type options struct {
@@ -183,7 +184,7 @@
 		Members: e.members, Lease: registrar, Contracts: e.registry, Quota: e.quota, Bare: e.bare, Guards: o.guards,
 		Forward: o.forward, Seeds: o.seeds, Secret: secret,
 		Interval: cmp.Or(o.interval, 200*time.Millisecond), Isolation: 2 * time.Second,
-		StalledTime: func() time.Duration { return time.Duration(e.stalled.Load()) },
+		StalledTime: func() time.Duration { return time.Duration(e.stalled.Add(e.stalls.Load())) },
 	})
 	mux := http.NewServeMux()
 	mux.Handle(e.peers.Handler())
@@ -335,13 +336,13 @@
 	a.store.cutOff()
 	assert.NilError(t, b.relay.Set(relay.State{ToTarget: relay.Stall, ToClient: relay.Stall}))
 	eventually(t, "not serving", func() bool { return !a.serves() })
+	a.stalls.Store(int64(time.Minute))
 	result := make(chan bool, 1)
 	go func() {
 		ok, _ := a.peers.AwaitServing(t.Context())
 		result <- ok
 	}()
 	eventually(t, "a recheck", a.peers.recheckInProgress)
-	a.stalled.Store(int64(time.Minute))
 	time.Sleep(2 * recheckLimit)
 	assert.NilError(t, b.relay.Set(relay.State{ToTarget: relay.Pass, ToClient: relay.Pass}))
 	assert.Assert(t, <-result)
