Operators can cordon a data centre: no task starts there, and what runs goes on

What callers and operators saw. A key in the store asks that nothing more be sent to a data centre; nothing read it.

Entries read all keys of the operators in one call, with the store's revision, in place of the configuration alone. A set of cordoned data centres at a revision travels like the configuration: from the store, by gossip, and with the entries' messages to each guard (when it changes and once a second). The planner gives endpoints of such a data centre nothing and leaves them out of forecasts, Retry-After, the bounds on slow and failing endpoints and "fits no runner"; jobs that only they could run are refused at once. Each guard rejects starts by the highest revision that any entry has told it, so that an entry that was suspended, starved or cut off can't start anything by what it knew before. An entry has no configuration before it knows the cordons.

A watch was not built: it says nothing when the store drops its history, and can't show that a key is absent.

--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -45,6 +45,8 @@
 	speed      speed
 	// suspects counts the open runs of tasks that have crashes attributed to them.
 	suspects int
+	// cordoned is true while the endpoint's data centre is cordoned.
+	cordoned bool
 }
 
 func (e *endpoint) free() work.Amounts { return e.total.Sub(e.used).Sub(e.ordered) }
@@ -62,6 +64,7 @@
 	}
 	e.attached = true
 	e.dataCentre = dataCentre
+	e.cordoned = p.cordons[dataCentre]
 	open := make([]work.RunID, 0, len(e.runs))
 	for _, t := range e.runs {
 		t.orphaned = t.orphaned || newGuard
@@ -174,11 +177,14 @@
 	}
 }
 
-// CountAccepting counts the endpoints that accept starts.
-func (p *Planner) CountAccepting() int {
+// acceptsStarts reports whether starts may be sent to the endpoint.
+func (e *endpoint) acceptsStarts() bool { return e.attached && e.open && !e.cordoned }
+
+// CountReachable counts the endpoints that accept starts, or that are cordoned and can be reached.
+func (p *Planner) CountReachable() int {
 	n := 0
 	for _, e := range p.endpoints {
-		if e.attached && e.open {
+		if e.attached && (e.open || e.cordoned) {
 			n++
 		}
 	}
@@ -198,12 +204,14 @@
 	Ejected State = "set_aside"
 	// Unresponsive: a start order there is overdue for an answer.
 	Unresponsive State = "silent"
+	// Cordoned: its data centre is cordoned.
+	Cordoned State = "cordoned"
 	// Detached: its guard cannot be reached.
 	Detached State = "detached"
 )
 
 // States returns all values of State.
-func States() []State { return []State{Accepting, Closed, Ejected, Unresponsive, Detached} }
+func States() []State { return []State{Accepting, Closed, Ejected, Unresponsive, Cordoned, Detached} }
 
 // CountEndpoints counts the endpoints by state; every state is in the result.
 func (p *Planner) CountEndpoints(now time.Duration) map[State]int {
@@ -221,6 +229,8 @@
 	switch {
 	case !e.attached:
 		return Detached
+	case e.cordoned:
+		return Cordoned
 	case !e.open:
 		return Closed
 	case e.unanswered(now):
@@ -238,35 +248,48 @@
 const (
 	fitsSome fit = iota
 	noEndpoint
+	// fitsCordoned: only cordoned endpoints could run a step.
+	fitsCordoned
 	tooLarge
 )
 
-// fits reports whether for each step there is an endpoint that could ever run it. The capacity
+// fits reports whether for each unfinished step there is an endpoint that could ever run it. The capacity
 // that a runner had before it shrank counts: a task too large for what is left may still be
 // served in time.
 func (s *service) fits(j *job) fit {
-	known := 0
-	for _, step := range j.work.Steps {
-		found := false
-		known = 0
-		for _, e := range s.endpoints {
-			if e.maxTotal == (work.Amounts{}) {
-				continue
-			}
-			known++
-			if step.Need.Fits(e.maxTotal) && e.hasLabel(step.Label) {
-				found = true
-				break
-			}
+	result := fitsSome
+	for number, step := range j.work.Steps {
+		if j.unfinished[number] == 0 {
+			continue
+		}
+		switch f := s.fitsStep(step); f {
+		case noEndpoint, tooLarge:
+			return f
+		case fitsCordoned:
+			result = fitsCordoned
+		}
+	}
+	return result
+}
+
+func (s *service) fitsStep(step work.Step) fit {
+	result := noEndpoint
+	for _, e := range s.endpoints {
+		if e.maxTotal == (work.Amounts{}) {
+			continue
 		}
-		if !found && known == 0 {
-			return noEndpoint
+		if result == noEndpoint {
+			result = tooLarge
+		}
+		if !step.Need.Fits(e.maxTotal) || !e.hasLabel(step.Label) {
+			continue
 		}
-		if !found {
-			return tooLarge
+		if !e.cordoned {
+			return fitsSome
 		}
+		result = fitsCordoned
 	}
-	return fitsSome
+	return result
 }
 
 func (e *endpoint) hasLabel(label string) bool {
--- a/dispatch/planner/foresight.go
+++ b/dispatch/planner/foresight.go
@@ -40,6 +40,9 @@
 func (s *service) completionRate() (cores float64, known bool) {
 	var running, total int64
 	for _, e := range s.endpoints {
+		if e.cordoned {
+			continue
+		}
 		total += e.total.CPUMilli
 		for _, t := range e.runs {
 			running += t.job.work.Steps[t.step].Need.CPUMilli
--- a/dispatch/planner/health.go
+++ b/dispatch/planner/health.go
@@ -101,7 +101,7 @@
 func (e *endpoint) peersFailureRate(now time.Duration) (rate float64, known bool) {
 	n := 0
 	for _, o := range e.service.endpoints {
-		if o != e && o.attached && o.open {
+		if o != e && o.acceptsStarts() {
 			r := o.health.failureRate
 			if o.health.ejected && now >= o.health.ejectedUntil {
 				r = min(r, recoveredFailureRate)
@@ -129,7 +129,7 @@
 
 func (e *endpoint) tier(now time.Duration) tier {
 	switch {
-	case !e.attached || !e.open || e.unanswered(now):
+	case !e.acceptsStarts() || e.unanswered(now):
 		return tierUnusable
 	case e.health.ejected && (now < e.health.ejectedUntil || len(e.runs) > 0):
 		return tierUnusable
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -95,6 +95,8 @@
 	// crashes are the crashes of the last seconds, oldest first.
 	crashes     []*crash
 	crashCounts CrashCounts
+	// cordons are the cordoned data centres.
+	cordons map[string]bool
 }
 
 // service holds the endpoints of one service and the jobs waiting for them.
@@ -203,6 +205,8 @@
 	p.jobs[w.ID] = j
 	j.service.arrivals.add(now, j.coreTime()/milli)
 	switch fit := j.service.fits(j); {
+	case fit == fitsCordoned && !p.inStartupGrace(now):
+		p.refuse(now, j, ReasonCordoned)
 	case fit == noEndpoint:
 		if !p.inStartupGrace(now) {
 			j.keepUntil = j.startBy
@@ -330,7 +334,9 @@
 func (p *Planner) retryAfter(s *service) time.Duration {
 	queued, capacity := s.waitingWork(), 0.0
 	for _, e := range s.endpoints {
-		capacity += float64(e.total.CPUMilli) / milli
+		if !e.cordoned {
+			capacity += float64(e.total.CPUMilli) / milli
+		}
 	}
 	drain := minRetryAfter
 	if capacity > 0 {
@@ -369,8 +375,10 @@
 	return out, next
 }
 
-// endOverdue ends waiting jobs whose time is over, or too short for the work left.
+// endOverdue ends waiting jobs whose time is over, or too short for the work left, and those that
+// only cordoned endpoints could run.
 func (p *Planner) endOverdue(now time.Duration, s *service) {
+	p.endCordoned(now, s)
 	var waitingForecast forecast
 	waiting := 0.0
 	if len(s.unstarted) > 0 && now > s.unstarted[0].startBy {
--- a/dispatch/planner/planner_test.go
+++ b/dispatch/planner/planner_test.go
@@ -266,7 +266,7 @@
 	f := newFleet(t, 1, 1, 1)
 	f.UpdateEndpoint(f.now, f.id(0), EndpointStatus{Service: "teardown", Runner: work.Incarnation{ID: "r"}})
 	f.DetachEndpoint(f.id(1))
-	assert.DeepEqual(t, f.CountEndpoints(f.now), map[State]int{Accepting: 1, Closed: 1, Ejected: 0, Unresponsive: 0, Detached: 1})
+	assert.DeepEqual(t, f.CountEndpoints(f.now), map[State]int{Accepting: 1, Closed: 1, Ejected: 0, Unresponsive: 0, Cordoned: 0, Detached: 1})
 	start := f.submit("j", 1, 60*ms).Starts[0]
 	assert.Equal(t, start.Endpoint, f.id(2))
 	f.now += startAnswerTimeout + ms
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -242,7 +242,7 @@
 			next = min(next, due)
 			continue
 		}
-		if now+expected+startMargin+stopLatency > j.deadline-answerMargin || len(j.service.endpoints) < 2 || p.hasLateStart(now, t) {
+		if now+expected+startMargin+stopLatency > j.deadline-answerMargin || !j.service.hasAlternative(t.endpoint) || p.hasLateStart(now, t) {
 			continue
 		}
 		if t.overruns == 0 {
--- a/dispatch/planner/slow.go
+++ b/dispatch/planner/slow.go
@@ -124,7 +124,7 @@
 }
 
 // usable reports whether an endpoint accepts starts and is not ejected.
-func (e *endpoint) usable() bool { return e.attached && e.open && !e.health.ejected }
+func (e *endpoint) usable() bool { return e.acceptsStarts() && !e.health.ejected }
 
 func (e *endpoint) setSlow(now time.Duration, slow bool) {
 	if slow && !e.speed.slow {
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -53,6 +53,8 @@
 	ReasonTooLarge Reason = "fits_no_runner"
 	ReasonNoRunner Reason = "no_runner"
 	ReasonOverload Reason = "no_room_in_time"
+	// ReasonCordoned: only endpoints in cordoned data centres could run the job.
+	ReasonCordoned Reason = "data_centres_cordoned"
 	ReasonDeadline Reason = "caller_time_over"
 	// ReasonTooLittleTime: the caller's deadline would have passed before the work was done.
 	ReasonTooLittleTime    Reason = "too_little_time"
--- a/dispatch/planner/waiting.go
+++ b/dispatch/planner/waiting.go
@@ -10,7 +10,7 @@
 // moment ago, and the CPU that they need, in thousandths of a core.
 func (p *Planner) PendingDemand(now time.Duration, endpoint string) (waiting bool, demand int64) {
 	e := p.endpoints[endpoint]
-	if e == nil || e.service == nil || !e.service.hasWaiting(now) {
+	if e == nil || e.cordoned || e.service == nil || !e.service.hasWaiting(now) {
 		return false, 0
 	}
 	return true, e.service.demand
@@ -30,7 +30,7 @@
 	if !s.hasWaiting(now) {
 		s.shortSince = now
 		for _, e := range s.endpoints {
-			if e.attached {
+			if e.attached && !e.cordoned {
 				p.out.NotifyWaiting = append(p.out.NotifyWaiting, e.id)
 			}
 		}
--- a/e2e/fleet/fleet.go
+++ b/e2e/fleet/fleet.go
@@ -48,6 +48,20 @@
 	// NoRelays connects guards, runners and entries without relays. The relays run in the
 	// test's own process, which is a second late on a busy host with some 400 sessions.
 	NoRelays bool
+	// DataCentres are the data centres of the guards, in turn, and of their runners; the entries are
+	// in the first. Empty for a single one.
+	DataCentres []string
+}
+
+// defaultDataCentre is the data centre of a fleet with a single one.
+const defaultDataCentre = "a"
+
+// dataCentre returns the data centre of the guard with the given index.
+func (o Options) dataCentre(guard int) string {
+	if len(o.DataCentres) == 0 {
+		return defaultDataCentre
+	}
+	return o.DataCentres[guard%len(o.DataCentres)]
 }
 
 // Fleet is a set of processes and stand-ins.
@@ -87,9 +101,11 @@
 	ReadyAddress   string
 	ReportsAddress string
 	MetricsAddress string
-	settingsFile   string
-	binary         string
-	args           []string
+	// dataCentre is the data centre of a guard.
+	dataCentre   string
+	settingsFile string
+	binary       string
+	args         []string
 
 	// Restarting is locked while the node is being restarted.
 	Restarting sync.Mutex
@@ -137,7 +153,7 @@
 		return nil, err
 	}
 	for i, g := range f.Guards {
-		r := &worker.Runner{Service: Service, DataCentre: "a", CPU: runnerCPU, Checker: f.Checker, ControlAddress: g.ReportsAddress, KeepsID: i%2 == 1}
+		r := &worker.Runner{Service: Service, DataCentre: o.dataCentre(i), CPU: runnerCPU, Checker: f.Checker, ControlAddress: g.ReportsAddress, KeepsID: i%2 == 1}
 		if err := r.Listen(g.IP); err != nil {
 			return nil, err
 		}
@@ -188,7 +204,7 @@
 		f.RelayedEntries = append(f.RelayedEntries, &Node{ID: n.ID, CallersAddress: address})
 	}
 	for i := range f.options.Guards {
-		n := &Node{ID: fmt.Sprintf("guard-%d", i+1), IP: harness.NewHost(), binary: f.options.Binaries.Guard}
+		n := &Node{ID: fmt.Sprintf("guard-%d", i+1), dataCentre: f.options.dataCentre(i), IP: harness.NewHost(), binary: f.options.Binaries.Guard}
 		if err := harness.FreeAddresses(n.IP, &n.ReportsAddress, &n.MetricsAddress); err != nil {
 			return err
 		}
@@ -255,7 +271,7 @@
 
 func (f *Fleet) entrySettings(n *Node, store string) any {
 	return capacitySection(map[string]any{
-		"id": n.ID, "zone": "a",
+		"id": n.ID, "zone": f.options.dataCentre(0),
 		"listen": map[string]string{"callers": n.CallersAddress, "ready": n.ReadyAddress, "guards": fmt.Sprintf("%s:%d", n.IP, entryPort), "advertise": fmt.Sprintf("%s:%d", n.AdvertisedIP, entryPort), "metrics": n.MetricsAddress},
 		"seeds":  f.seeds(),
 		"store":  store,
@@ -264,7 +280,7 @@
 
 func (f *Fleet) guardSettings(n *Node, store string) any {
 	return capacitySection(map[string]any{
-		"id": n.ID, "zone": "a",
+		"id": n.ID, "zone": n.dataCentre,
 		"listen":     map[string]string{"reports": n.ReportsAddress, "metrics": n.MetricsAddress},
 		"seeds":      f.seeds(),
 		"store":      store,
@@ -289,6 +305,18 @@
 	f.Store.Put(metastore.ConfigKey, metastore.Config(f.configVersion, Host, Service, prefixes...))
 }
 
+// Cordon cordons a data centre, as the operator does.
+func (f *Fleet) Cordon(dataCentre string) {
+	f.Store.Put(metastore.CordonKey(dataCentre), []byte("{}"))
+	f.Checker.Cordon(dataCentre)
+}
+
+// Uncordon takes a data centre back.
+func (f *Fleet) Uncordon(dataCentre string) {
+	f.Checker.Uncordon(dataCentre)
+	f.Store.Delete(metastore.CordonKey(dataCentre))
+}
+
 // AwaitReady waits until every entry's readiness check succeeds.
 func (f *Fleet) AwaitReady(ctx context.Context) error {
 	for _, n := range f.Entries {
--- a/e2e/soak/inject.go
+++ b/e2e/soak/inject.go
@@ -45,8 +45,12 @@
 		runner.SetFault(worker.Fault{})
 	case StoreOutage, StoreUnavailableToEntry, StoreSlow, StoreLosesResponses:
 		r.fleet.Store.SetFault(storeFault(f, entry.ID))
+		r.fleet.Checker.SetStoreDown(f.Kind == StoreOutage)
 		uptime.Sleep(ctx, f.Duration)
 		r.fleet.Store.SetFault(metastore.Fault{})
+		r.fleet.Checker.SetStoreDown(false)
+	case Cordon, CordonSeries:
+		r.cordon(ctx, f)
 	case Configure:
 		r.configure(ctx)
 	case TaskCrashes:
@@ -66,6 +70,28 @@
 	}
 }
 
+// cordonDuration is how long a cordon lasts at least: until after the bound for starts.
+const cordonDuration = 5 * time.Second
+
+// cordon cordons one data centre at a time, so that the other one serves; it does nothing while one
+// is cordoned.
+func (r *run) cordon(ctx context.Context, f Fault) {
+	if !r.cordoning.TryLock() {
+		return
+	}
+	defer r.cordoning.Unlock()
+	dc := dataCentres[f.Index%len(dataCentres)]
+	if f.Kind == CordonSeries {
+		r.fleet.Cordon(dc)
+		uptime.Sleep(ctx, f.Duration/16)
+		r.fleet.Uncordon(dc)
+		uptime.Sleep(ctx, f.Duration/16)
+	}
+	r.fleet.Cordon(dc)
+	uptime.Sleep(ctx, cordonDuration+f.Duration)
+	r.fleet.Uncordon(dc)
+}
+
 // drainDuration is how long a draining runner keeps serving at least: longer than it may
 // still receive starts.
 const drainDuration = 2200 * time.Millisecond
--- a/e2e/soak/run.go
+++ b/e2e/soak/run.go
@@ -37,6 +37,9 @@
 	maxLogLines       = 1500
 )
 
+// dataCentres are the data centres of the guards.
+var dataCentres = []string{"a", "b"}
+
 // ErrViolation is returned when an invariant was violated; the report lists the violations.
 var ErrViolation = errors.New("soak: a promise was broken")
 
@@ -93,12 +96,14 @@
 	mu           sync.Mutex
 	addedRoutes  int
 	statusCounts map[int]int
+	// cordoning is locked while a data centre is cordoned.
+	cordoning sync.Mutex
 }
 
 // Run runs a fleet under load with the faults of a seed's schedule, and returns ErrViolation
 // if an invariant was violated.
 func Run(ctx context.Context, o Options) (Report, error) {
-	f, err := fleet.New(ctx, fleet.Options{Binaries: o.Binaries, Dir: o.Dir, Entries: entries, Guards: guards})
+	f, err := fleet.New(ctx, fleet.Options{Binaries: o.Binaries, Dir: o.Dir, Entries: entries, Guards: guards, DataCentres: dataCentres})
 	if err != nil {
 		return Report{}, err
 	}
--- a/e2e/soak/schedule.go
+++ b/e2e/soak/schedule.go
@@ -54,6 +54,9 @@
 	CallersHalfOpen    Kind = "callers' connections to an entry half open until their deadline"
 	EntryHalfOpen      Kind = "callers' connections to a throttled entry half open until their deadline"
 	RunnerUnresponsive Kind = "runner leaves requests unanswered"
+
+	Cordon       Kind = "data centre cordoned until after the bound"
+	CordonSeries Kind = "data centre cordoned, taken back and cordoned again within a second"
 )
 
 var plannedKinds = []Kind{EntryTerm, EntryHangup, GuardTerm, GuardHangup, Configure, Configure}
@@ -121,6 +124,7 @@
 	{RunnerRestart, RunnerRestart, RunnerDrain},
 	{CallersLeave, EntryThrottle, EntryThrottle, GuardThrottle},
 	{CallersHalfOpen, EntryHalfOpen, RunnerUnresponsive},
+	{Cordon, CordonSeries},
 }
 
 // additionalFaults returns the faults for one group of additionalKinds.
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -80,6 +80,7 @@
 		Scope:        o.Metrics.Scope,
 		Disconnected: ingress.Disconnected,
 	})
+	e.config.OnCordons(e.jobs.SetCordons)
 	e.lag = lag.New(o.Metrics.Scope, o.Logger)
 	e.sessions = sessions.New(sessions.Options{Entry: s.ID, Incarnation: incarnation, Logger: o.Logger, Lag: e.lag}, e.jobs, e.members)
 	e.front = front.New(e.config, e.jobs, o.Logger)
--- a/entry/edge/gauges.go
+++ b/entry/edge/gauges.go
@@ -27,6 +27,7 @@
 	running := scope.Gauge("jobs_running")
 	droppedLines := scope.Gauge("log_lines_left_out")
 	slow := scope.Gauge("endpoints_slow")
+	cordoned := scope.Gauge("data_centres_cordoned")
 	suspects := scope.Gauge("crash_suspects")
 	taskCrashes := scope.Tagged(map[string]string{"cause": "task"}).Gauge("runner_crashes")
 	commonCauseCrashes := scope.Tagged(map[string]string{"cause": "common"}).Gauge("runner_crashes")
@@ -46,6 +47,7 @@
 			endpointsByState[state].Update(float64(n))
 		}
 		slow.Update(float64(e.jobs.SlowEndpoints()))
+		cordoned.Update(float64(len(e.config.Cordons().DataCentres())))
 		count := e.jobs.Count("")
 		waiting.Update(float64(count.Waiting))
 		oldest.Update(count.Oldest.Seconds())
--- a/entry/explain/cause.go
+++ b/entry/explain/cause.go
@@ -47,15 +47,16 @@
 }
 
 var reasonTexts = map[string]string{
-	"no_room_in_time":   "no runner had room before the latest start that would have been of use; nothing has run",
-	"no_runner":         "no runner of its service was known at this entry; nothing has run",
-	"fits_no_runner":    "it asks for more than any runner has",
-	"crashes_runners":   "runners crashed under the same task at several guards, so it is not started again",
-	"task_failed":       "a task failed as often as its contract allows",
-	"caller_time_over":  "its caller's time was over with tasks still open",
-	"too_little_time":   "its caller would have left before the work could be done",
-	"caller_gone":       "its caller broke the connection off",
-	"guard_unreachable": "its caller's time was over while a guard with its tasks could not be reached",
+	"no_room_in_time":       "no runner had room before the latest start that would have been of use; nothing has run",
+	"data_centres_cordoned": "only endpoints in cordoned data centres could run it",
+	"no_runner":             "no runner of its service was known at this entry; nothing has run",
+	"fits_no_runner":        "it asks for more than any runner has",
+	"crashes_runners":       "runners crashed under the same task at several guards, so it is not started again",
+	"task_failed":           "a task failed as often as its contract allows",
+	"caller_time_over":      "its caller's time was over with tasks still open",
+	"too_little_time":       "its caller would have left before the work could be done",
+	"caller_gone":           "its caller broke the connection off",
+	"guard_unreachable":     "its caller's time was over while a guard with its tasks could not be reached",
 }
 
 func failureCause(l LogEvent, lines []LogEvent) string {
--- a/entry/follower/events.go
+++ b/entry/follower/events.go
@@ -16,4 +16,7 @@
 		"A read from the store failed. The configuration stays in force; newer ones arrive from other entries if those reach the store.",
 		"If this persists, check the store and the network to it.")
 	eventStoreBack = eventlog.Define(1454, "config.store_back", slog.LevelInfo, "The store answers again.", "None.")
+	eventCordons   = eventlog.Define(1455, "config.cordons", slog.LevelInfo,
+		"The cordoned data centres at this entry: it starts no task at their endpoints. Logged once when they become known, and when they change.",
+		"None; if a data centre is listed for longer than planned, remove its key from the store.")
 )
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -1,4 +1,5 @@
-// Package follower keeps the operator's newest configuration at this entry.
+// Package follower keeps the operator's newest configuration and the cordoned data centres at
+// this entry.
 package follower
 
 import (
@@ -8,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"almondstand.dev/contract/cordon"
 	"almondstand.dev/contract/route"
 	"almondstand.dev/platform/operator"
 	"almondstand.dev/platform/store"
@@ -18,8 +20,8 @@
 const (
 	// readInterval is the pause between two reads. Polling is used instead of a watch,
 	// because a watch without events proves nothing: the store may have dropped it, or
-	// compacted its history, without notice. A plain read of the one key returns the newest
-	// revision.
+	// compacted its history, without notice. A plain read of the operator's keys returns their
+	// newest revisions, and shows which keys do not exist.
 	readInterval = 900 * time.Millisecond
 	// hedgeDelay is how long to wait for a read before sending a hedged second one; the
 	// store answers in 4 ms, and in 0.3 s when slow. The first read continues: at an entry
@@ -39,16 +41,21 @@
 	FreshnessPeriod = 1900 * time.Millisecond
 )
 
-// Store reads a key; see platform/store.
+// Store reads keys; see platform/store.
 type Store interface {
 	Get(ctx context.Context, key string) (store.Item, bool, error)
+	Range(ctx context.Context, prefix string) (store.Page, error)
 }
 
-// Follower holds the newest configuration. Readers get it from Table.
+// Follower holds the newest configuration and the newest set of cordoned data centres. Readers get
+// them from Table and Cordons.
 type Follower struct {
-	store  Store
-	logger *slog.Logger
-	table  atomic.Pointer[route.Table]
+	store   Store
+	logger  *slog.Logger
+	table   atomic.Pointer[route.Table]
+	cordons atomic.Pointer[cordon.Set]
+	// cordonsChanged is called with each newer set; nil if nobody is interested.
+	cordonsChanged func(*cordon.Set)
 	// lastReadAt is when the latest answered read was sent, in nanoseconds since startedAt.
 	lastReadAt atomic.Int64
 	startedAt  time.Time
@@ -68,8 +75,14 @@
 	return f
 }
 
-// Table returns the newest configuration, or nil when there is none yet.
-func (f *Follower) Table() *route.Table { return f.table.Load() }
+// Table returns the newest configuration, or nil when there is none yet. There is none before the
+// cordoned data centres are known: no task may start at their endpoints.
+func (f *Follower) Table() *route.Table {
+	if f.cordons.Load() == nil {
+		return nil
+	}
+	return f.table.Load()
+}
 
 // Fresh reports whether the store has recently confirmed that there is no newer
 // configuration.
@@ -124,17 +137,17 @@
 	sent := time.Since(f.startedAt)
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	item, found, err := f.store.Get(readCtx, operator.Key)
+	now, err := f.readOperatorKeys(readCtx)
+	f.recordReachable(ctx, err)
 	if err != nil {
-		f.recordReachable(ctx, err)
 		return false
 	}
-	f.recordReachable(ctx, nil)
 	f.recordRead(int64(sent))
-	if found {
-		f.Apply(ctx, item.Revision, item.Value)
+	f.ApplyCordons(ctx, now.cordons)
+	if now.configFound {
+		f.Apply(ctx, now.config.Revision, now.config.Value)
 	}
-	return found
+	return now.configFound
 }
 
 // recordRead records when an answered read was sent; responses can arrive out of order.
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -13,6 +13,8 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"almondstand.dev/contract/cordon"
+	"almondstand.dev/platform/operator"
 	"almondstand.dev/platform/store"
 )
 
@@ -22,6 +24,10 @@
 	return store.Item{}, false, errors.New("down")
 }
 
+func (failingStore) Range(context.Context, string) (store.Page, error) {
+	return store.Page{}, errors.New("down")
+}
+
 func config(version int) []byte { return fmt.Appendf(nil, `{"version":%d,"routes":[]}`, version) }
 
 // After callers have seen a version's effect, an older one that arrives late, from the
@@ -31,6 +37,7 @@
 	f := New(failingStore{}, slog.New(slog.NewJSONHandler(io.Discard, nil)))
 	assert.Assert(t, f.Table() == nil)
 	assert.Assert(t, !f.Fresh())
+	f.ApplyCordons(t.Context(), cordon.New(1, nil))
 	f.Apply(t.Context(), 10, config(5))
 	f.Apply(t.Context(), 9, config(6))
 	assert.Equal(t, f.Table().Version, int64(5))
@@ -50,16 +57,20 @@
 	reads atomic.Int64
 }
 
-func (s *slowStore) Get(ctx context.Context, _ string) (store.Item, bool, error) {
+func (s *slowStore) Range(ctx context.Context, _ string) (store.Page, error) {
 	version := s.reads.Add(1)
 	select {
 	case <-ctx.Done():
-		return store.Item{}, false, ctx.Err()
+		return store.Page{}, ctx.Err()
 	case <-time.After(s.delay):
-		return store.Item{Revision: version, Value: config(int(version))}, true, nil
+		return store.Page{Items: []store.Item{{Key: operator.Key, Revision: version, Value: config(int(version))}}, Revision: version}, nil
 	}
 }
 
+func (s *slowStore) Get(context.Context, string) (store.Item, bool, error) {
+	return store.Item{}, false, errors.New("not used")
+}
+
 // An entry is short of CPU time, so that it reads each response of the store 0.8 s after
 // the request. Callers must not be served by an old version forever: a slow read
 // continues beside the next one, and its result counts.
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -11,6 +11,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"almondstand.dev/contract/cordon"
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/telemetry/uptime"
@@ -76,6 +77,8 @@
 	waiters map[string]*jobWaiters
 	guards  map[string]Guard
 	answers map[string]cachedAnswer
+	// cordons are the cordoned data centres; nil while they are unknown.
+	cordons *cordon.Set
 	// runsEnded holds, by job id, channels that are closed when the last run of an ended job is
 	// over.
 	runsEnded map[string]chan struct{}
@@ -346,11 +349,12 @@
 	return e.plan.CrashCounts()
 }
 
-// Reachable counts the endpoints on which tasks can be started.
+// Reachable counts the endpoints on which tasks can be started, or could be if their data centre were
+// not cordoned.
 func (e *Engine) Reachable() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.plan.CountAccepting()
+	return e.plan.CountReachable()
 }
 
 // GuardUpdate is the content of one guard message: its capacity, if it changed, late starts and
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -14,6 +14,7 @@
 
 	"connectrpc.com/connect"
 
+	"almondstand.dev/contract/cordon"
 	"almondstand.dev/platform/store"
 	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/fleetwire"
@@ -51,10 +52,13 @@
 	RevokeLease(ctx context.Context, id int64) error
 }
 
-// Config is the configuration that entries share by gossip; see entry/follower.
+// Config is the configuration and the cordoned data centres, which entries share by gossip; see
+// entry/follower.
 type Config interface {
 	Current() (revision int64, raw []byte)
 	Apply(ctx context.Context, revision int64, raw []byte)
+	Cordons() *cordon.Set
+	ApplyCordons(ctx context.Context, set *cordon.Set)
 	Fresh() bool
 }
 
@@ -291,12 +295,14 @@
 
 func (r *Registry) gossipWith(ctx context.Context, client *http.Client, address string) {
 	revision, _ := r.config.Current()
+	cordons := r.config.Cordons()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	res, err := fleetwire.NewClient(client, address).Meet(callCtx, connect.NewRequest(&wirev1.MeetRequest{
-		Entry:          r.opt.Entry,
-		Address:        r.opt.Address,
-		ConfigRevision: revision,
+		Entry:           r.opt.Entry,
+		Address:         r.opt.Address,
+		ConfigRevision:  revision,
+		CordonsRevision: cordons.RevisionOrZero(),
 	}))
 	if err != nil {
 		eventMeetFailed.Log(ctx, r.logger, slog.String("address", address), slog.String("error", err.Error()))
@@ -308,6 +314,9 @@
 	if res.Msg.GetConfigRevision() > revision {
 		r.config.Apply(ctx, res.Msg.GetConfigRevision(), res.Msg.GetConfig())
 	}
+	if c := res.Msg.GetCordons(); c != nil {
+		r.config.ApplyCordons(ctx, cordon.New(c.GetRevision(), c.GetDataCentres()))
+	}
 }
 
 // Meet serves another entry's gossip call.
@@ -317,6 +326,9 @@
 	if revision, raw := r.config.Current(); revision > req.Msg.GetConfigRevision() {
 		res.ConfigRevision, res.Config = revision, raw
 	}
+	if set := r.config.Cordons(); set.RevisionOrZero() > req.Msg.GetCordonsRevision() {
+		res.Cordons = &wirev1.Cordons{Revision: set.Revision, DataCentres: set.DataCentres()}
+	}
 	return connect.NewResponse(res), nil
 }
 
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -1,8 +1,11 @@
 package registry
 
 import (
+	"context"
 	"io"
 	"log/slog"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -11,12 +14,26 @@
 	"connectrpc.com/connect"
 	"gotest.tools/v3/assert"
 
+	"almondstand.dev/contract/cordon"
+	"almondstand.dev/wire/fleetwire"
 	"almondstand.dev/wire/wirev1"
+	"almondstand.dev/wire/wirev1/wirev1connect"
 )
 
 type noConfig struct{ Config }
 
 func (noConfig) Current() (int64, []byte) { return 0, nil }
+func (noConfig) Cordons() *cordon.Set     { return nil }
+
+// cordonConfig is a configuration of which only the cordoned data centres are known.
+type cordonConfig struct {
+	noConfig
+	cordons *cordon.Set
+}
+
+func (c *cordonConfig) Cordons() *cordon.Set { return c.cordons }
+
+func (c *cordonConfig) ApplyCordons(_ context.Context, set *cordon.Set) { c.cordons = set }
 
 func registryAt(address string) *Registry {
 	return New(Options{
@@ -68,3 +85,40 @@
 	known, _ := a.Addresses()
 	assert.DeepEqual(t, known, []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
 }
+
+// peerService serves the gossip of a registry.
+type peerService struct {
+	wirev1connect.UnimplementedFleetServiceHandler
+	*Registry
+}
+
+func (s peerService) Meet(ctx context.Context, req *connect.Request[wirev1.MeetRequest]) (*connect.Response[wirev1.MeetResponse], error) {
+	return s.Registry.Meet(ctx, req)
+}
+
+// Guards against an entry that the store turns away and that starts tasks in a cordoned data
+// centre: its peers tell it, and tell it nothing that is older than what it knows.
+func TestCordonsArriveByGossip(t *testing.T) {
+	a, b := registryAt("10.0.0.1:1"), registryAt("10.0.0.2:1")
+	ours, theirs := &cordonConfig{}, &cordonConfig{cordons: cordon.New(20, []string{"north"})}
+	a.config, b.config = ours, theirs
+	mux := http.NewServeMux()
+	mux.Handle(fleetwire.NewHandler(peerService{Registry: b}))
+	server := httptest.NewUnstartedServer(mux)
+	server.Config.Protocols = fleetwire.NewServer(mux).Protocols
+	server.Start()
+	defer server.Close()
+	transport := fleetwire.NewTransport(fleetwire.DialTimeout)
+	defer transport.Close()
+	gossipOnce := func() {
+		a.gossipWith(t.Context(), &http.Client{Transport: transport}, server.Listener.Addr().String())
+	}
+	gossipOnce()
+	assert.Assert(t, ours.cordons.Contains("north"))
+	theirs.cordons = cordon.New(19, nil)
+	gossipOnce()
+	assert.Equal(t, ours.cordons.Revision, int64(20))
+	theirs.cordons = cordon.New(21, nil)
+	gossipOnce()
+	assert.Assert(t, !ours.cordons.Contains("north"))
+}
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -19,9 +19,11 @@
 type session struct {
 	server *Server
 	guard  string
-	stream *stream
-	wake   chan struct{}
-	cancel context.CancelFunc
+	// dataCentre is the data centre of the guard.
+	dataCentre string
+	stream     *stream
+	wake       chan struct{}
+	cancel     context.CancelFunc
 
 	mu     sync.Mutex
 	starts []planner.Start
@@ -49,6 +51,9 @@
 	minClockOffset time.Duration
 	// hasClockOffset is true once minClockOffset is known.
 	hasClockOffset bool
+
+	// cordon tells the guard whether its data centre is cordoned. Only the send loop uses it.
+	cordon cordonNotice
 }
 
 // SendOrders implements jobs.Guard.
@@ -131,7 +136,14 @@
 	for _, r := range open {
 		handshake.Open = append(handshake.Open, &wirev1.OpenRun{Task: fleetwire.ToTaskName(r.Task), Attempt: uint32(r.Attempt)})
 	}
-	if err := s.stream.Send(&wirev1.AttachResponse{Handshake: handshake, Entries: entries, Guards: uint32(s.server.jobs.Guards()), ReadUs: s.clock.Microseconds()}); err != nil {
+	first := &wirev1.AttachResponse{
+		Handshake: handshake,
+		Entries:   entries,
+		Guards:    uint32(s.server.jobs.Guards()),
+		ReadUs:    s.clock.Microseconds(),
+		Cordon:    s.cordon.next(uptime.Now(), s.server.jobs.Cordons(), s.dataCentre),
+	}
+	if err := s.stream.Send(first); err != nil {
 		return err
 	}
 	receiveErr := make(chan error, 1)
@@ -260,6 +272,7 @@
 		}
 		m.HasPending, m.PendingMilli = s.server.jobs.PendingDemand(s.guard)
 		m.Guards = uint32(s.server.jobs.Guards())
+		m.Cordon = s.cordon.next(now, s.server.jobs.Cordons(), s.dataCentre)
 		if err := s.stream.Send(m); err != nil {
 			return err
 		}
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -136,7 +136,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	sess := &session{server: s, guard: g.GetGuard(), stream: st, wake: make(chan struct{}, 1), cancel: cancel, open: map[work.RunID]struct{}{}}
+	sess := &session{server: s, guard: g.GetGuard(), dataCentre: g.GetZone(), stream: st, wake: make(chan struct{}, 1), cancel: cancel, open: map[work.RunID]struct{}{}}
 	sess.recordClock(first.GetClockUs())
 	open, err := s.admit(sess, g)
 	if err != nil {
--- a/guard/host/events.go
+++ b/guard/host/events.go
@@ -45,7 +45,10 @@
 	startLate = eventlog.Define(2215, "guard.start_late", slog.LevelInfo,
 		"A copy of a start went unanswered and may still be executed by a later process under the runner's id. For 14 s the entries start its task at this runner only.",
 		"As for start_failed.")
+	cordonChanged = eventlog.Define(2216, "guard.cordon", slog.LevelInfo,
+		"The guard's data centre is cordoned, or is not any more, as an entry has read from the store at this revision. While it is cordoned the guard rejects every start; what runs goes on.",
+		"None.")
 	orderRefused = eventlog.Define(2207, "guard.order_refused", slog.LevelInfo,
 		"The guard rejected an entry's order without sending it to the runner.",
-		"reason full: the entry's view of the capacity was outdated, or load is high; stale: the network or the entry is slow, or the run was reported as over before its order arrived; closed: the runner is draining or not adopted yet.")
+		"reason full: the entry's view of the capacity was outdated, or load is high; stale: the network or the entry is slow, or the run was reported as over before its order arrived; closed: the runner is draining or not adopted yet, or its data centre is cordoned.")
 )
--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -226,6 +226,19 @@
 	h.sink.CapacityChanged()
 }
 
+// SetCordon records whether the guard's data centre is cordoned at a revision of the store.
+func (h *Host) SetCordon(revision int64, cordoned bool) {
+	h.mu.Lock()
+	changed := h.table.SetCordon(revision, cordoned)
+	h.mu.Unlock()
+	if !changed {
+		return
+	}
+	cordonChanged.Log(h.ctx, h.logger, slog.Bool("cordoned", cordoned), slog.Int64("revision", revision))
+	h.opt.Metrics.setCordoned(cordoned)
+	h.sink.CapacityChanged()
+}
+
 // EntryAlive records that an entry was alive at the given uptime.
 func (h *Host) EntryAlive(o runs.Owner, at time.Duration) {
 	h.mu.Lock()
--- a/guard/host/metrics.go
+++ b/guard/host/metrics.go
@@ -22,6 +22,8 @@
 	unknown tally.Counter
 	// crashes counts crashes of a runner that had runs.
 	crashes tally.Counter
+	// cordoned is 1 while the data centre is cordoned, 0 otherwise.
+	cordoned tally.Gauge
 }
 
 // NewMetrics returns metrics in the scope.
@@ -38,6 +40,7 @@
 		malformed:   s.Counter("runner_reports_malformed_total"),
 		unknown:     s.Counter("runs_unknown_total"),
 		crashes:     s.Counter("runner_crashes_total"),
+		cordoned:    s.Gauge("cordoned"),
 		refusals:    map[runs.Refusal]tally.Counter{},
 	}
 	for _, reason := range []runs.Refusal{runs.InsufficientCapacity, runs.StaleOrder, runs.NotAccepting, runs.RunnerFailed, runs.UnknownRun} {
@@ -66,6 +69,14 @@
 	m.leaseLeft.Record(max(left, 0))
 }
 
+func (m *Metrics) setCordoned(cordoned bool) {
+	value := 0.0
+	if cordoned {
+		value = 1
+	}
+	m.cordoned.Update(value)
+}
+
 func (m *Metrics) countMalformed() { m.malformed.Inc(1) }
 
 func (m *Metrics) countUnknown() { m.unknown.Inc(1) }
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -93,6 +93,7 @@
 	runner *processState
 	// shuttingDown is true once the guard itself shuts down.
 	shuttingDown bool
+	cordon       cordon
 	used         work.Amounts
 	runs         map[work.TaskID]*run
 	// lastNumbers holds the highest run number used for each task.
@@ -140,7 +141,7 @@
 
 // AcceptsStarts reports whether starts are accepted.
 func (t *Table) AcceptsStarts() bool {
-	return !t.shuttingDown && t.runner != nil && t.runner.acceptsStarts() && !t.hasReportedOver()
+	return !t.shuttingDown && !t.cordon.active && t.runner != nil && t.runner.acceptsStarts() && !t.hasReportedOver()
 }
 
 // hasReportedOver reports whether a run was reported as over that the runner may still have.
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -157,6 +157,7 @@
 	}
 	s.owner = runs.Owner{Entry: g.GetEntry(), Incarnation: g.GetIncarnation()}
 	s.attached, s.attachedAt = true, time.Now()
+	s.recordCordon(m)
 	s.up.receiving.Lock()
 	defer s.up.receiving.Unlock()
 	s.up.admit(s)
@@ -185,6 +186,13 @@
 	}
 }
 
+// recordCordon records what a message says about the cordon on the guard's data centre.
+func (s *session) recordCordon(m *wirev1.AttachResponse) {
+	if c := m.GetCordon(); c != nil {
+		s.up.host.SetCordon(c.GetRevision(), c.GetCordoned())
+	}
+}
+
 // knownEntries returns the addresses that the entry last listed.
 func (s *session) knownEntries() []string {
 	s.mu.Lock()
@@ -229,6 +237,7 @@
 	if m.GetEchoUs() > 0 {
 		s.up.host.EntryAlive(s.owner, sent)
 	}
+	s.recordCordon(m)
 	s.setPending(m.GetHasPending(), m.GetPendingMilli())
 	s.recordFleetState(m)
 	if s.takeDeferred() {
--- a/guard/uplink/uplink.go
+++ b/guard/uplink/uplink.go
@@ -64,6 +64,8 @@
 	EntryAlive(o runs.Owner, at time.Duration)
 	// LateStarts returns the late starts with a higher sequence number, and the highest one.
 	LateStarts(after uint64) ([]runs.LateStart, uint64)
+	// SetCordon records whether the data centre is cordoned at a revision of the store.
+	SetCordon(revision int64, cordoned bool)
 	Reconcile(o runs.Owner, open []work.RunID) []runs.Report
 	Submit(sent time.Duration, o runs.Owner, orders []runs.Order, cancels []work.RunID)
 }
--- a/guard/uplink/uplink_test.go
+++ b/guard/uplink/uplink_test.go
@@ -56,6 +56,7 @@
 
 func (noHost) Capacity() runs.Capacity                                      { return runs.Capacity{} }
 func (noHost) HasCapacity() bool                                            { return false }
+func (noHost) SetCordon(int64, bool)                                        {}
 func (noHost) EntryAlive(runs.Owner, time.Duration)                         {}
 func (noHost) LateStarts(uint64) ([]runs.LateStart, uint64)                 { return nil, 0 }
 func (noHost) Reconcile(runs.Owner, []work.RunID) []runs.Report             { return nil }
--- a/standin/metastore/config.go
+++ b/standin/metastore/config.go
@@ -8,6 +8,9 @@
 // ConfigKey is the key of the operator's configuration.
 const ConfigKey = "op/config"
 
+// CordonKey returns the key that cordons a data centre while it exists.
+func CordonKey(dataCentre string) string { return "op/evacuate/" + dataCentre }
+
 // Config returns a configuration, as JSON, with one route per prefix. All routes have the
 // given HTTP host and service.
 func Config(version int, host, service string, prefixes ...string) []byte {
--- a/standin/metastore/metastore.go
+++ b/standin/metastore/metastore.go
@@ -124,6 +124,14 @@
 	return s.put(key, value, 0)
 }
 
+// Delete deletes a key as the operator does; it works during an outage, too.
+func (s *Store) Delete(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rev++
+	delete(s.items, key)
+}
+
 func (s *Store) put(key string, value []byte, lease int64) int64 {
 	s.rev++
 	created := s.rev
--- a/standin/worker/judge.go
+++ b/standin/worker/judge.go
@@ -20,6 +20,7 @@
 	rejectedJobs map[string]bool
 	startedJobs  map[string]bool
 	events       []TraceEvent
+	cordons      cordons
 }
 
 // RunLocation identifies a run and the runner process that executes it.
--- a/standin/worker/orders.go
+++ b/standin/worker/orders.go
@@ -244,6 +244,7 @@
 	if json.Unmarshal([]byte(b.Spec), &spec) != nil {
 		return response{status: http.StatusBadRequest}
 	}
+	r.Checker.checkCordon(r.DataCentre, b.Task, b.arrivedAt)
 	x := &run{number: b.Run, cpu: spec.CPU}
 	r.runs[b.Task] = x
 	r.Checker.runStarted(b.Task, r.location(x))
