Runners that are cold after their start are used last, and teach no run times

What callers would see. A runner reports for how long it stays slow after its start (cold_left_ms). The guard decoded it and nobody used it: such a runner got as much as the others, its runs counted as the contract's, and it counted as slow for seconds after it was warm.

The guard tells its entries; while a runner is cold it comes after those that are warm, and its runs change neither the contract's run times nor the level by which slow endpoints are found.

--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -19,6 +19,8 @@
 	// Reconciled is true once no run that an earlier incarnation of the guard ordered is running
 	// or can still start.
 	Reconciled bool
+	// ColdLeft is how much longer the runner is slow after its start.
+	ColdLeft time.Duration
 }
 
 // endpoint is a runner with its guard.
@@ -47,8 +49,13 @@
 	suspects int
 	// cordoned is true while the endpoint's data centre is cordoned.
 	cordoned bool
+	// coldUntil is the time until which the runner is slow after its start.
+	coldUntil time.Duration
 }
 
+// cold reports whether the endpoint's runner is still slow after its start.
+func (e *endpoint) cold(now time.Duration) bool { return now < e.coldUntil }
+
 func (e *endpoint) free() work.Amounts { return e.total.Sub(e.used).Sub(e.ordered) }
 
 // AttachEndpoint adds an endpoint, or marks it reachable again, and returns the runs whose state its
@@ -161,6 +168,7 @@
 	e.maxTotal = e.maxTotal.Max(r.Total)
 	e.used = r.Used
 	e.labels = r.Labels
+	e.coldUntil = now + r.ColdLeft
 }
 
 // setService assigns an endpoint to another service, or to none for nil.
@@ -200,7 +208,8 @@
 	Accepting State = "taking"
 	// Closed: its guard accepts no starts.
 	Closed State = "closed"
-	// Ejected: it is ejected because its runs fail; a single task is tried there now and then.
+	// Ejected: it is ejected because its runs fail, and a single task is tried there now and then;
+	// or its runner restarts too often.
 	Ejected State = "set_aside"
 	// Unresponsive: a start order there is overdue for an answer.
 	Unresponsive State = "silent"
--- a/dispatch/planner/health.go
+++ b/dispatch/planner/health.go
@@ -121,6 +121,8 @@
 
 const (
 	tierNormal tier = iota
+	// tierCold: slow for a while after its start.
+	tierCold
 	tierSlow
 	// tierProbe: due for a single trial task, after its ejection or because it is slow.
 	tierProbe
@@ -137,6 +139,8 @@
 		return tierProbe
 	case e.speed.slow:
 		return tierSlow
+	case e.cold(now):
+		return tierCold
 	default:
 		return tierNormal
 	}
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -140,16 +140,22 @@
 	}
 	expected := j.expected[t.step]
 	ratio := e.service.runTimes.relative(float64(ran) / float64(max(expected, time.Millisecond)))
+	if e.cold(now - ran) {
+		// The run says nothing of the endpoint's speed once it is warm.
+		ratio = max(e.health.meanRatio, 1)
+	}
 	e.health.recordSuccess(ratio)
 	p.updateFailureRate(e.service, 0)
 	estimate := p.estimate(j.terms.Contract)
-	if e.speed.slow {
+	slow := e.speed.slow || e.cold(now-ran)
+	switch {
+	case e.speed.slow:
 		e.recordSlowRun(now, ratio)
-	} else {
+	case !slow:
 		e.service.runTimes.add(ratio)
 		estimate.normalRunAt = now
 	}
-	if estimate.learnsFrom(now, e.speed.slow) {
+	if estimate.learnsFrom(now, slow) {
 		p.recordRunTime(now, j, ran, j.work.Steps[t.step].Declared)
 	}
 	if j.outcome != 0 {
--- a/guard/host/adopt.go
+++ b/guard/host/adopt.go
@@ -26,6 +26,7 @@
 				p.lastReport = r.Seq
 				h.table.SetService(r.Service)
 				h.table.SetCapacity(r.Capacity, r.Labels, r.Draining)
+				h.table.SetColdUntil(uptime.Now() + r.ColdLeft)
 				p.syncClock(r.Clock, h.monotonic())
 			}
 			h.mu.Unlock()
@@ -330,6 +331,7 @@
 	}
 	if c.Seq > 0 {
 		h.table.SetCapacity(c.Capacity, c.Labels, c.Draining)
+		h.table.SetColdUntil(now + c.ColdLeft)
 	}
 	reports = append(reports, h.table.ApplyListing(now, p.requestedAt, listing)...)
 	h.mu.Unlock()
--- a/guard/runs/process.go
+++ b/guard/runs/process.go
@@ -14,6 +14,8 @@
 	described bool
 	// draining is true once the process has reported that it is shutting down.
 	draining bool
+	// coldUntil is the uptime until which the runner is slow after its start.
+	coldUntil time.Duration
 	// expiring is true while the lease is left to expire: see SetExpiring.
 	expiring bool
 	// listingRead is true once a run listing of the process has been read: from then on the runs
@@ -105,6 +107,13 @@
 	t.runner.draining = t.runner.draining || draining
 }
 
+// SetColdUntil records the uptime until which the runner is slow after its start.
+func (t *Table) SetColdUntil(until time.Duration) {
+	if t.runner != nil {
+		t.runner.coldUntil = until
+	}
+}
+
 // SetExpiring records whether the lease is left to expire, because the current process does not
 // answer and has deregistered or seems to be replaced. While it is set, no starts are accepted and
 // no lease is extended, so that the runs are over once the lease has expired.
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -165,7 +165,7 @@
 	if t.runner == nil {
 		return Capacity{}
 	}
-	return Capacity{Process: t.runner.Process, AcceptsStarts: t.AcceptsStarts(), Reconciled: t.runner.listingRead && len(t.runner.orphans) == 0, Used: t.used}
+	return Capacity{Process: t.runner.Process, AcceptsStarts: t.AcceptsStarts(), Reconciled: t.runner.listingRead && len(t.runner.orphans) == 0, Used: t.used, ColdUntil: t.runner.coldUntil}
 }
 
 // HasCapacity reports whether another run of the size that was requested last fits.
--- a/guard/runs/types.go
+++ b/guard/runs/types.go
@@ -105,6 +105,8 @@
 	// start.
 	Reconciled bool
 	Used       work.Amounts
+	// ColdUntil is the uptime until which the runner is slow after its start.
+	ColdUntil time.Duration
 }
 
 // Start is a start to be sent to the runner.
--- a/guard/uplink/outbox.go
+++ b/guard/uplink/outbox.go
@@ -219,7 +219,7 @@
 	defer s.mu.Unlock()
 	s.sentCapacity, s.sentRetiring = r, s.retiring
 	s.capacityClock = clock.Truncate(time.Microsecond)
-	m := wireCapacity(r)
+	m := wireCapacity(clock, r)
 	m.Open = m.Open && !s.retiring
 	m.Retiring = s.retiring
 	return m
--- a/guard/uplink/wire.go
+++ b/guard/uplink/wire.go
@@ -8,7 +8,8 @@
 	"almondstand.dev/wire/wirev1"
 )
 
-func wireCapacity(r runs.Capacity) *wirev1.Capacity {
+// wireCapacity converts a capacity that is sent at the uptime now.
+func wireCapacity(now time.Duration, r runs.Capacity) *wirev1.Capacity {
 	return &wirev1.Capacity{
 		Service:   r.Service,
 		Runner:    r.ID,
@@ -19,6 +20,7 @@
 		Cleared:   r.Reconciled,
 
 		RunnerBornMs: r.StartedMilli,
+		ColdLeftMs:   uint32(max(r.ColdUntil-now, 0).Milliseconds()),
 	}
 }
 
