An entry that shuts down closes its idle connections before it rejects jobs

"Connection: close" goes out with answers only.

Once the balancer sends no new connections, idle connections are closed; a caller opens the next one to another entry. A job that arrives in the milliseconds between is rejected as before.

Ruled out: closing at once, as the balancer would send the callers back until it has noticed.

The new test fails without the change: the connection is still open after 3 s.

--- a/e2e/fleet_test.go
+++ b/e2e/fleet_test.go
@@ -1,8 +1,12 @@
 package e2e
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -249,6 +253,43 @@
 	assert.NilError(t, f.Entries[0].Process().Err())
 }
 
+// Guards against rejected jobs when entries are rolled: a caller that keeps its connection to an
+// entry learns that the entry shuts down while the connection is idle, and not by a rejection.
+func TestFleetShutdownClosesIdleConnections(t *testing.T) {
+	f := startFleet(t, 2, 2)
+	var d net.Dialer
+	conn, err := d.DialContext(t.Context(), "tcp", f.Entries[0].CallersAddress)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	body := fleet.NewJob(1, 10).Body()
+	_, err = fmt.Fprintf(conn, "POST %s%016x HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", fleet.Prefix, 7, fleet.Host, len(body), body)
+	assert.NilError(t, err)
+	reader := bufio.NewReader(conn)
+	res, err := http.ReadResponse(reader, nil)
+	assert.NilError(t, err)
+	assert.Equal(t, res.StatusCode, 200)
+	_, err = io.Copy(io.Discard, res.Body)
+	assert.NilError(t, err)
+	var open sync.WaitGroup
+	defer open.Wait()
+	open.Go(func() {
+		job := fleet.NewJob(1, 3500)
+		job.Deadline = 5 * time.Second
+		a := f.SubmitOnce(t.Context(), f.Entries[0], fleet.Prefix, job)
+		assert.Check(t, a.Status == 200, "%d %s", a.Status, a.Text)
+	})
+	time.Sleep(100 * time.Millisecond)
+	f.Entries[0].Process().Terminate()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(3*time.Second)))
+	_, err = reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+	select {
+	case <-f.Entries[0].Process().Done():
+		t.Error("the entry ended before its open job")
+	default:
+	}
+}
+
 // A change of the configuration is in force within 2 s of its write to the store. A value
 // that can't be parsed changes nothing. An entry that gets no answer from the store
 // receives the change from another entry.
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -55,6 +55,8 @@
 	sessions *sessions.Server
 	lag      *lag.Meter
 	front    *front.Handler
+	// callers is the server of the callers' connections.
+	callers  *http.Server
 	draining atomic.Bool
 	// runnerReached is true once at least one runner was reachable. Until then the
 	// entry is not ready: it would reject jobs that other entries can serve.
@@ -84,6 +86,13 @@
 	e.lag = lag.New(o.Metrics.Scope, o.Logger)
 	e.sessions = sessions.New(sessions.Options{Entry: s.ID, Incarnation: incarnation, Logger: o.Logger, Lag: e.lag}, e.jobs, e.members)
 	e.front = front.New(e.config, e.jobs, o.Logger)
+	e.callers = &http.Server{
+		Handler:           e.front,
+		ConnContext:       ingress.ConnContext,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
 	return e
 }
 
@@ -135,13 +144,7 @@
 		return serve(c, s.Listen.Ready.String(), &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: readHeaderTimeout})
 	})
 	addActor(func(c context.Context) error {
-		return serve(c, s.Listen.Callers.String(), &http.Server{
-			Handler:           e.front,
-			ConnContext:       ingress.ConnContext,
-			ReadHeaderTimeout: readHeaderTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-		})
+		return serve(c, s.Listen.Callers.String(), e.callers)
 	})
 	if s.Listen.Metrics.IsValid() {
 		mux := http.NewServeMux()
@@ -177,8 +180,8 @@
 }
 
 // drain waits until shutdownCtx ends. It then reports the entry as not ready,
-// still accepts requests until the load balancer has noticed, rejects them after
-// that, and waits until every open request is answered or the grace period has
+// still accepts requests until the load balancer has noticed, closes idle
+// connections and rejects requests after that, and waits until every open request is answered or the grace period has
 // almost passed.
 func (e *Entry) drain(shutdownCtx, runCtx context.Context) error {
 	select {
@@ -192,6 +195,10 @@
 	e.draining.Store(true)
 	e.front.DisableKeepAlives()
 	time.Sleep(bounds.BalancerNotice.Std())
+	// New connections go to other entries by now, so callers whose idle connections are closed
+	// reach one that takes their jobs. On a connection that is left open the next job would be
+	// rejected.
+	e.callers.SetKeepAlivesEnabled(false)
 	e.front.RejectNewJobs()
 	limit := bounds.GracePeriod.Std() - exitReserve
 	for e.front.InFlight() > 0 && time.Since(start) < limit {
