--- a/dispatch/planner/cold_test.go
+++ b/dispatch/planner/cold_test.go
@@ -54,3 +54,14 @@
 	assert.Equal(t, f.CountSlow(), 0)
 	assert.Equal(t, f.estimate("lookup").meanRan, before)
 }
+
+// Guards against runs that teach nothing because a report of a warm runner arrived while they lasted.
+func TestRunsOfWarmEndpointsTeach(t *testing.T) {
+	f := newFleet(t, 4)
+	s := f.submit("j", 1, 60*ms).Starts[0]
+	f.report(s, Running)
+	f.now += 170 * ms
+	f.setCold(0, 0)
+	f.ReportRun(f.now, s.Endpoint, s.Run, Done, 170*ms)
+	assert.Equal(t, f.estimate("lookup").meanRan, 0.17)
+}
--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -168,7 +168,10 @@
 	e.maxTotal = e.maxTotal.Max(r.Total)
 	e.used = r.Used
 	e.labels = r.Labels
-	e.coldUntil = now + r.ColdLeft
+	e.coldUntil = 0
+	if r.ColdLeft > 0 {
+		e.coldUntil = now + r.ColdLeft
+	}
 }
 
 // setService assigns an endpoint to another service, or to none for nil.
