guard/uplink: a guard with a late start keeps sessions with all entries

What callers could see. A task ran twice in deployments of more than twelve entries: its start went unanswered, the caller left and submitted the job again to an entry outside the guard's subset, which knew nothing of the start that the runner may still execute, and started the task elsewhere. TestLateStartsReachEntriesOutsideTheSubset showed it each time: 12 of 13 entries.

While the runner may execute such a start (14 s) the guard connects to every entry that it knows, and each new session is sent the late starts first.

Entries that pass late starts on to each other: a message from each entry to each of tens, and a second way by which they arrive. Cost of the one taken: some tens of sessions for 14 s at a guard whose runner names its start time and left a start unanswered; none otherwise.

--- a/guard/uplink/events.go
+++ b/guard/uplink/events.go
@@ -17,6 +17,8 @@
 	lookupFailed = eventlog.Define(2225, "guard.entries_not_read", slog.LevelWarn,
 		"The list of entries could not be read from the store when the guard started; the guard discovers them from the entries named in its settings.",
 		"None if the store was down. Otherwise check the network to it.")
+	lateStartsSent = eventlog.Define(2226, "guard.late_starts_sent", slog.LevelInfo,
+		"The guard sent an entry tasks of which its runner may still execute a start; see guard.start_late. first_job is the job of the first.", "None.")
 	entryForgotten = eventlog.Define(2223, "guard.entry_forgotten", slog.LevelInfo,
 		"An entry that was unreachable and that no settings or other entry name any more was removed.", "None.")
 )
--- a/guard/uplink/outbox.go
+++ b/guard/uplink/outbox.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"log/slog"
 	"slices"
 	"time"
 
@@ -139,7 +140,7 @@
 		reports, capacity, wait := s.take(time.Now())
 		// The late starts are read after the reports were taken, so that a report on the end of a
 		// run is never sent before the late start of that run.
-		late := s.takeLateStarts(uptime.Now())
+		late := s.takeLateStarts(ctx, uptime.Now())
 		if len(reports) == 0 && len(late) == 0 && !capacity && time.Since(heartbeat) < heartbeatInterval {
 			timer.Reset(min(wait, heartbeatInterval-time.Since(heartbeat)))
 			continue
@@ -163,13 +164,17 @@
 
 // takeLateStarts returns the late starts that the session has not sent yet. Only the sender calls
 // it.
-func (s *session) takeLateStarts(now time.Duration) []*wirev1.LateStart {
+func (s *session) takeLateStarts(ctx context.Context, now time.Duration) []*wirev1.LateStart {
 	late, last := s.up.host.LateStarts(s.lateStartsSent)
 	s.lateStartsSent = last
 	var m []*wirev1.LateStart
 	for _, l := range late {
 		m = append(m, &wirev1.LateStart{Task: fleetwire.ToTaskName(l.Task), LeftMs: uint32((l.Until - now).Milliseconds())})
 	}
+	if len(m) > 0 {
+		lateStartsSent.Log(ctx, s.up.logger, slog.String("entry", s.owner.Entry), slog.Int("tasks", len(m)),
+			slog.String("first_job", m[0].GetTask().GetJob()))
+	}
 	return m
 }
 
--- a/guard/uplink/uplink.go
+++ b/guard/uplink/uplink.go
@@ -94,6 +94,8 @@
 	links map[string]*link
 	// size is the number of reachable entries to keep sessions with.
 	size int
+	// allEntries is true while the guard keeps sessions with all known entries.
+	allEntries bool
 	// current is the newest session of each entry, by the entry's id.
 	current map[string]*session
 	// receiving is held while a message is handled, and while a session replaces an older one.
@@ -214,8 +216,13 @@
 
 // LateStartsChanged implements host.Sink.
 func (u *Uplink) LateStartsChanged() {
+	hasLateStarts := u.hasLateStarts()
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if hasLateStarts && !u.allEntries {
+		u.allEntries = true
+		u.choose()
+	}
 	for _, s := range u.current {
 		notify(s.wake)
 	}
