A runner that resets connections, or refuses them, gets no orders until it answers again

What callers saw. Runners that go down and up by turns accept connections and reset them. New starts went there too, and were lost one after the other.

A failed stop is due again at once, run by run; nothing said that the runner as a whole can't be reached.

Two polls in a row whose connections are reset, or one that is refused, mean that the runner is down: the guard accepts no starts and sends no stops, and polls it after an eighth of the time for which it has been down (30 to 500 ms). With the first answer it goes on. Leases are not extended meanwhile, as before. A runner that reports no start time isn't polled every 5 ms after an unanswered start: there is nothing to fence.

--- a/bench/replay/arrivals.go
+++ b/bench/replay/arrivals.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -88,7 +89,24 @@
 			r *= b.Times
 		}
 	}
-	return r
+	if l.Swing.Depth == 0 {
+		return r
+	}
+	callers := 0.0
+	for _, z := range l.DataCentres {
+		callers += l.callers(z, at)
+	}
+	return r * callers
+}
+
+// callers returns a data centre's share of the callers at a time. The sum over all data centres
+// is one on average.
+func (l Load) callers(z DataCentre, at time.Duration) float64 {
+	if l.Swing.Depth == 0 {
+		return z.Callers
+	}
+	periods := float64(at)/float64(l.Swing.Period) + z.Phase
+	return z.Callers * (1 + l.Swing.Depth*math.Sin(2*math.Pi*periods))
 }
 
 // Ranges of the size of a job relative to its kind's mean, and of the factor by which a
@@ -99,7 +117,7 @@
 )
 
 func (l Load) draw(random *rand.Rand, kind int, at time.Duration) arrival {
-	z := l.drawDataCentre(random)
+	z := l.drawDataCentre(random, at-simStart)
 	size := minSize + random.Float64()*sizeRange
 	declared := size * (minDeclaredFactor + declaredFactorRange*random.Float64())
 	return arrival{at: at, kind: kind, dataCentre: z.Name, entry: z.drawEntry(random), size: size, declared: declared}
@@ -115,10 +133,17 @@
 	return address.IntN(z.Entries)
 }
 
-func (l Load) drawDataCentre(random *rand.Rand) DataCentre {
-	share := random.Float64()
+func (l Load) drawDataCentre(random *rand.Rand, at time.Duration) DataCentre {
+	total := 1.0
+	if l.Swing.Depth > 0 {
+		total = 0
+		for _, z := range l.DataCentres {
+			total += l.callers(z, at)
+		}
+	}
+	share := random.Float64() * total
 	for _, z := range l.DataCentres {
-		if share -= z.Callers; share < 0 {
+		if share -= l.callers(z, at); share < 0 {
 			return z
 		}
 	}
--- a/bench/replay/guard.go
+++ b/bench/replay/guard.go
@@ -51,6 +51,7 @@
 	g.running = map[work.RunnerRunID]bool{}
 	g.deliver(g.table.Adopt(g.sim.now, runs.Process{Incarnation: g.incarnation(), Service: service}))
 	g.table.SetCapacity(work.Amounts{CPUMilli: g.cpu}, nil, false)
+	g.table.RunnerUp()
 	g.applyListing(nil)
 }
 
@@ -61,6 +62,10 @@
 }
 
 func (g *guard) injectFault(t RunnerFault) {
+	if t.Kind == Flapping {
+		g.flap(g.sim.now + t.For)
+		return
+	}
 	g.fault, g.slowdown = t.Kind, max(t.Times, 1)
 	if t.Kind == Gone {
 		g.deliver(sortByTask(g.table.RemoveProcess(g.sim.now)))
@@ -68,6 +73,9 @@
 }
 
 func (g *guard) clearFault(t RunnerFault) {
+	if t.Kind == Flapping {
+		return
+	}
 	g.fault, g.slowdown = 0, 1
 	if t.Kind == Gone {
 		g.startRunner()
@@ -150,6 +158,7 @@
 	g.sim.result.countCrash(by)
 	g.generation++
 	g.fault = Gone
+	g.table.RunnerDown()
 	g.running = map[work.RunnerRunID]bool{}
 	g.sim.after(leaseExpiry, func() { g.deliver(sortByTask(g.table.LeaseExpired(g.sim.now, true))) })
 	g.sim.after(restartTime, func() {
@@ -158,6 +167,26 @@
 	})
 }
 
+// flapTime is how long a flapping runner is down, and then up.
+const flapTime = 500 * time.Millisecond
+
+// flap crashes and restarts the runner until the given time.
+func (g *guard) flap(until time.Duration) {
+	if g.sim.now >= until {
+		return
+	}
+	g.sim.result.RunsLost += len(g.running)
+	g.generation++
+	g.fault = Gone
+	g.table.RunnerDown()
+	g.running = map[work.RunnerRunID]bool{}
+	g.sim.after(flapTime, func() {
+		g.fault = 0
+		g.startRunner()
+		g.sim.after(flapTime, func() { g.flap(until) })
+	})
+}
+
 func (g *guard) run(name work.RunnerRunID, d time.Duration) {
 	switch g.fault {
 	case Hanging:
--- a/bench/replay/load.go
+++ b/bench/replay/load.go
@@ -37,6 +37,15 @@
 	// CPUShare is the share of a core that each entry host has; zero disables the
 	// simulation of processor time.
 	CPUShare float64
+	// Phase shifts the Swing of the callers, in periods.
+	Phase float64
+}
+
+// Swing is a periodic change of the rate of all callers of a data centre by the factor
+// 1 ± Depth; a Depth of zero means none.
+type Swing struct {
+	Depth  float64
+	Period time.Duration
 }
 
 // Burst multiplies the rate of one kind, or of all kinds if Kind is empty.
@@ -59,6 +68,8 @@
 	Hanging
 	// Gone: the runner and all its runs disappear; the runner returns without runs.
 	Gone
+	// Flapping: the runner crashes and restarts after half a second, every second.
+	Flapping
 )
 
 // RunnerFault is a fault of the first Runners runners of each data centre, from At on and
@@ -102,6 +113,7 @@
 	RunnerFaults   []RunnerFault
 	EntrySlowdowns []EntrySlowdown
 	CrashingJobs   []CrashingJobs
+	Swing          Swing
 }
 
 // runnerCPU returns the capacity of the n-th runner, in thousandths of a core.
@@ -166,5 +178,5 @@
 	hanging.RunnerFaults = []RunnerFault{{At: 4 * time.Second, For: 5 * time.Second, Kind: Hanging, Runners: 1}}
 	gone := base("gone")
 	gone.RunnerFaults = []RunnerFault{{At: 4 * time.Second, For: 3 * time.Second, Kind: Gone, Runners: 3}}
-	return append([]Load{calm, burst, narrowBurst, slow, failing, hanging, gone}, slices.Concat(smallLoads(), largeLoads(), thinEntryLoads(), crashLoads())...)
+	return append([]Load{calm, burst, narrowBurst, slow, failing, hanging, gone}, slices.Concat(smallLoads(), largeLoads(), thinEntryLoads(), crashLoads(), shiftedLoads())...)
 }
--- a/bench/replay/result.go
+++ b/bench/replay/result.go
@@ -56,7 +56,9 @@
 	// crashes.
 	Crashes         map[*pendingJob]int
 	FailedByCrashes int
-	kinds           []Kind
+	// RunsLost is the number of runs that flapping runners lost.
+	RunsLost int
+	kinds    []Kind
 }
 
 func newResult(l Load, policy string) *Result {
--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -48,8 +48,8 @@
 	retryDelay = 30 * time.Millisecond
 	// expiredPollInterval is the time between polls of a runner whose leases have all expired.
 	expiredPollInterval = 500 * time.Millisecond
-	// earlyFenceWindow is the time after an unanswered start for which the runner is polled also
-	// while it is idle. A process that starts under the same id knows no fencing token and no
+	// earlyFenceWindow is the time after an unanswered start for which a runner that reports its
+	// start time is polled also while it is idle; see settleStart for the others. A process that starts under the same id knows no fencing token and no
 	// stop; if it is fenced early, copies of the start that reach it later have no effect.
 	earlyFenceWindow = 3 * time.Second
 	// endedPollInterval is the time between polls of an ended process within earlyFenceWindow.
@@ -140,6 +140,10 @@
 	lastPollLost time.Duration
 	// fenceEarlyUntil is the uptime until which the runner is polled also while it is idle.
 	fenceEarlyUntil time.Duration
+	// resets counts the polls in a row whose connections were reset.
+	resets int
+	// downSince is the uptime since which the runner is down, if it is.
+	downSince time.Duration
 	// lateStartsSignalled is the highest number of a late start of which the sink was notified.
 	lateStartsSignalled uint64
 
@@ -391,7 +395,10 @@
 	err := answer.err
 	h.mu.Lock()
 	p.recordReply(answer, h.monotonic())
-	if answer.hedged || errors.Is(err, runner.ErrOutcomeUnknown) {
+	if errors.Is(err, runner.ErrConnectionRefused) && h.process == p {
+		h.recordReachability(err)
+	}
+	if p.StartedMilli > 0 && (answer.hedged || errors.Is(err, runner.ErrOutcomeUnknown)) {
 		h.fenceEarlyUntil = now + earlyFenceWindow
 	}
 	if answer.rest.inFlight == 0 {
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -107,7 +107,7 @@
 func (h *Host) needsPoll() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.process != nil && (!h.table.Idle() || h.hasUnread() || h.fencesEarly())
+	return h.process != nil && (!h.table.Idle() || h.hasUnread() || h.table.RunnerIsDown() || h.fencesEarly())
 }
 
 // hasUnread reports whether the current process's run listing has not been read, or ended runs in
@@ -198,6 +198,7 @@
 	var reports []runs.Report
 	pause = retryDelay
 	p.unresponsive = err != nil
+	h.recordReachability(err)
 	if errors.Is(err, runner.ErrOutcomeUnknown) {
 		h.lastPollLost = now
 	}
@@ -221,8 +222,11 @@
 		reports = h.table.LeaseExpired(now, errors.Is(err, runner.ErrConnectionRefused))
 		pause = expiredPollInterval
 	}
-	if errors.Is(err, runner.ErrConnectionRefused) && h.fencesEarly() {
+	switch {
+	case errors.Is(err, runner.ErrConnectionRefused) && h.fencesEarly():
 		pause = endedPollInterval
+	case h.table.RunnerIsDown():
+		pause = max(pause, h.downPollPause())
 	}
 	h.sendStops(now)
 	h.mu.Unlock()
--- a/guard/host/restart_test.go
+++ b/guard/host/restart_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,17 +29,50 @@
 	runner *worker.Runner
 	// next numbers the tasks.
 	next int
+	// calls counts the polls and stops that were sent. While resetting is true, their connections
+	// are reset.
+	calls     atomic.Int64
+	resetting atomic.Bool
+}
+
+// fixtureRunner counts calls of a runner, and fails them while connections are reset.
+type fixtureRunner struct {
+	Runner
+	x *restartFixture
+}
+
+func (r fixtureRunner) call() error {
+	r.x.calls.Add(1)
+	if r.x.resetting.Load() {
+		return runner.ErrConnectionReset
+	}
+	return nil
+}
+
+func (r fixtureRunner) Poll(ctx context.Context, until time.Duration, seen int64, wait time.Duration) (work.Listing, error) {
+	if err := r.call(); err != nil {
+		return work.Listing{}, err
+	}
+	return r.Runner.Poll(ctx, until, seen, wait)
+}
+
+func (r fixtureRunner) Stop(ctx context.Context, run work.RunnerRunID) (time.Duration, error) {
+	if err := r.call(); err != nil {
+		return 0, err
+	}
+	return r.Runner.Stop(ctx, run)
 }
 
 func newRestartFixture(t *testing.T, r *worker.Runner) *restartFixture {
 	t.Helper()
+	x := &restartFixture{t: t, sink: &reportRecorder{}, runner: r}
 	h := New(Options{
 		MaxLease: time.Second,
-		Dial:     func(t runner.Target) Runner { return runner.New(t) },
+		Dial:     func(t runner.Target) Runner { return fixtureRunner{runner.New(t), x} },
 		Logger:   slog.New(slog.NewJSONHandler(io.Discard, nil)),
 		Metrics:  NewMetrics(tally.NoopScope),
 	})
-	x := &restartFixture{t: t, host: h, sink: &reportRecorder{}, runner: r}
+	x.host = h
 	server := httptest.NewServer(runner.Handler(h))
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -327,3 +361,41 @@
 	t.Logf("reported %s after the crash", took)
 	assert.Assert(t, took < limit, "reported %s after the crash", took)
 }
+
+// Guards against hundreds of connections a second to the address of a runner that has crashed: the
+// next process of a runner that reports no start time rejects the starts of the last one, so that
+// nothing is gained by meeting it within milliseconds.
+func TestEndedProcessWithoutStartTimeIsPolledSeldom(t *testing.T) {
+	x := newRestartFixture(t, &worker.Runner{OmitStartTime: true})
+	x.runner.SetFault(worker.Fault{LateShare: 1, LateBy: time.Hour, LateStarts: true})
+	id := x.order(0, 1, `{"ms":2000,"cpu":1000}`)
+	assert.Equal(t, x.finalReport(id).State, runs.NotStarted)
+	x.runner.Kill()
+	before := x.calls.Load()
+	time.Sleep(time.Second)
+	polls := x.calls.Load() - before
+	assert.Assert(t, polls <= int64(time.Second/retryDelay), "%d polls", polls)
+}
+
+// Guards against hundreds of connections a second to a runner that accepts connections and resets
+// them: a stop for each run, every few milliseconds. The stops are sent once it answers again.
+func TestRunnerThatResetsConnectionsIsCalledSeldom(t *testing.T) {
+	x := newRestartFixture(t, &worker.Runner{OmitStartTime: true})
+	var ids []work.RunID
+	for i := range 6 {
+		ids = append(ids, x.order(i, 1, `{"ms":60000,"cpu":1000}`))
+	}
+	x.until("the runs begin", func() bool { return x.runner.Checker.Running() == len(ids) })
+	const down = 400 * time.Millisecond
+	x.resetting.Store(true)
+	x.until("the runner is down", func() bool { return !x.host.Capacity().AcceptsStarts })
+	before := x.calls.Load()
+	x.host.Submit(uptime.Now(), owner, nil, ids)
+	time.Sleep(down)
+	calls := x.calls.Load() - before
+	assert.Assert(t, calls <= int64(down/retryDelay), "%d calls", calls)
+	x.resetting.Store(false)
+	for _, id := range ids {
+		assert.Equal(t, x.finalReport(id).State, runs.Stopped)
+	}
+}
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -94,8 +94,10 @@
 	// shuttingDown is true once the guard itself shuts down.
 	shuttingDown bool
 	cordon       cordon
-	used         work.Amounts
-	runs         map[work.TaskID]*run
+	// down is true while the runner can't be reached.
+	down bool
+	used work.Amounts
+	runs map[work.TaskID]*run
 	// lastNumbers holds the highest run number used for each task.
 	lastNumbers map[work.TaskID]taskNumber
 	lastHeard   map[Owner]time.Duration
@@ -141,7 +143,7 @@
 
 // AcceptsStarts reports whether starts are accepted.
 func (t *Table) AcceptsStarts() bool {
-	return !t.shuttingDown && !t.cordon.active && t.runner != nil && t.runner.acceptsStarts() && !t.hasReportedOver()
+	return !t.shuttingDown && !t.cordon.active && !t.down && t.runner != nil && t.runner.acceptsStarts() && !t.hasReportedOver()
 }
 
 // hasReportedOver reports whether a run was reported as over that the runner may still have.
--- a/guard/runs/sweep.go
+++ b/guard/runs/sweep.go
@@ -108,7 +108,7 @@
 }
 
 // Stops returns the stops to send now: for runs marked for stopping, runs whose caller no
-// longer waits or whose entry is silent, and orphans.
+// longer waits or whose entry is silent, and orphans. There are none while the runner is down.
 func (t *Table) Stops(now time.Duration) []Stop {
 	var stops []Stop
 	for _, r := range t.runs {
@@ -117,12 +117,12 @@
 		}
 		// A run that was reported as over gets no stop until the runner lists it again: see
 		// markPresent.
-		if r.stoppingSince > 0 && !r.stopAcked && !r.stopSent && !r.endReported {
+		if r.stoppingSince > 0 && !r.stopAcked && !r.stopSent && !r.endReported && !t.down {
 			r.stopSent = true
 			stops = append(stops, Stop{r.name})
 		}
 	}
-	if t.runner == nil {
+	if t.runner == nil || t.down {
 		return stops
 	}
 	for n, sent := range t.runner.orphans {
