--- a/bench/replay/replay_test.go
+++ b/bench/replay/replay_test.go
@@ -138,6 +138,19 @@
 	}
 }
 
+// TestChangedWork: nearly half of the work is long and least urgent, the load swings out of phase
+// between data centres, two of which have small entry hosts only, and a burst comes at the top of it;
+// in the second load four runners go down and up meanwhile. Nearly all jobs that could be answered on
+// time must be.
+func TestChangedWork(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"shifted-burst", "shifted-flapping"} {
+		ours := simulate(t, name)
+		share := shareOfOracle(ours, load(t, name))
+		assert.Assert(t, share > 0.93 && share <= 1, "%s: %.3f of the oracle", name, share)
+	}
+}
+
 // TestRestartAtFullLoad: all runners disappear for 1.5 s at full load, and the jobs
 // that arrive meanwhile wait. When they are kept, some are late; if they were rejected,
 // they would get no answer.
