--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"time"
 
@@ -25,27 +24,6 @@
 // the same id to end: a stop takes about 60 ms, a lease expires after 700 ms.
 const runsEndedTimeout = 800 * time.Millisecond
 
-// Detection of a paused process, for example by SIGSTOP or a suspended virtual machine.
-const (
-	// pauseCheckInterval is the interval between two readings of the clock.
-	pauseCheckInterval = 100 * time.Millisecond
-	// pauseThreshold is the gap between two readings above which the process is considered to have
-	// been paused. Guards stop the runs of an entry that has sent nothing for 520 ms.
-	pauseThreshold = 500 * time.Millisecond
-	// resumeDelay is how long no task is started after a pause. The messages that arrived
-	// meanwhile are read in no particular order: if the end of a run is read before the disconnect
-	// of its caller, the task would be started again although its job already runs through another
-	// entry. Processing a message takes microseconds, and a CPU-throttled process gets its share
-	// within 100 ms.
-	resumeDelay = 100 * time.Millisecond
-)
-
-// callersCheckInterval is the minimum interval between two checks of the callers' connections.
-// Guards end the runs of an entry 1150 ms after its last message at the latest. A caller submits
-// its job again 1.3 s after its connection broke, and no message is sent later than this interval
-// after that without the order to stop its runs.
-const callersCheckInterval = 25 * time.Millisecond
-
 // Guard sends orders to one endpoint. Its methods must not block.
 type Guard interface {
 	SendOrders(starts []planner.Start, stops []planner.Stop)
@@ -99,9 +77,6 @@
 	arrived time.Duration
 }
 
-// caller is one caller of a job. Its context ends when it disconnects.
-type caller struct{ ctx context.Context }
-
 type cachedAnswer struct {
 	answer planner.Answer
 	at     time.Duration
@@ -123,40 +98,6 @@
 	return e
 }
 
-// Run detects pauses of the process until the context ends.
-func (e *Engine) Run(ctx context.Context) error {
-	defer e.actTimer.Stop()
-	tick := time.NewTicker(pauseCheckInterval)
-	defer tick.Stop()
-	e.mu.Lock()
-	e.lastCheck = uptime.Now()
-	e.mu.Unlock()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-		e.mu.Lock()
-		e.checkPause(uptime.Now())
-		e.mu.Unlock()
-	}
-}
-
-// checkPause reads the clock and suspends new starts if the process was paused since the last
-// reading. The caller holds the lock.
-func (e *Engine) checkPause(now time.Duration) {
-	if e.lastCheck == 0 {
-		// Run has not been called yet.
-		return
-	}
-	if now-e.lastCheck > pauseThreshold {
-		e.plan.PauseStarts(now + resumeDelay)
-		processPaused.Log(context.Background(), e.logger, millis("for_ms", now-e.lastCheck))
-	}
-	e.lastCheck = now
-}
-
 func (e *Engine) tick() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -240,61 +181,6 @@
 	return false
 }
 
-// removeCaller removes one caller of a job. A job without callers is cancelled.
-func (e *Engine) removeCaller(id string, w *jobWaiters, c *caller) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := uptime.Now()
-	if e.dropCaller(now, id, w, c) {
-		e.applyActions(now)
-	}
-}
-
-// dropCaller removes one caller of a job, and cancels the job if it was the last. It reports
-// whether the job was cancelled. The caller of the method holds the lock.
-func (e *Engine) dropCaller(now time.Duration, id string, w *jobWaiters, c *caller) bool {
-	i := slices.Index(w.callers, c)
-	if i < 0 {
-		return false
-	}
-	w.callers = slices.Delete(w.callers, i, i+1)
-	callerGone.Log(context.Background(), e.logger, slog.String("job", id), millis("waited_ms", now-w.arrived), slog.Int("callers_left", len(w.callers)))
-	if len(w.callers) > 0 || e.waiters[id] != w {
-		return false
-	}
-	e.plan.Cancel(now, id)
-	return true
-}
-
-// isDisconnected reports whether the caller with the given context has disconnected.
-func (e *Engine) isDisconnected(ctx context.Context) bool {
-	return ctx.Err() != nil || e.disconnected != nil && e.disconnected(ctx)
-}
-
-// CheckCallers cancels the jobs whose callers have disconnected, unless the callers were checked
-// less than callersCheckInterval before now. An entry that is short of processor time may read
-// the ends of its callers' connections much later than it sends messages to guards, and these
-// let the runs go on.
-func (e *Engine) CheckCallers(now time.Duration) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if now-e.callersChecked < callersCheckInterval {
-		return
-	}
-	e.callersChecked = uptime.Now()
-	cancelled := false
-	for id, w := range e.waiters {
-		for i := len(w.callers) - 1; i >= 0; i-- {
-			if c := w.callers[i]; e.isDisconnected(c.ctx) {
-				cancelled = e.dropCaller(e.callersChecked, id, w, c) || cancelled
-			}
-		}
-	}
-	if cancelled {
-		e.applyActions(e.callersChecked)
-	}
-}
-
 // Cancel ends a job at its caller's request. It reports whether the job was open.
 func (e *Engine) Cancel(id string) bool {
 	e.mu.Lock()
@@ -357,80 +243,6 @@
 	return e.plan.CountReachable()
 }
 
-// GuardUpdate is the content of one guard message: its capacity, if it changed, late starts and
-// reports of runs.
-type GuardUpdate struct {
-	Status     *planner.EndpointStatus
-	LateStarts []LateStart
-	Reports    []Report
-}
-
-// LateStart is a task of which a start may be executed by the guard's runner within the time left.
-type LateStart struct {
-	Task work.TaskID
-	Left time.Duration
-}
-
-// Report is a state change of a run.
-type Report struct {
-	Run    work.RunID
-	Change planner.RunEvent
-	// Ran is how long the run has lasted according to its guard; zero if unknown.
-	Ran time.Duration
-	// Crash is set if the runner crashed during the run.
-	Crash *Crash
-}
-
-// Crash describes a runner crash that ended a run.
-type Crash struct {
-	planner.Crash
-	// OtherJobs lists the jobs of some of the other runs on that runner.
-	OtherJobs []string
-}
-
-// ApplyUpdate processes a guard's message, unless a newer session has replaced g.
-func (e *Engine) ApplyUpdate(id string, g Guard, n GuardUpdate) {
-	now := uptime.Now()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.guards[id] != g {
-		return
-	}
-	e.plan.Heard(now, id)
-	// A report on the end of a run may return its job to those that have not started: after that a
-	// late start no longer shows that the job may have run.
-	for _, l := range n.LateStarts {
-		e.plan.RecordLateStart(now, id, l.Task, l.Left)
-	}
-	for _, r := range n.Reports {
-		e.metrics.countChange(r.Change)
-		logChange(e.logger, id, r, e.report(now, id, r))
-	}
-	if n.Status != nil {
-		e.plan.UpdateEndpoint(now, id, *n.Status)
-	}
-	e.applyActions(now)
-}
-
-// Heard records that a message without content was received from a guard, unless a newer session has
-// replaced g.
-func (e *Engine) Heard(id string, g Guard) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.guards[id] == g {
-		e.plan.Heard(uptime.Now(), id)
-	}
-}
-
-// report passes one report to the planner and returns how long the run lasted. The caller holds
-// the lock.
-func (e *Engine) report(now time.Duration, id string, r Report) time.Duration {
-	if r.Change == planner.Crashed && r.Crash != nil {
-		return e.plan.ReportCrash(now, id, r.Run, r.Ran, r.Crash.Crash)
-	}
-	return e.plan.ReportRun(now, id, r.Run, r.Change, r.Ran)
-}
-
 // RemoveEndpoint removes the endpoint of an unreachable guard. It returns false if the endpoint has
 // open runs.
 func (e *Engine) RemoveEndpoint(id string) bool {
--- /dev/null
+++ b/entry/jobs/reports.go
@@ -0,0 +1,83 @@
+package jobs
+
+import (
+	"time"
+
+	"almondstand.dev/dispatch/planner"
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/telemetry/uptime"
+)
+
+// GuardUpdate is the content of one guard message: its capacity, if it changed, late starts and
+// reports of runs.
+type GuardUpdate struct {
+	Status     *planner.EndpointStatus
+	LateStarts []LateStart
+	Reports    []Report
+}
+
+// LateStart is a task of which a start may be executed by the guard's runner within the time left.
+type LateStart struct {
+	Task work.TaskID
+	Left time.Duration
+}
+
+// Report is a state change of a run.
+type Report struct {
+	Run    work.RunID
+	Change planner.RunEvent
+	// Ran is how long the run has lasted according to its guard; zero if unknown.
+	Ran time.Duration
+	// Crash is set if the runner crashed during the run.
+	Crash *Crash
+}
+
+// Crash describes a runner crash that ended a run.
+type Crash struct {
+	planner.Crash
+	// OtherJobs lists the jobs of some of the other runs on that runner.
+	OtherJobs []string
+}
+
+// ApplyUpdate processes a guard's message, unless a newer session has replaced g.
+func (e *Engine) ApplyUpdate(id string, g Guard, n GuardUpdate) {
+	now := uptime.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.guards[id] != g {
+		return
+	}
+	e.plan.Heard(now, id)
+	// A report on the end of a run may return its job to those that have not started: after that a
+	// late start no longer shows that the job may have run.
+	for _, l := range n.LateStarts {
+		e.plan.RecordLateStart(now, id, l.Task, l.Left)
+	}
+	for _, r := range n.Reports {
+		e.metrics.countChange(r.Change)
+		logChange(e.logger, id, r, e.report(now, id, r))
+	}
+	if n.Status != nil {
+		e.plan.UpdateEndpoint(now, id, *n.Status)
+	}
+	e.applyActions(now)
+}
+
+// Heard records that a message without content was received from a guard, unless a newer session has
+// replaced g.
+func (e *Engine) Heard(id string, g Guard) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.guards[id] == g {
+		e.plan.Heard(uptime.Now(), id)
+	}
+}
+
+// report passes one report to the planner and returns how long the run lasted. The caller holds
+// the lock.
+func (e *Engine) report(now time.Duration, id string, r Report) time.Duration {
+	if r.Change == planner.Crashed && r.Crash != nil {
+		return e.plan.ReportCrash(now, id, r.Run, r.Ran, r.Crash.Crash)
+	}
+	return e.plan.ReportRun(now, id, r.Run, r.Change, r.Ran)
+}
