planner: an entry that was stalled takes no data centre for lost

What callers could see. An entry on a small host that stood still for 0.15 s and more, as its share of a processor was used up, read the messages of one data centre first and took the others, whose messages waited unread, for lost: for some milliseconds all its jobs went to one.

The time for which a data centre is unheard counts only while the entry hears others without gaps of over 50 ms.

Evidence: the new test fails without the change.

--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -97,10 +97,9 @@
 	crashCounts CrashCounts
 	// cordons are the cordoned data centres.
 	cordons map[string]bool
-	// heardAt is when an endpoint of a data centre was last heard, and silent the data centres whose
-	// endpoints get nothing until then.
-	heardAt map[string]time.Duration
-	silent  map[string]bool
+	hearing hearing
+	// silent holds the data centres whose endpoints get nothing until one of them is heard.
+	silent map[string]bool
 }
 
 // service holds the endpoints of one service and the jobs waiting for them.
@@ -138,7 +137,7 @@
 		attempts:  map[string]int{},
 
 		lateStarts: map[work.TaskID][]lateStart{},
-		heardAt:    map[string]time.Duration{},
+		hearing:    newHearing(),
 		silent:     map[string]bool{},
 	}
 }
--- a/dispatch/planner/silent_test.go
+++ b/dispatch/planner/silent_test.go
@@ -84,3 +84,21 @@
 	assert.Equal(t, len(f.submit("second", 20, 60*ms).Starts), 20)
 	assert.Equal(t, len(f.silent), 0)
 }
+
+// Guards against an entry that was stalled and reads the messages of one data centre first: those of
+// the others wait unread, and they are not lost.
+func TestStalledEntryAvoidsNobody(t *testing.T) {
+	f := newLossFleet(t, 40)
+	for n := range 50 {
+		f.step(n)
+	}
+	f.now += 5 * time.Millisecond
+	f.submit("before", 100, 10*ms)
+	f.now += 400 * time.Millisecond
+	for range 10 {
+		f.now += time.Millisecond
+		f.Heard(f.now, f.id(0))
+		f.submit(fmt.Sprint("after", f.now), 2, 10*ms)
+	}
+	assert.Equal(t, len(f.silent), 0)
+}
