--- a/entry/sessions/cordon.go
+++ b/entry/sessions/cordon.go
@@ -7,11 +7,11 @@
 	"almondstand.dev/wire/wirev1"
 )
 
-// cordonInterval is the interval after which a guard is told again whether its data centre is
+// cordonInterval is the interval after which a guard is notified again whether its data centre is
 // cordoned: an entry that saw a change which others missed may have ended since.
 const cordonInterval = time.Second
 
-// cordonNotice tracks what a guard was last told of the cordon on its data centre.
+// cordonNotice tracks what a guard was last sent about the cordon on its data centre.
 type cordonNotice struct {
 	sentAt   time.Duration
 	revision int64
--- a/entry/sessions/cordon_test.go
+++ b/entry/sessions/cordon_test.go
@@ -9,7 +9,7 @@
 	"almondstand.dev/contract/cordon"
 )
 
-// Guards against a guard that goes by what an entry which has ended told it last: each entry
+// Guards against a guard that goes by what an entry which has ended sent it last: each entry
 // repeats what it knows, and sends a change with its next message.
 func TestCordonIsRepeated(t *testing.T) {
 	var n cordonNotice
--- a/guard/runs/cordon.go
+++ b/guard/runs/cordon.go
@@ -1,6 +1,6 @@
 package runs
 
-// cordon is what the entries have told of the cordon on the guard's data centre.
+// cordon is what the entries have reported of the cordon on the guard's data centre.
 type cordon struct {
 	// revision is the highest revision of the store at which an entry has learnt it.
 	revision int64
