guard/host, entry: a process that was adopted can be reached; plainer names

An adopted process ends the count of reset connections, too: before, one reset left over from the process before it counted towards the next. The keys that the follower reads are called keys. No measurement: the tests of guard/host and entry/follower pass.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -181,8 +181,8 @@
 
 // drain waits until shutdownCtx ends. It then reports the entry as not ready,
 // still accepts requests until the load balancer has noticed, closes idle
-// connections and rejects requests after that, and waits until every open request is answered or the grace period has
-// almost passed.
+// connections and rejects requests after that, and waits until every open
+// request is answered or the grace period has almost passed.
 func (e *Entry) drain(shutdownCtx, runCtx context.Context) error {
 	select {
 	case <-shutdownCtx.Done():
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -137,17 +137,17 @@
 	sent := time.Since(f.startedAt)
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	now, err := f.readOperatorKeys(readCtx)
+	keys, err := f.readOperatorKeys(readCtx)
 	f.recordReachable(ctx, err)
 	if err != nil {
 		return false
 	}
 	f.recordRead(int64(sent))
-	f.ApplyCordons(ctx, now.cordons)
-	if now.configFound {
-		f.Apply(ctx, now.config.Revision, now.config.Value)
+	f.ApplyCordons(ctx, keys.cordons)
+	if keys.configFound {
+		f.Apply(ctx, keys.config.Revision, keys.config.Value)
 	}
-	return now.configFound
+	return keys.configFound
 }
 
 // recordRead records when an answered read was sent; responses can arrive out of order.
--- a/guard/host/adopt.go
+++ b/guard/host/adopt.go
@@ -334,7 +334,7 @@
 		h.table.SetColdUntil(now + c.ColdLeft)
 	}
 	reports = append(reports, h.table.ApplyListing(now, p.requestedAt, listing)...)
-	h.table.RunnerUp()
+	h.recordReachability(nil)
 	h.mu.Unlock()
 	if old != nil {
 		old.api.Close()
--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -49,8 +49,9 @@
 	// expiredPollInterval is the time between polls of a runner whose leases have all expired.
 	expiredPollInterval = 500 * time.Millisecond
 	// earlyFenceWindow is the time after an unanswered start for which a runner that reports its
-	// start time is polled also while it is idle; see settleStart for the others. A process that starts under the same id knows no fencing token and no
-	// stop; if it is fenced early, copies of the start that reach it later have no effect.
+	// start time is polled also while it is idle; see settleStart for the others. A process that
+	// starts under the same id knows no fencing token and no stop; if it is fenced early, copies of
+	// the start that reach it later have no effect.
 	earlyFenceWindow = 3 * time.Second
 	// endedPollInterval is the time between polls of an ended process within earlyFenceWindow.
 	endedPollInterval = 5 * time.Millisecond
--- a/guard/host/reach.go
+++ b/guard/host/reach.go
@@ -17,7 +17,7 @@
 	downPollDivisor = 8
 )
 
-// recordReachability records whether a poll shows that the runner can be reached. h.mu is held.
+// recordReachability records whether a call shows that the runner can be reached. h.mu is held.
 func (h *Host) recordReachability(err error) {
 	switch {
 	case err == nil:
