--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -378,6 +378,12 @@
 	return h.table.LateStartsSince(uptime.Now(), after)
 }
 
+// HasLateStarts reports whether a start that went unanswered may still be executed.
+func (h *Host) HasLateStarts() bool {
+	late, _ := h.LateStarts(0)
+	return len(late) > 0
+}
+
 // signalLateStarts notifies the sink of late starts that it has not been notified of.
 func (h *Host) signalLateStarts() {
 	h.mu.Lock()
--- a/guard/uplink/latestart_test.go
+++ b/guard/uplink/latestart_test.go
@@ -69,6 +69,12 @@
 	return h.late[after:], uint64(len(h.late))
 }
 
+func (h *lateHost) HasLateStarts() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.late) > 0
+}
+
 func (h *lateHost) add(job string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/guard/uplink/links.go
+++ b/guard/uplink/links.go
@@ -74,7 +74,7 @@
 // refresh selects the subset again and drops entries that nothing lists any more.
 func (u *Uplink) refresh() {
 	seeds := u.opt.Seeds()
-	hasLateStarts := u.hasLateStarts()
+	hasLateStarts := u.host.HasLateStarts()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.allEntries = hasLateStarts
@@ -99,13 +99,6 @@
 	u.choose()
 }
 
-// hasLateStarts reports whether the runner may still execute a start that went unanswered. Each entry
-// to which a caller may submit the job again must be sent it, also one outside the subset.
-func (u *Uplink) hasLateStarts() bool {
-	late, _ := u.host.LateStarts(0)
-	return len(late) > 0
-}
-
 // choose connects to the entries of the subset and releases the others. u.mu is held.
 func (u *Uplink) choose() {
 	entries := make([]subset.Entry, 0, len(u.links))
--- a/guard/uplink/uplink.go
+++ b/guard/uplink/uplink.go
@@ -66,6 +66,8 @@
 	LateStarts(after uint64) ([]runs.LateStart, uint64)
 	// SetCordon records whether the data centre is cordoned at a revision of the store.
 	SetCordon(revision int64, cordoned bool)
+	// HasLateStarts reports whether there are late starts.
+	HasLateStarts() bool
 	Reconcile(o runs.Owner, open []work.RunID) []runs.Report
 	Submit(sent time.Duration, o runs.Owner, orders []runs.Order, cancels []work.RunID)
 }
@@ -94,7 +96,8 @@
 	links map[string]*link
 	// size is the number of reachable entries to keep sessions with.
 	size int
-	// allEntries is true while the guard keeps sessions with all known entries.
+	// allEntries is true while the guard keeps sessions with all known entries: each to which a
+	// caller may submit a job again must be sent the late starts.
 	allEntries bool
 	// current is the newest session of each entry, by the entry's id.
 	current map[string]*session
@@ -216,7 +219,7 @@
 
 // LateStartsChanged implements host.Sink.
 func (u *Uplink) LateStartsChanged() {
-	hasLateStarts := u.hasLateStarts()
+	hasLateStarts := u.host.HasLateStarts()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if hasLateStarts && !u.allEntries {
--- a/guard/uplink/uplink_test.go
+++ b/guard/uplink/uplink_test.go
@@ -59,6 +59,7 @@
 func (noHost) SetCordon(int64, bool)                                        {}
 func (noHost) EntryAlive(runs.Owner, time.Duration)                         {}
 func (noHost) LateStarts(uint64) ([]runs.LateStart, uint64)                 { return nil, 0 }
+func (noHost) HasLateStarts() bool                                          { return false }
 func (noHost) Reconcile(runs.Owner, []work.RunID) []runs.Report             { return nil }
 func (noHost) Submit(time.Duration, runs.Owner, []runs.Order, []work.RunID) {}
 
