--- a/e2e/fleet/trace.go
+++ b/e2e/fleet/trace.go
@@ -19,8 +19,9 @@
 
 var (
 	tracedJob = regexp.MustCompile(`(?:task|job) ([0-9a-f]{16})`)
-	// processEvent matches the guard's events about the runners' processes.
-	processEvent = regexp.MustCompile(`"msg":"guard\.(runner_adopted|runner_left|runner_crashed|adopt_postponed|greet_failed|look_failed|start_failed|stop_failed)"`)
+	// contextEvent matches the guards' events about the runners' processes, and both ends' events about
+	// the sessions of guards with entries.
+	contextEvent = regexp.MustCompile(`"msg":"(guard\.(runner_adopted|runner_left|runner_crashed|adopt_postponed|greet_failed|look_failed|start_failed|stop_failed|entry_lost)|session\.guard_(attached|lost|released))"`)
 	jobName      = regexp.MustCompile(`[0-9a-f]{16}`)
 )
 
@@ -30,8 +31,9 @@
 	source, text string
 }
 
-// Trace returns the lines about the jobs that violations name and about the runners' processes,
-// from all processes and runners of the fleet, in the order of their times.
+// Trace returns the lines about the jobs that violations name, about the runners' processes and about
+// the sessions of guards with entries, from all processes and runners of the fleet, in the order of their
+// times.
 func (f *Fleet) Trace(violations []string) string {
 	jobs := jobsOf(violations)
 	lines := runnerLines(f.Checker.Trace(), jobs)
@@ -64,13 +66,13 @@
 	return lines
 }
 
-// processLines returns the lines of a process's log that name one of the jobs or are about a
-// runner's process.
+// processLines returns the lines of a process's log that name one of the jobs or match
+// contextEvent.
 func processLines(source, log string, jobs map[string]bool) []traceLine {
 	var lines []traceLine
 	for text := range strings.Lines(log) {
 		named := slices.ContainsFunc(jobName.FindAllString(text, -1), func(j string) bool { return jobs[j] })
-		if !named && !processEvent.MatchString(text) {
+		if !named && !contextEvent.MatchString(text) {
 			continue
 		}
 		var event struct{ Time time.Time }
--- a/entry/jobs/log.go
+++ b/entry/jobs/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"almondstand.dev/dispatch/planner"
@@ -36,6 +37,24 @@
 	}
 }
 
+// maxLoggedJobs bounds the jobs in one line.
+const maxLoggedJobs = 20
+
+func logLateStarts(l *slog.Logger, guard string, late []LateStart) {
+	if len(late) == 0 {
+		return
+	}
+	var jobs []string
+	var left time.Duration
+	for _, x := range late {
+		if len(jobs) < maxLoggedJobs && !slices.Contains(jobs, x.Task.Job) {
+			jobs = append(jobs, x.Task.Job)
+		}
+		left = max(left, x.Left)
+	}
+	lateStartsReceived.Log(context.Background(), l, slog.String("guard", guard), slog.Int("tasks", len(late)), slog.Any("jobs", jobs), millis("left_ms", left))
+}
+
 func logChange(l *slog.Logger, guard string, r Report, ran time.Duration) {
 	event := runEnded
 	switch r.Change {
--- a/entry/jobs/reports.go
+++ b/entry/jobs/reports.go
@@ -50,6 +50,7 @@
 	e.plan.Heard(now, id)
 	// A report on the end of a run may return its job to those that have not started: after that a
 	// late start no longer shows that the job may have run.
+	logLateStarts(e.logger, id, n.LateStarts)
 	for _, l := range n.LateStarts {
 		e.plan.RecordLateStart(now, id, l.Task, l.Left)
 	}
