planner, entry/latestart: an entry that may have missed late starts asks the others first

What callers saw. A task ran twice at the same time.

A late start that a guard has written to a session was taken for one that the entry has read, and an entry acted on what it had last heard as if nothing could have been missed. The caller left entry-1; guard-3 had sent the late start to all three entries; entry-2, whose connections were cut, did not get it, lost its guards, was given the job, and started the task at the first guard that attached again, 0.2 s before guard-3 did. The same for an entry that has just started, and for one to which the guard's next process attaches.

In each failed play that was traced, 2226 names entry-2 1.3 to 1.6 s before its order, and the receipt (1260) comes after it.

The planner keeps for each endpoint the time up to which its guard's late starts are known, by the clocks in the guard's messages, and starts no task while that is more than 1.1 s ago, unless another entry has told its own late starts since. Entries are asked, four at most, when a guard has not been heard for 1.04 s, when one was replaced, and when the entry starts; over new connections, as older ones may be cut. What another entry told is not passed on, so that the time left can't grow. If none answers, jobs that have waited for the question start; later ones wait for the next, so that an entry that was cut off from all asks as soon as it reaches somebody. The offset of a guard's clock is taken from the last ten seconds: over a whole session drift would count as age.

Why it works. The guard sends its late starts to every entry that it serves, before the report on the run; the entry that the caller left is one of them. An unanswered start is late after 150 ms, the caller comes again 1.3 s after its connection broke: by then the entry has heard from the guard since, or knows that it has not, and asks. Nothing changes where runners name no start time.

--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -51,6 +51,11 @@
 	cordoned bool
 	// coldUntil is the time until which the runner is slow after its start.
 	coldUntil time.Duration
+	// keepsID is true once a process of the runner has named its start time: the next one may have the
+	// same id and execute late starts.
+	keepsID bool
+	// contactAt is the time up to which the guard's late starts are known from its own messages.
+	contactAt time.Duration
 }
 
 // cold reports whether the endpoint's runner is still slow after its start.
@@ -142,6 +147,7 @@
 	}
 	p.setService(e, nil)
 	delete(p.endpoints, id)
+	p.contact.scannedAt = never
 	return true
 }
 
@@ -163,6 +169,10 @@
 	}
 	e.reportedAt = now
 	e.runner = r.Runner
+	if r.Runner.StartedMilli > 0 && !e.keepsID {
+		e.keepsID = true
+		p.contact.oldest = min(p.contact.oldest, e.contactAt)
+	}
 	e.open = r.AcceptsStarts
 	e.total = r.Total
 	e.maxTotal = e.maxTotal.Max(r.Total)
--- a/dispatch/planner/latestart.go
+++ b/dispatch/planner/latestart.go
@@ -12,14 +12,30 @@
 type lateStart struct {
 	endpoint string
 	until    time.Duration
+	// fromPeer is true if another entry has told it, and not the endpoint's guard.
+	fromPeer bool
 }
 
 // RecordLateStart handles a guard's report that a start of a task may still be executed by its
 // runner within the time left. The guard may have sent the start for another entry, to which the
 // caller submitted the job before.
 func (p *Planner) RecordLateStart(now time.Duration, endpoint string, task work.TaskID, left time.Duration) {
-	late := slices.DeleteFunc(p.lateStarts[task], func(l lateStart) bool { return l.endpoint == endpoint && l.until <= now+left })
-	p.lateStarts[task] = append(late, lateStart{endpoint, now + left})
+	p.recordLateStart(task, lateStart{endpoint: endpoint, until: now + left})
+}
+
+// RecordPeerLateStart is RecordLateStart for a late start that another entry has told.
+func (p *Planner) RecordPeerLateStart(now time.Duration, l EndpointLateStart) {
+	p.recordLateStart(l.Task, lateStart{endpoint: l.Endpoint, until: now + l.Left, fromPeer: true})
+}
+
+func (p *Planner) recordLateStart(task work.TaskID, l lateStart) {
+	late := p.lateStarts[task]
+	same := slices.IndexFunc(late, func(o lateStart) bool { return o.endpoint == l.endpoint && o.fromPeer == l.fromPeer })
+	if same >= 0 {
+		late[same].until = max(late[same].until, l.until)
+	} else {
+		p.lateStarts[task] = append(late, l)
+	}
 	if j := p.jobs[task.Job]; j != nil && j.started {
 		// It may be one of the job's own.
 		j.mayHaveRun = true
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -36,6 +36,10 @@
 		if len(missed) >= maxMissedNeeds {
 			return
 		}
+		if !p.knowsLateStarts(now, j.arrived) {
+			p.contact.blocked = true
+			continue
+		}
 		unstarted := !j.started
 		missed = p.placeJob(now, j, missed)
 		if unstarted && j.started {
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -29,6 +29,8 @@
 	DataCentre string
 	// Seed is the random seed for the choice between equal endpoints.
 	Seed uint64
+	// AsksPeers is true if the other entries can be asked for late starts; see MustAskPeers.
+	AsksPeers bool
 }
 
 // Time limits.
@@ -92,6 +94,7 @@
 	// those that can't be executed any more were last removed.
 	lateStarts       map[work.TaskID][]lateStart
 	lateStartsPruned time.Duration
+	contact          contact
 	// crashes are the crashes of the last seconds, oldest first.
 	crashes     []*crash
 	crashCounts CrashCounts
@@ -137,6 +140,7 @@
 		attempts:  map[string]int{},
 
 		lateStarts: map[work.TaskID][]lateStart{},
+		contact:    newContact(),
 		hearing:    newHearing(),
 		silent:     map[string]bool{},
 	}
@@ -361,6 +365,7 @@
 	p.inStartupGrace(now)
 	p.forgetAttempts(now)
 	p.forgetLateStarts(now)
+	p.contact.blocked = false
 	for _, s := range p.services {
 		p.endOverdue(now, s)
 		if now >= p.pausedUntil {
@@ -375,6 +380,9 @@
 		p.nextCheck = p.checkStarted(now)
 	}
 	next = min(next, p.nextCheck)
+	if p.contact.blocked {
+		next = min(next, now+blockedAskInterval)
+	}
 	out := p.out
 	p.out = Actions{}
 	return out, next
@@ -394,9 +402,9 @@
 		case now > j.latestStart(j.minCriticalPath):
 			p.refuse(now, j, ReasonTooLittleTime)
 		case now >= j.keepUntil:
-			p.refuse(now, j, j.service.shortage())
+			p.refuse(now, j, p.shortage(now, j))
 		case now > j.startBy && !waitingForecast.drainsWithin(waiting, j.keepUntil-now):
-			p.refuse(now, j, j.service.shortage())
+			p.refuse(now, j, p.shortage(now, j))
 		}
 	}
 	for _, j := range append([]*job(nil), s.started...) {
@@ -416,12 +424,16 @@
 	p.end(now, j, Refused, reason)
 }
 
-// shortage returns the reason for which jobs find no capacity.
-func (s *service) shortage() Reason {
-	if len(s.endpoints) == 0 {
+// shortage returns the reason for which a job's tasks can't be started.
+func (p *Planner) shortage(now time.Duration, j *job) Reason {
+	switch {
+	case len(j.service.endpoints) == 0:
 		return ReasonNoRunner
+	case !p.knowsLateStarts(now, j.arrived):
+		return ReasonLateStartsUnknown
+	default:
+		return ReasonOverload
 	}
-	return ReasonOverload
 }
 
 // checkStarted ends started jobs whose caller's deadline is due, and stops runs that take too
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -63,6 +63,9 @@
 	// ReasonLateStart: a start of a task, ordered for an earlier submission of the job, may still
 	// be executed by a runner at which the task can't be started now.
 	ReasonLateStart Reason = "late_start"
+	// ReasonLateStartsUnknown: neither the guard of an endpoint nor the other entries have told lately
+	// which starts may still be executed there.
+	ReasonLateStartsUnknown Reason = "late_starts_unknown"
 	// ReasonRunTooLong: a run takes far longer than expected.
 	ReasonRunTooLong Reason = "runs_too_long"
 )
--- a/e2e/fleet_late_start_test.go
+++ b/e2e/fleet_late_start_test.go
@@ -36,7 +36,12 @@
 // holds a start of it that the filter selects.
 func submitLateStart(t *testing.T, hold func(worker.Call) bool) *lateStart {
 	t.Helper()
-	f := startFleetOf(t, fleet.Options{Entries: 2, Guards: 2, NoRelays: true})
+	return submitLateStartTo(t, startFleetOf(t, fleet.Options{Entries: 2, Guards: 2, NoRelays: true}), hold)
+}
+
+// submitLateStartTo is submitLateStart for a fleet with two guards.
+func submitLateStartTo(t *testing.T, f *fleet.Fleet, hold func(worker.Call) bool) *lateStart {
+	t.Helper()
 	time.Sleep(olderBy)
 	job := fleet.NewJob(1, 2500)
 	job.Deadline = 20 * time.Second
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -17,6 +17,7 @@
 	"almondstand.dev/entry/front"
 	"almondstand.dev/entry/jobs"
 	"almondstand.dev/entry/lag"
+	"almondstand.dev/entry/latestart"
 	"almondstand.dev/entry/registry"
 	"almondstand.dev/entry/sessions"
 	"almondstand.dev/platform/ingress"
@@ -81,6 +82,7 @@
 		Logger:       o.Logger,
 		Scope:        o.Metrics.Scope,
 		Disconnected: ingress.Disconnected,
+		Peers:        latestart.NewClient(s.ID, e.members),
 	})
 	e.config.OnCordons(e.jobs.SetCordons)
 	e.lag = lag.New(o.Metrics.Scope, o.Logger)
@@ -111,7 +113,8 @@
 // fleetService implements the service that guards and other entries call.
 type fleetService struct {
 	*sessions.Server
-	members *registry.Registry
+	members    *registry.Registry
+	lateStarts *latestart.Server
 }
 
 // Meet answers a call from another entry.
@@ -119,6 +122,11 @@
 	return f.members.Meet(ctx, req)
 }
 
+// LateStarts answers a question of another entry.
+func (f fleetService) LateStarts(ctx context.Context, req *connect.Request[wirev1.LateStartsRequest]) (*connect.Response[wirev1.LateStartsResponse], error) {
+	return f.lateStarts.LateStarts(ctx, req)
+}
+
 // Run serves until ctx ends, then waits for open requests to be answered.
 func (e *Entry) Run(ctx context.Context) error {
 	s := *e.settings.Load()
@@ -137,7 +145,7 @@
 	addActor(e.lag.Run)
 	addActor(func(c context.Context) error {
 		mux := http.NewServeMux()
-		mux.Handle(fleetwire.NewHandler(fleetService{e.sessions, e.members}))
+		mux.Handle(fleetwire.NewHandler(fleetService{e.sessions, e.members, latestart.NewServer(e.jobs)}))
 		return serve(c, s.Listen.Guards.String(), fleetwire.NewServer(mux))
 	})
 	addActor(func(c context.Context) error {
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -28,12 +28,16 @@
 			"the time until its first start, and its total time.",
 		"fits_no_runner: the job requests more than any runner has; no_runner: check the guards' sessions; "+
 			"too_little_time: the deadline leaves less than half of the estimated time, or a run failed too late for a retry; "+
-			"crashes_runners: several runners crashed while running the same task, see its job.run_wrong lines; no_room_in_time: the load exceeds the runners' capacity; late_start: see guard.start_late; guard_unreachable: check the network to the guards.")
+			"crashes_runners: several runners crashed while running the same task, see its job.run_wrong lines; no_room_in_time: the load exceeds the runners' capacity; late_start: see guard.start_late; late_starts_unknown: see job.late_starts_asked; guard_unreachable: check the network to the guards.")
 	callerGone = eventlog.Define(1259, "job.caller_gone", slog.LevelInfo,
 		"A caller's connection ended before its answer, waited_ms after the job was accepted. The job is cancelled if callers_left is zero.", "None.")
 	lateStartsReceived = eventlog.Define(1260, "job.late_starts", slog.LevelInfo,
 		"The entry has received late starts: tasks of which the guard's runner may still execute a start. Until the time left_ms is over, the longest of them, it starts them at that guard only. "+
 			"jobs lists the jobs of some.", "See guard.start_late.")
+	peersAsked = eventlog.Define(1261, "job.late_starts_asked", slog.LevelInfo,
+		"The entry may have missed late starts: it has just started, or has not heard from a guard for a second, or a guard was replaced. It asked other entries for theirs; "+
+			"tasks is how many they told it, and jobs lists the jobs of some. Logged only if there were any, or if unanswered entries did not answer in time.",
+		"If unanswered is not zero for long, check the network between the entries.")
 	processPaused = eventlog.Define(1258, "entry.stood_still", slog.LevelWarn,
 		"The process was paused for for_ms; it sends no orders for a moment, until it has read the messages that arrived meanwhile.",
 		"If it repeats, check the host: CPU contention, memory, suspension.")
--- a/entry/jobs/guards.go
+++ b/entry/jobs/guards.go
@@ -10,9 +10,13 @@
 func (e *Engine) Attach(id, dataCentre string, fresh bool, g Guard) []work.RunID {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	now := uptime.Now()
+	if fresh {
+		e.plan.RecordGuardReplaced(now, id)
+	}
 	open := e.plan.AttachEndpoint(id, dataCentre, fresh)
 	e.guards[id] = g
-	e.applyActions(uptime.Now())
+	e.applyActions(now)
 	return open
 }
 
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -41,6 +41,8 @@
 	// also if the context has not ended yet. It must not block. If it is nil, callers are
 	// disconnected once their context ends.
 	Disconnected func(ctx context.Context) bool
+	// Peers are the other entries; nil if there are none.
+	Peers Peers
 }
 
 // Engine runs jobs.
@@ -49,6 +51,7 @@
 	metrics *metrics
 	// disconnected is Options.Disconnected.
 	disconnected func(context.Context) bool
+	peers        Peers
 
 	mu      sync.Mutex
 	plan    *planner.Planner
@@ -66,6 +69,8 @@
 	lastCheck time.Duration
 	// callersChecked is the uptime at which the callers' connections were last checked.
 	callersChecked time.Duration
+	// askingPeers is true while the other entries are being asked for late starts.
+	askingPeers bool
 }
 
 // jobWaiters tracks the callers that wait for one job.
@@ -84,10 +89,12 @@
 
 // New returns an engine without endpoints.
 func New(o Options) *Engine {
+	o.Planner.AsksPeers = o.Peers != nil
 	e := &Engine{
 		logger:       o.Logger,
 		metrics:      newMetrics(o.Scope),
 		disconnected: o.Disconnected,
+		peers:        o.Peers,
 		plan:         planner.New(o.Planner),
 		waiters:      map[string]*jobWaiters{},
 		guards:       map[string]Guard{},
@@ -301,6 +308,7 @@
 			delete(e.runsEnded, id)
 		}
 	}
+	e.askPeersIfDue(now)
 	e.pruneAnswers(now)
 	e.actTimer.Reset(max(next-now, time.Millisecond))
 }
--- a/entry/jobs/log.go
+++ b/entry/jobs/log.go
@@ -40,6 +40,14 @@
 // maxLoggedJobs bounds the jobs in one line.
 const maxLoggedJobs = 20
 
+// appendJob appends a job that is not in the list yet, up to maxLoggedJobs.
+func appendJob(jobs []string, id string) []string {
+	if len(jobs) >= maxLoggedJobs || slices.Contains(jobs, id) {
+		return jobs
+	}
+	return append(jobs, id)
+}
+
 func logLateStarts(l *slog.Logger, guard string, late []LateStart) {
 	if len(late) == 0 {
 		return
@@ -47,9 +55,7 @@
 	var jobs []string
 	var left time.Duration
 	for _, x := range late {
-		if len(jobs) < maxLoggedJobs && !slices.Contains(jobs, x.Task.Job) {
-			jobs = append(jobs, x.Task.Job)
-		}
+		jobs = appendJob(jobs, x.Task.Job)
 		left = max(left, x.Left)
 	}
 	lateStartsReceived.Log(context.Background(), l, slog.String("guard", guard), slog.Int("tasks", len(late)), slog.Any("jobs", jobs), millis("left_ms", left))
--- a/entry/jobs/pause.go
+++ b/entry/jobs/pause.go
@@ -22,13 +22,14 @@
 	resumeDelay = 100 * time.Millisecond
 )
 
-// Run detects pauses of the process until the context ends.
+// Run detects pauses of the process, and guards that are out of contact, until the context ends.
 func (e *Engine) Run(ctx context.Context) error {
 	defer e.actTimer.Stop()
 	tick := time.NewTicker(pauseCheckInterval)
 	defer tick.Stop()
 	e.mu.Lock()
 	e.lastCheck = uptime.Now()
+	e.askPeersIfDue(e.lastCheck)
 	e.mu.Unlock()
 	for {
 		select {
@@ -37,7 +38,9 @@
 		case <-tick.C:
 		}
 		e.mu.Lock()
-		e.checkPause(uptime.Now())
+		now := uptime.Now()
+		e.checkPause(now)
+		e.askPeersIfDue(now)
 		e.mu.Unlock()
 	}
 }
--- a/entry/jobs/reports.go
+++ b/entry/jobs/reports.go
@@ -11,6 +11,9 @@
 // GuardUpdate is the content of one guard message: its capacity, if it changed, late starts and
 // reports of runs.
 type GuardUpdate struct {
+	// SentAt is the uptime of this host at which the guard sent the message; zero if it is not the
+	// guard's.
+	SentAt     time.Duration
 	Status     *planner.EndpointStatus
 	LateStarts []LateStart
 	Reports    []Report
@@ -54,6 +57,9 @@
 	for _, l := range n.LateStarts {
 		e.plan.RecordLateStart(now, id, l.Task, l.Left)
 	}
+	if n.SentAt > 0 {
+		e.plan.RecordContact(id, n.SentAt)
+	}
 	for _, r := range n.Reports {
 		e.metrics.countChange(r.Change)
 		logChange(e.logger, id, r, e.report(now, id, r))
@@ -64,13 +70,19 @@
 	e.applyActions(now)
 }
 
-// Heard records that a message without content was received from a guard, unless a newer session has
-// replaced g.
-func (e *Engine) Heard(id string, g Guard) {
+// Heard records that a message without content was received from a guard, which sent it at the given
+// uptime of this host, unless a newer session has replaced g.
+func (e *Engine) Heard(id string, g Guard, sentAt time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.guards[id] == g {
-		e.plan.Heard(uptime.Now(), id)
+	if e.guards[id] != g {
+		return
+	}
+	now := uptime.Now()
+	e.plan.Heard(now, id)
+	e.plan.RecordContact(id, sentAt)
+	if e.plan.AwaitsContact() {
+		e.applyActions(now)
 	}
 }
 
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -89,11 +89,13 @@
 	list                    []string
 	version                 uint64
 	next                    int
+	// listed is closed once the list of entries was read for the first time, or could not be.
+	listed chan struct{}
 }
 
 // New returns a registry that knows only this entry.
 func New(o Options, s Store, c Config) *Registry {
-	r := &Registry{opt: o, store: s, config: c, logger: o.Logger, reportedAt: map[string]time.Time{}, confirmedAt: map[string]time.Time{}}
+	r := &Registry{opt: o, store: s, config: c, logger: o.Logger, reportedAt: map[string]time.Time{}, confirmedAt: map[string]time.Time{}, listed: make(chan struct{})}
 	r.rebuild()
 	return r
 }
@@ -239,7 +241,7 @@
 
 // listLoop reads the list of entries periodically.
 func (r *Registry) listLoop(ctx context.Context) {
-	failing := false
+	failing, first := false, true
 	for ctx.Err() == nil {
 		var items []store.Item
 		err := r.withTimeout(ctx, func(c context.Context) (err error) {
@@ -259,6 +261,10 @@
 			addresses = append(addresses, string(i.Value))
 		}
 		r.AddConfirmed(addresses)
+		if first {
+			close(r.listed)
+			first = false
+		}
 		uptime.Sleep(ctx, pause)
 	}
 }
@@ -280,12 +286,29 @@
 	}
 }
 
-func (r *Registry) nextPeer() string {
+// Peers returns the addresses of the other entries. It waits until the store was asked for them, or ctx
+// ends.
+func (r *Registry) Peers(ctx context.Context) []string {
+	select {
+	case <-r.listed:
+	case <-ctx.Done():
+	}
+	peers := r.peers()
+	slices.Sort(peers)
+	return slices.Compact(peers)
+}
+
+// peers returns the addresses of the other entries; seeds may be in it twice.
+func (r *Registry) peers() []string {
 	r.mu.Lock()
 	all := append([]string(nil), r.list...)
 	r.mu.Unlock()
 	all = append(all, r.opt.Seeds()...)
-	all = slices.DeleteFunc(all, func(a string) bool { return a == r.opt.Address })
+	return slices.DeleteFunc(all, func(a string) bool { return a == r.opt.Address })
+}
+
+func (r *Registry) nextPeer() string {
+	all := r.peers()
 	if len(all) == 0 {
 		return ""
 	}
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"almondstand.dev/contract/cordon"
+	"almondstand.dev/platform/store"
 	"almondstand.dev/wire/fleetwire"
 	"almondstand.dev/wire/wirev1"
 	"almondstand.dev/wire/wirev1/wirev1connect"
@@ -122,3 +123,37 @@
 	gossipOnce()
 	assert.Assert(t, !ours.cordons.Contains("north"))
 }
+
+// Guards against an entry that asks none of the others at its start: its settings name only itself, and the
+// store's list has not been read yet.
+func TestPeersAreKnownOnceTheStoreWasAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := registryAt("10.0.0.1:1")
+		r.opt.Seeds = func() []string { return []string{"10.0.0.1:1", "10.0.0.3:1"} }
+		r.store = &slowList{delay: 100 * time.Millisecond, addresses: []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go r.listLoop(ctx)
+		assert.DeepEqual(t, r.Peers(t.Context()), []string{"10.0.0.2:1", "10.0.0.3:1"})
+		hurried, done := context.WithTimeout(t.Context(), time.Millisecond)
+		defer done()
+		other := registryAt("10.0.0.1:1")
+		assert.Equal(t, len(other.Peers(hurried)), 0)
+	})
+}
+
+// slowList is a store that has only the list of entries.
+type slowList struct {
+	Store
+	delay     time.Duration
+	addresses []string
+}
+
+func (s *slowList) List(context.Context, string) ([]store.Item, error) {
+	time.Sleep(s.delay)
+	var items []store.Item
+	for _, a := range s.addresses {
+		items = append(items, store.Item{Value: []byte(a)})
+	}
+	return items, nil
+}
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -46,11 +46,8 @@
 	clock, clockAt time.Duration
 	lastReceived   time.Duration
 	membersVersion uint64
-	// minClockOffset is the smallest difference seen between this host's uptime and the guard's
-	// clock when a message was read: the offset of the two clocks plus the shortest transit time.
-	minClockOffset time.Duration
-	// hasClockOffset is true once minClockOffset is known.
-	hasClockOffset bool
+	// offset estimates the age of the guard's messages.
+	offset clockOffset
 
 	// cordon tells the guard whether its data centre is cordoned. Only the send loop uses it.
 	cordon cordonNotice
@@ -93,15 +90,12 @@
 }
 
 // messageAge returns how long a guard's message was in transit or waited unread, beyond the
-// smallest such delay seen in this session.
+// smallest such delay seen lately.
 func (s *session) messageAge(clockUs int64) time.Duration {
-	offset := uptime.Now() - time.Duration(clockUs)*time.Microsecond
+	now := uptime.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.hasClockOffset || offset < s.minClockOffset {
-		s.minClockOffset, s.hasClockOffset = offset, true
-	}
-	return offset - s.minClockOffset
+	return s.offset.age(now, time.Duration(clockUs)*time.Microsecond)
 }
 
 // noteRead records that a message was processed. If it carried capacity and tasks are pending, an
@@ -162,7 +156,8 @@
 			return err
 		}
 		s.recordClock(m.GetClockUs())
-		update := jobs.GuardUpdate{Status: capacityOf(m.GetCapacity())}
+		sentAt := uptime.Now() - s.messageAge(m.GetClockUs())
+		update := jobs.GuardUpdate{SentAt: sentAt, Status: capacityOf(m.GetCapacity())}
 		for _, r := range m.GetReports() {
 			c := changeOf(r)
 			if c == planner.NotAccepted || c == planner.Unknown {
@@ -185,7 +180,7 @@
 		if update.Status != nil || len(update.LateStarts) > 0 || len(update.Reports) > 0 {
 			s.server.jobs.ApplyUpdate(s.guard, s, update)
 		} else {
-			s.server.jobs.Heard(s.guard, s)
+			s.server.jobs.Heard(s.guard, s, sentAt)
 		}
 		messageAge := s.messageAge(m.GetClockUs())
 		s.server.opt.Lag.ObserveMessage(messageAge)
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -138,6 +138,7 @@
 	defer cancel()
 	sess := &session{server: s, guard: g.GetGuard(), dataCentre: g.GetZone(), stream: st, wake: make(chan struct{}, 1), cancel: cancel, open: map[work.RunID]struct{}{}}
 	sess.recordClock(first.GetClockUs())
+	sess.messageAge(first.GetClockUs())
 	open, err := s.admit(sess, g)
 	if err != nil {
 		return connect.NewError(connect.CodeFailedPrecondition, err)
--- a/wire/wirev1/wirev1connect/fleet.connect.go
+++ b/wire/wirev1/wirev1connect/fleet.connect.go
@@ -41,6 +41,8 @@
 	FleetServiceAttachProcedure = "/almondstand.wire.v1.FleetService/Attach"
 	// FleetServiceMeetProcedure is the fully-qualified name of the FleetService's Meet RPC.
 	FleetServiceMeetProcedure = "/almondstand.wire.v1.FleetService/Meet"
+	// FleetServiceLateStartsProcedure is the fully-qualified name of the FleetService's LateStarts RPC.
+	FleetServiceLateStartsProcedure = "/almondstand.wire.v1.FleetService/LateStarts"
 )
 
 // FleetServiceClient is a client for the almondstand.wire.v1.FleetService service.
@@ -51,6 +53,9 @@
 	// Meet introduces the calling entry to another entry and returns the entries
 	// that the other one knows.
 	Meet(context.Context, *connect.Request[wirev1.MeetRequest]) (*connect.Response[wirev1.MeetResponse], error)
+	// LateStarts returns the late starts that the other entry has from guards. An entry that
+	// may have missed some asks the other entries.
+	LateStarts(context.Context, *connect.Request[wirev1.LateStartsRequest]) (*connect.Response[wirev1.LateStartsResponse], error)
 }
 
 // NewFleetServiceClient constructs a client for the almondstand.wire.v1.FleetService service. By
@@ -76,13 +81,20 @@
 			connect.WithSchema(fleetServiceMethods.ByName("Meet")),
 			connect.WithClientOptions(opts...),
 		),
+		lateStarts: connect.NewClient[wirev1.LateStartsRequest, wirev1.LateStartsResponse](
+			httpClient,
+			baseURL+FleetServiceLateStartsProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("LateStarts")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // fleetServiceClient implements FleetServiceClient.
 type fleetServiceClient struct {
-	attach *connect.Client[wirev1.AttachRequest, wirev1.AttachResponse]
-	meet   *connect.Client[wirev1.MeetRequest, wirev1.MeetResponse]
+	attach     *connect.Client[wirev1.AttachRequest, wirev1.AttachResponse]
+	meet       *connect.Client[wirev1.MeetRequest, wirev1.MeetResponse]
+	lateStarts *connect.Client[wirev1.LateStartsRequest, wirev1.LateStartsResponse]
 }
 
 // Attach calls almondstand.wire.v1.FleetService.Attach.
@@ -95,6 +107,11 @@
 	return c.meet.CallUnary(ctx, req)
 }
 
+// LateStarts calls almondstand.wire.v1.FleetService.LateStarts.
+func (c *fleetServiceClient) LateStarts(ctx context.Context, req *connect.Request[wirev1.LateStartsRequest]) (*connect.Response[wirev1.LateStartsResponse], error) {
+	return c.lateStarts.CallUnary(ctx, req)
+}
+
 // FleetServiceHandler is an implementation of the almondstand.wire.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Attach opens a guard's session. A newer stream of the same guard replaces
@@ -103,6 +120,9 @@
 	// Meet introduces the calling entry to another entry and returns the entries
 	// that the other one knows.
 	Meet(context.Context, *connect.Request[wirev1.MeetRequest]) (*connect.Response[wirev1.MeetResponse], error)
+	// LateStarts returns the late starts that the other entry has from guards. An entry that
+	// may have missed some asks the other entries.
+	LateStarts(context.Context, *connect.Request[wirev1.LateStartsRequest]) (*connect.Response[wirev1.LateStartsResponse], error)
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -124,12 +144,20 @@
 		connect.WithSchema(fleetServiceMethods.ByName("Meet")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceLateStartsHandler := connect.NewUnaryHandler(
+		FleetServiceLateStartsProcedure,
+		svc.LateStarts,
+		connect.WithSchema(fleetServiceMethods.ByName("LateStarts")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/almondstand.wire.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceAttachProcedure:
 			fleetServiceAttachHandler.ServeHTTP(w, r)
 		case FleetServiceMeetProcedure:
 			fleetServiceMeetHandler.ServeHTTP(w, r)
+		case FleetServiceLateStartsProcedure:
+			fleetServiceLateStartsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -146,3 +174,7 @@
 func (UnimplementedFleetServiceHandler) Meet(context.Context, *connect.Request[wirev1.MeetRequest]) (*connect.Response[wirev1.MeetResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("almondstand.wire.v1.FleetService.Meet is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) LateStarts(context.Context, *connect.Request[wirev1.LateStartsRequest]) (*connect.Response[wirev1.LateStartsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("almondstand.wire.v1.FleetService.LateStarts is not implemented"))
+}
