--- a/dispatch/planner/contact.go
+++ b/dispatch/planner/contact.go
@@ -36,7 +36,8 @@
 	// askedAt is when the other entries were asked last for theirs, of the questions that were answered, and
 	// unansweredAt of those that none of them answered.
 	askedAt, unansweredAt time.Duration
-	// replacedAt is when a guard was replaced last: its successor has no record of its late starts.
+	// replacedAt is when a guard was replaced last: its successor has no record of its late starts, which
+	// the other entries have for LateStartWindow.
 	replacedAt time.Duration
 	// blocked is true while waiting tasks are held back because contact is too old.
 	blocked bool
@@ -133,7 +134,10 @@
 		// After a loss of power other entries may be without it for longer.
 		return c.lastAsked() >= needed
 	}
-	return c.askedAt >= c.replacedAt && (c.askedAt >= needed || p.oldestContact(now) >= needed)
+	if c.replacedAt > c.askedAt && now-c.replacedAt < work.LateStartWindow {
+		return false
+	}
+	return c.askedAt >= needed || p.oldestContact(now) >= needed
 }
 
 // EndpointLateStart is a late start of an endpoint's runner, and the time left until it can't be executed
--- a/dispatch/planner/contact_test.go
+++ b/dispatch/planner/contact_test.go
@@ -163,6 +163,20 @@
 	assert.Equal(t, len(f.act().Starts), 1)
 }
 
+// Guards against jobs that wait for entries that are gone for good: a guard was replaced, and its late starts
+// are over.
+func TestReplacedGuardHoldsNothingUpForLong(t *testing.T) {
+	f := newContactFleet(t, 1)
+	f.RecordPeersAsked(f.now)
+	f.now += time.Millisecond
+	f.RecordGuardReplaced(f.now, f.id(0))
+	f.RecordPeersUnanswered(f.now)
+	f.now += work.LateStartWindow - time.Millisecond
+	f.hear(1)
+	assert.Equal(t, f.submittedStarts("early"), 0)
+	assert.Equal(t, len(f.after(time.Millisecond).Starts), 1)
+}
+
 // Guards against late starts that last longer each time an entry passes them on.
 func TestLateStartsOfPeersAreNotPassedOn(t *testing.T) {
 	f := newContactFleet(t, 1)
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -286,29 +286,33 @@
 	}
 }
 
-// Peers returns the addresses of the other entries. It waits until the store was asked for them, or ctx
-// ends.
+// Peers returns the addresses of the other entries that were reported lately, or of the seeds if there are
+// none. It waits until the store was asked for them, or ctx ends.
 func (r *Registry) Peers(ctx context.Context) []string {
 	select {
 	case <-r.listed:
 	case <-ctx.Done():
 	}
-	peers := r.peers()
-	slices.Sort(peers)
-	return slices.Compact(peers)
+	if peers := r.othersOf(r.listOfEntries()); len(peers) > 0 {
+		return peers
+	}
+	return r.othersOf(r.opt.Seeds())
 }
 
-// peers returns the addresses of the other entries; seeds may be in it twice.
-func (r *Registry) peers() []string {
+// listOfEntries returns a copy of the list.
+func (r *Registry) listOfEntries() []string {
 	r.mu.Lock()
-	all := append([]string(nil), r.list...)
-	r.mu.Unlock()
-	all = append(all, r.opt.Seeds()...)
-	return slices.DeleteFunc(all, func(a string) bool { return a == r.opt.Address })
+	defer r.mu.Unlock()
+	return slices.Clone(r.list)
+}
+
+// othersOf removes this entry's address.
+func (r *Registry) othersOf(addresses []string) []string {
+	return slices.DeleteFunc(addresses, func(a string) bool { return a == r.opt.Address })
 }
 
 func (r *Registry) nextPeer() string {
-	all := r.peers()
+	all := r.othersOf(append(r.listOfEntries(), r.opt.Seeds()...))
 	if len(all) == 0 {
 		return ""
 	}
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -139,6 +139,8 @@
 		defer done()
 		other := registryAt("10.0.0.1:1")
 		assert.Equal(t, len(other.Peers(hurried)), 0)
+		other.opt.Seeds = r.opt.Seeds
+		assert.DeepEqual(t, other.Peers(hurried), []string{"10.0.0.3:1"})
 	})
 }
 
