planner: one rule for the age of contact, whenever a job arrived

A job that had arrived before the last message of a guard could start although that message was older than 1.1 s. No caller needed it: the other entries are asked before that age is reached. The rule is the same for all jobs now.

--- a/dispatch/planner/contact.go
+++ b/dispatch/planner/contact.go
@@ -122,16 +122,16 @@
 	return c.oldest
 }
 
-// knowsLateStarts reports whether all late starts are known that a task of a job which arrived at the given
-// time may have.
+// knowsLateStarts reports whether the late starts of all endpoints are known, or a job that arrived at the
+// given time has waited for them long enough.
 func (p *Planner) knowsLateStarts(now, arrived time.Duration) bool {
 	c := &p.contact
 	if c.unansweredAt >= max(arrived, c.replacedAt) {
 		return true
 	}
-	needed := min(now-maxContactAge, arrived)
+	needed := now - maxContactAge
 	if p.opt.AsksPeers && p.inStartupGrace(now) {
-		// After a loss of power other entries may be without it for longer.
+		// After a loss of power the other entries may not be back, so questions that nobody answered count.
 		return c.lastAsked() >= needed
 	}
 	if c.replacedAt > c.askedAt && now-c.replacedAt < work.LateStartWindow {
