--- a/dispatch/planner/contact_test.go
+++ b/dispatch/planner/contact_test.go
@@ -181,7 +181,7 @@
 func TestLateStartsOfPeersAreNotPassedOn(t *testing.T) {
 	f := newContactFleet(t, 1)
 	own := EndpointLateStart{Endpoint: f.id(0), Task: work.TaskID{Job: "own"}, Left: time.Second}
-	f.RecordPeerLateStart(f.now, EndpointLateStart{Endpoint: f.id(0), Task: work.TaskID{Job: "told"}, Left: time.Second})
+	f.RecordPeerLateStart(f.now, EndpointLateStart{Endpoint: f.id(0), Task: work.TaskID{Job: "from peer"}, Left: time.Second})
 	f.RecordPeerLateStart(f.now, EndpointLateStart{Endpoint: own.Endpoint, Task: own.Task, Left: 2 * time.Second})
 	f.RecordLateStart(f.now, own.Endpoint, own.Task, own.Left)
 	assert.DeepEqual(t, f.LateStarts(f.now), []EndpointLateStart{own})
--- a/dispatch/planner/latestart.go
+++ b/dispatch/planner/latestart.go
@@ -12,7 +12,7 @@
 type lateStart struct {
 	endpoint string
 	until    time.Duration
-	// fromPeer is true if another entry has told it, and not the endpoint's guard.
+	// fromPeer is true if another entry reported it, and not the endpoint's guard.
 	fromPeer bool
 }
 
@@ -23,7 +23,7 @@
 	p.recordLateStart(task, lateStart{endpoint: endpoint, until: now + left})
 }
 
-// RecordPeerLateStart is RecordLateStart for a late start that another entry has told.
+// RecordPeerLateStart is RecordLateStart for a late start that another entry reported.
 func (p *Planner) RecordPeerLateStart(now time.Duration, l EndpointLateStart) {
 	p.recordLateStart(l.Task, lateStart{endpoint: l.Endpoint, until: now + l.Left, fromPeer: true})
 }
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -63,7 +63,7 @@
 	// ReasonLateStart: a start of a task, ordered for an earlier submission of the job, may still
 	// be executed by a runner at which the task can't be started now.
 	ReasonLateStart Reason = "late_start"
-	// ReasonLateStartsUnknown: neither the guard of an endpoint nor the other entries have told lately
+	// ReasonLateStartsUnknown: the guard of an endpoint was not heard lately, and no other entry answered
 	// which starts may still be executed there.
 	ReasonLateStartsUnknown Reason = "late_starts_unknown"
 	// ReasonRunTooLong: a run takes far longer than expected.
--- a/entry/explain/cause.go
+++ b/entry/explain/cause.go
@@ -50,7 +50,7 @@
 	"no_room_in_time":       "no runner had room before the latest start that would have been of use; nothing has run",
 	"data_centres_cordoned": "only endpoints in cordoned data centres could run it",
 	"no_runner":             "no runner of its service was known at this entry; nothing has run",
-	"late_starts_unknown":   "a guard was not heard, and no other entry told which starts its runner may still execute; nothing has run",
+	"late_starts_unknown":   "a guard was not heard, and no other entry answered which starts its runner may still execute; nothing has run",
 	"fits_no_runner":        "it asks for more than any runner has",
 	"crashes_runners":       "runners crashed under the same task at several guards, so it is not started again",
 	"task_failed":           "a task failed as often as its contract allows",
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -36,7 +36,7 @@
 			"jobs lists the jobs of some.", "See guard.start_late.")
 	peersAsked = eventlog.Define(1261, "job.late_starts_asked", slog.LevelInfo,
 		"The entry may have missed late starts: it has just started, or has not heard from a guard for a second, or a guard was replaced. It asked other entries for theirs; "+
-			"tasks is how many they told it, and jobs lists the jobs of some. Logged only if there were any, or if unanswered entries did not answer in time.",
+			"tasks is the number of late starts that they reported, and jobs lists the jobs of some. Logged only if there were any, or if unanswered entries did not answer in time.",
 		"If unanswered is not zero for long, check the network between the entries.")
 	processPaused = eventlog.Define(1258, "entry.stood_still", slog.LevelWarn,
 		"The process was paused for for_ms; it sends no orders for a moment, until it has read the messages that arrived meanwhile.",
--- a/entry/jobs/peers_test.go
+++ b/entry/jobs/peers_test.go
@@ -15,7 +15,7 @@
 	"almondstand.dev/telemetry/uptime"
 )
 
-// fakePeers answer with late starts once they are told to.
+// fakePeers answer with late starts once answer is closed.
 type fakePeers struct {
 	late   []planner.EndpointLateStart
 	answer chan struct{}
@@ -55,7 +55,7 @@
 }
 
 // Guards against a task that runs twice: the entry has just started, and starts it before the other entries
-// have told which of its starts may still be executed.
+// have answered which of its starts may still be executed.
 func TestTasksStartOnceThePeersHaveAnswered(t *testing.T) {
 	p := &fakePeers{late: []planner.EndpointLateStart{{Endpoint: "other", Task: work.TaskID{Job: "j"}, Left: time.Second}}, answer: make(chan struct{})}
 	e, g, other := newEngineWithPeers(p, uptime.Now())
