e2e: the tests of missed late starts name both guards once

The two guards are found once, in missLateStart, and the waits have names. Checks and order of events are the same.

--- a/e2e/fleet_missed_late_start_test.go
+++ b/e2e/fleet_missed_late_start_test.go
@@ -17,14 +17,22 @@
 // then.
 type missedLateStart struct {
 	*lateStart
-	// guard is the guard of the runner that holds the start.
-	guard *fleet.Node
-	left  time.Time
+	// guard is the guard of the runner that holds the start, otherGuard that of the other one.
+	guard, otherGuard *fleet.Node
+	// left is when the job's caller left.
+	left time.Time
 }
 
 // cutOffTime is longer than the interval at which an entry asks the others.
 const cutOffTime = 1500 * time.Millisecond
 
+// attachTimeout is the longest time within which a guard attaches to an entry that it can reach: it takes an
+// entry for silent after 3 s.
+const attachTimeout = 6 * time.Second
+
+// transitTime is ample for a message that a guard has logged as sent.
+const transitTime = 100 * time.Millisecond
+
 // missLateStart submits a job to the first entry while the second one is disconnected, and returns
 // once the job's caller has left and the first entry has been sent the late start.
 func missLateStart(t *testing.T, disconnect func(*fleet.Fleet)) *missedLateStart {
@@ -32,14 +40,14 @@
 	f := startFleetOf(t, fleet.Options{Entries: 2, Guards: 2})
 	disconnect(f)
 	x := &missedLateStart{lateStart: submitLateStartTo(t, f, worker.AllStarts)}
-	x.guard = f.Guards[slices.Index(f.Runners, x.holder)]
+	x.guard, x.otherGuard = f.Guards[slices.Index(f.Runners, x.holder)], f.Guards[slices.Index(f.Runners, x.other)]
 	x.leave()
 	<-x.answers
 	x.left = time.Now()
 	waitUntil(t, 4*time.Second, "the first entry is not sent the late start", func() bool {
-		return hasLine(x.guard, `"msg":"guard.late_starts_sent"`, `"entry":"entry-1"`)
+		return countLines(x.guard, `"msg":"guard.late_starts_sent"`, `"entry":"entry-1"`) > 0
 	})
-	time.Sleep(100 * time.Millisecond)
+	time.Sleep(transitTime)
 	return x
 }
 
@@ -57,9 +65,6 @@
 	f.EntryRelays[i].Reset()
 }
 
-// hasLine reports whether the log of a node's process has a line with all the given texts.
-func hasLine(n *fleet.Node, texts ...string) bool { return countLines(n, texts...) > 0 }
-
 // countLines counts the lines of the log of a node's process that have all the given texts.
 func countLines(n *fleet.Node, texts ...string) int {
 	count := 0
@@ -75,10 +80,7 @@
 // there, and has the next process of the holder execute the start.
 func (x *missedLateStart) submitElsewhere(attachedBefore int) {
 	x.t.Helper()
-	other := x.f.Guards[slices.Index(x.f.Runners, x.other)]
-	waitUntil(x.t, 6*time.Second, "the other guard does not attach", func() bool {
-		return countLines(x.f.Entries[1], `"msg":"session.guard_attached"`, `"guard":"`+other.ID+`"`) > attachedBefore
-	})
+	waitUntil(x.t, attachTimeout, "the other guard does not attach", func() bool { return x.attachments(x.otherGuard) > attachedBefore })
 	time.Sleep(time.Until(x.left.Add(fleet.ResubmitDelay)))
 	go func() { x.answers <- x.f.Resubmit(x.t.Context(), 1, x.job, 1) }()
 	x.allowStartElsewhere()
@@ -86,10 +88,9 @@
 	x.holder.SetFault(worker.Fault{})
 }
 
-// attachments counts how often the other runner's guard has attached to the second entry.
-func (x *missedLateStart) attachments() int {
-	other := x.f.Guards[slices.Index(x.f.Runners, x.other)]
-	return countLines(x.f.Entries[1], `"msg":"session.guard_attached"`, `"guard":"`+other.ID+`"`)
+// attachments counts how often a guard has attached to the second entry.
+func (x *missedLateStart) attachments(guard *fleet.Node) int {
+	return countLines(x.f.Entries[1], `"msg":"session.guard_attached"`, `"guard":"`+guard.ID+`"`)
 }
 
 // Guards against a task that runs twice: its late start was sent while the entry to which its caller
@@ -98,7 +99,7 @@
 func TestFleetLateStartMissedByEntryThatWasCutOff(t *testing.T) {
 	x := missLateStart(t, cutOff)
 	x.guard.Process().Suspend()
-	before := x.attachments()
+	before := x.attachments(x.otherGuard)
 	reconnect(x.f, 1)
 	x.submitElsewhere(before)
 	x.guard.Process().Resume()
@@ -112,7 +113,7 @@
 	x.guard.Process().Suspend()
 	cutOffEntry(x.f, 0)
 	time.Sleep(cutOffTime)
-	before := x.attachments()
+	before := x.attachments(x.otherGuard)
 	reconnect(x.f, 0)
 	reconnect(x.f, 1)
 	x.submitElsewhere(before)
@@ -139,11 +140,9 @@
 	// The guard's next process accepts no starts before it has fenced the runner.
 	x.holder.SetFault(worker.Fault{Unresponsive: true})
 	assert.NilError(t, x.guard.Start())
-	before := x.attachments()
+	before := x.attachments(x.otherGuard)
 	reconnect(x.f, 1)
-	waitUntil(t, 6*time.Second, "the restarted guard does not attach", func() bool {
-		return countLines(x.f.Entries[1], `"msg":"session.guard_attached"`, `"guard":"`+x.guard.ID+`"`) > 1
-	})
+	waitUntil(t, attachTimeout, "the restarted guard does not attach", func() bool { return x.attachments(x.guard) > 1 })
 	x.submitElsewhere(before)
 	x.assertRunsOnce()
 }
