entry/latestart: the first answer is awaited longer, and an ended entry does not stand for one

What callers could see. On a starved host a task could run twice as before: no other entry had answered within 300 ms, so the job that had waited started without knowing. An entry whose process had ended counted as one that had answered.

One time limit stood for two matters: for an entry that answers late beside one that has answered, and for all that are there and short of processor time. The wait for the list of entries was taken off it too.

Change. 300 ms while there is an answer, 800 ms for the first one; connections have 250 ms, which tells a host that is gone from a process that is slow. Entries that refuse the connection are not counted. The list has 100 ms of its own.

--- a/entry/jobs/peers.go
+++ b/entry/jobs/peers.go
@@ -12,7 +12,7 @@
 // Peers asks other entries for the late starts that guards have sent them.
 type Peers interface {
 	// LateStarts returns the late starts of the entries that answered in time. unanswered is the number
-	// of entries that did not, of those asked; one that has ended is not among them.
+	// of entries that did not, of those asked; entries that have ended are not counted.
 	LateStarts(ctx context.Context) (late []planner.EndpointLateStart, asked, unanswered int)
 }
 
--- a/entry/latestart/latestart.go
+++ b/entry/latestart/latestart.go
@@ -7,7 +7,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 
@@ -19,12 +18,17 @@
 )
 
 const (
-	// askTimeout bounds a question. Tasks wait for the answers; of an entry whose host is gone there is
-	// none.
-	askTimeout = 300 * time.Millisecond
+	// listTimeout bounds the wait for the list of entries, which the store sends within some milliseconds.
+	listTimeout = 100 * time.Millisecond
 	// dialTimeout is for the connection, which the other host's kernel accepts: the network takes some
 	// milliseconds, and a lost packet is sent again only after a second.
-	dialTimeout = 150 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
+	// answerTimeout is the time for the answers if there is one: that of an entry whose host is gone never
+	// comes, and tasks wait for it.
+	answerTimeout = 300 * time.Millisecond
+	// firstAnswerTimeout is the time for the first answer. Entries that accept a connection are there, though
+	// they may be short of processor time.
+	firstAnswerTimeout = 800 * time.Millisecond
 	// maxAsked bounds the number of entries asked: guards send late starts to all entries.
 	maxAsked = 4
 )
@@ -47,36 +51,58 @@
 
 // LateStarts implements jobs.Peers.
 func (c *Client) LateStarts(ctx context.Context) (late []planner.EndpointLateStart, asked, unanswered int) {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	peers := c.peers(ctx)
+	ctx, cancel := context.WithTimeout(ctx, firstAnswerTimeout)
 	defer cancel()
-	peers := c.members.Peers(ctx)
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	peers = peers[:min(len(peers), maxAsked)]
-	var mu sync.Mutex
-	var calls sync.WaitGroup
+	answers := make(chan answer, len(peers))
 	for _, address := range peers {
-		calls.Go(func() {
-			answer, err := c.ask(ctx, address)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil && !errors.Is(err, syscall.ECONNREFUSED) {
-				unanswered++
+		go func() { answers <- c.ask(ctx, address) }()
+	}
+	timeout := time.After(answerTimeout)
+	inTime, answered := true, 0
+	asked = len(peers)
+	for pending := asked; pending > 0 && (inTime || answered == 0); {
+		select {
+		case a := <-answers:
+			pending--
+			late = append(late, a.late...)
+			switch {
+			case a.err == nil:
+				answered++
+			case errors.Is(a.err, syscall.ECONNREFUSED):
+				// The process has ended, and what it knew is gone.
+				asked--
 			}
-			late = append(late, answer...)
-		})
+		case <-timeout:
+			inTime = false
+		}
 	}
-	calls.Wait()
-	return late, len(peers), unanswered
+	return late, asked, asked - answered
+}
+
+// peers returns the addresses of the entries to ask.
+func (c *Client) peers(ctx context.Context) []string {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	peers := c.members.Peers(ctx)
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(len(peers), maxAsked)]
+}
+
+// answer is what asking one entry resulted in.
+type answer struct {
+	late []planner.EndpointLateStart
+	err  error
 }
 
 // ask asks one entry over a new connection: an older one may have been cut unnoticed.
-func (c *Client) ask(ctx context.Context, address string) ([]planner.EndpointLateStart, error) {
+func (c *Client) ask(ctx context.Context, address string) answer {
 	transport := fleetwire.NewTransport(dialTimeout)
 	defer transport.Close()
 	client := fleetwire.NewClient(&http.Client{Transport: transport}, address)
 	res, err := client.LateStarts(ctx, connect.NewRequest(&wirev1.LateStartsRequest{Entry: c.entry}))
 	if err != nil {
-		return nil, err
+		return answer{err: err}
 	}
 	var late []planner.EndpointLateStart
 	for _, g := range res.Msg.GetGuards() {
@@ -88,7 +114,7 @@
 			})
 		}
 	}
-	return late, nil
+	return answer{late: late}
 }
 
 // Source has the late starts that guards have sent this entry; see entry/jobs.
