--- a/dispatch/planner/contact.go
+++ b/dispatch/planner/contact.go
@@ -78,8 +78,8 @@
 }
 
 // RecordPeersUnanswered records that no other entry has answered a question that was asked at the given time.
-// They may all be gone, so jobs that have waited for it wait no longer. It holds for no others: an entry that
-// was cut off itself is asked about tasks of other entries as soon as it is reached again.
+// The others may be gone, so jobs that have waited for it wait no longer. Later jobs wait for the next one: this
+// entry may have been cut off, and reach the others again.
 func (p *Planner) RecordPeersUnanswered(at time.Duration) {
 	p.contact.unansweredAt = max(p.contact.unansweredAt, at)
 }
