--- a/dispatch/planner/contact_test.go
+++ b/dispatch/planner/contact_test.go
@@ -10,15 +10,23 @@
 	"almondstand.dev/dispatch/work"
 )
 
-// newContactFleet returns an entry that can ask others, past its start, with endpoints of four cores whose
-// runners may execute late starts and which it has just heard from.
-func newContactFleet(t *testing.T, endpoints int) *fleet {
+// newStartedFleet returns an entry that can ask others and has just started, with endpoints of four cores
+// whose runners may execute late starts and which it has just heard from.
+func newStartedFleet(t *testing.T, endpoints int) *fleet {
 	t.Helper()
 	f := &fleet{Planner: New(Options{DataCentre: "a", AsksPeers: true}), t: t, now: time.Second}
 	for i := range endpoints {
 		f.AttachEndpoint(f.id(i), "a", true)
 		f.UpdateEndpoint(f.now, f.id(i), contactStatus)
 	}
+	f.hear(endpoints)
+	return f
+}
+
+// newContactFleet is newStartedFleet for an entry past its start.
+func newContactFleet(t *testing.T, endpoints int) *fleet {
+	t.Helper()
+	f := newStartedFleet(t, endpoints)
 	f.act()
 	f.now += startupGrace
 	f.hear(endpoints)
@@ -106,10 +114,7 @@
 // Guards against a task that runs twice: the entry has just started, and doesn't know the guard with its
 // late start.
 func TestEntryThatHasJustStartedAsksItsPeersFirst(t *testing.T) {
-	f := &fleet{Planner: New(Options{DataCentre: "a", AsksPeers: true}), t: t, now: time.Second}
-	f.AttachEndpoint(f.id(0), "a", true)
-	f.UpdateEndpoint(f.now, f.id(0), contactStatus)
-	f.hear(1)
+	f := newStartedFleet(t, 1)
 	assert.Equal(t, f.submittedStarts("j"), 0)
 	assert.Assert(t, f.MustAskPeers(f.now))
 	f.RecordPeersAsked(f.now)
@@ -137,10 +142,7 @@
 
 // Guards against jobs that wait longer after a loss of power: the entry is the first to have it again.
 func TestEntryThatHasJustStartedServesWithoutAnswers(t *testing.T) {
-	f := &fleet{Planner: New(Options{DataCentre: "a", AsksPeers: true}), t: t, now: time.Second}
-	f.AttachEndpoint(f.id(0), "a", true)
-	f.UpdateEndpoint(f.now, f.id(0), contactStatus)
-	f.hear(1)
+	f := newStartedFleet(t, 1)
 	f.RecordPeersUnanswered(f.now)
 	f.now += 100 * ms
 	assert.Equal(t, f.submittedStarts("j"), 1)
