wire, work, planner: messages and types for run progress, endpoint speeds and shared demand

Entries and guards get the fields, settings and types that four parts of the scheduling share, so that the parts can be built beside each other: the progress of runs, the speed of endpoints, demand by contract and the CPU that runs will release. Nothing fills or uses them yet; decisions are unchanged. Replay loads can have run times with a tail and runners of unequal speed.

--- a/bench/replay/arrivals.go
+++ b/bench/replay/arrivals.go
@@ -29,6 +29,8 @@
 	// size is the run time of its tasks relative to the mean of its kind, declared the
 	// run time that the caller declares, relative to the same mean.
 	size, declared float64
+	// deadline is how long the caller waits.
+	deadline time.Duration
 	// crashAfter is the time after its start at which the job's first task crashes its
 	// runner; zero for a job that crashes none.
 	crashAfter time.Duration
@@ -119,8 +121,13 @@
 func (l Load) draw(random *rand.Rand, kind int, at time.Duration) arrival {
 	z := l.drawDataCentre(random, at-simStart)
 	size := minSize + random.Float64()*sizeRange
+	deadline := l.Kinds[kind].Deadline
+	if share := l.Kinds[kind].TailShare; share > 0 && random.Float64() < share {
+		size *= l.Kinds[kind].TailTimes
+		deadline = time.Duration(float64(deadline) * l.Kinds[kind].TailTimes)
+	}
 	declared := size * (minDeclaredFactor + declaredFactorRange*random.Float64())
-	return arrival{at: at, kind: kind, dataCentre: z.Name, entry: z.drawEntry(random), size: size, declared: declared}
+	return arrival{at: at, kind: kind, dataCentre: z.Name, entry: z.drawEntry(random), size: size, declared: declared, deadline: deadline}
 }
 
 // drawEntry returns the number of the entry that receives a job. The entry depends on
--- a/bench/replay/guard.go
+++ b/bench/replay/guard.go
@@ -35,10 +35,12 @@
 	slowdown float64
 	// cpu is the capacity of its runner, in thousandths of a core.
 	cpu int64
+	// runTimeFactor is the lasting factor of the run times at its runner.
+	runTimeFactor float64
 }
 
 func newGuard(s *sim, n int, dataCentre string) *guard {
-	g := &guard{sim: s, id: fmt.Sprintf("guard-%d", n), dataCentre: dataCentre, table: runs.New(runs.Options{}), running: map[work.RunnerRunID]bool{}, slowdown: 1, cpu: s.load.runnerCPU(n)}
+	g := &guard{sim: s, id: fmt.Sprintf("guard-%d", n), dataCentre: dataCentre, table: runs.New(runs.Options{}), running: map[work.RunnerRunID]bool{}, slowdown: 1, cpu: s.load.runnerCPU(n), runTimeFactor: s.load.runTimeFactor(n)}
 	g.startRunner()
 	s.after(sweepInterval, g.sweep)
 	return g
@@ -97,7 +99,7 @@
 	}
 	g.sim.result.Orders += len(o.starts)
 	for _, x := range o.starts {
-		start, refused := g.table.Admit(g.sim.now, sent, owner, runs.Order{Run: x.Run, Need: x.Need, TimeLeft: x.TimeLeft})
+		start, refused := g.table.Admit(g.sim.now, sent, owner, runs.Order{Run: x.Run, Need: x.Need, TimeLeft: x.TimeLeft, Expected: x.Expected, Priority: x.Priority})
 		if refused != nil {
 			g.sim.result.countRefusedOrder(refused.Refusal)
 			reports = append(reports, *refused)
@@ -138,7 +140,7 @@
 // duration returns the run time of a task that starts now.
 func (g *guard) duration(j *pendingJob) time.Duration {
 	factor := minRunFactor + runFactorRange*g.sim.runs.Float64()
-	return time.Duration(float64(g.sim.load.Kinds[j.kind].Run) * j.size * factor * g.slowdown)
+	return time.Duration(float64(g.sim.load.Kinds[j.kind].Run) * j.size * factor * g.slowdown * g.runTimeFactor)
 }
 
 // Delays after the crash of a runner.
--- a/bench/replay/link.go
+++ b/bench/replay/link.go
@@ -159,7 +159,19 @@
 	if due {
 		r := l.guard.table.Capacity()
 		l.sentCapacity, l.capacitySent, l.capacityDue, l.withReports = r, now, never, false
-		capacity = &planner.EndpointStatus{Service: service, Runner: r.Incarnation, AcceptsStarts: r.AcceptsStarts, Total: r.Total, Used: r.Used, Reconciled: r.Reconciled}
+		capacity = &planner.EndpointStatus{
+			Service:       service,
+			Runner:        r.Incarnation,
+			AcceptsStarts: r.AcceptsStarts,
+			Total:         r.Total,
+			Used:          r.Used,
+			Reconciled:    r.Reconciled,
+
+			ReleasesMilli:            r.ReleasesMilli,
+			RunTimePermille:          r.RunTimePermille,
+			RunTimeSamples:           r.RunTimeSamples,
+			AllocatedByPriorityMilli: r.AllocatedByPriorityMilli,
+		}
 	}
 	l.guard.sim.result.Messages++
 	e := l.entry
--- a/bench/replay/load.go
+++ b/bench/replay/load.go
@@ -23,6 +23,8 @@
 	Deadline time.Duration
 	// Priority is that of the contract; 0 is the most urgent.
 	Priority int
+	// TailShare of the jobs have tasks that run TailTimes as long.
+	TailShare, TailTimes float64
 }
 
 // DataCentre is a data centre with its entries and runners and its share of the callers.
@@ -106,7 +108,10 @@
 	RunnerCPU int64
 	// Sizes are factors of RunnerCPU that the runners have in turn; if empty, all
 	// runners are alike.
-	Sizes          []float64
+	Sizes []float64
+	// Speeds are factors of the run times that the runners have in turn; if empty, all runners
+	// are alike.
+	Speeds         []float64
 	Kinds          []Kind
 	DataCentres    []DataCentre
 	Bursts         []Burst
@@ -124,6 +129,14 @@
 	return int64(float64(l.RunnerCPU) * l.Sizes[n%len(l.Sizes)])
 }
 
+// runTimeFactor returns the factor of the run times at the n-th runner.
+func (l Load) runTimeFactor(n int) float64 {
+	if len(l.Speeds) == 0 {
+		return 1
+	}
+	return l.Speeds[n%len(l.Speeds)]
+}
+
 // The target response time of callers is targetFactor times the run time plus
 // targetAllowance.
 const (
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -238,7 +238,7 @@
 	terms := e.sim.policy.Terms(planner.Terms{
 		Contract: k.Name, Service: service, Priority: k.Priority, MaxAttempts: 2, TargetFactor: targetFactor, TargetMargin: targetAllowance,
 	})
-	e.plan.Submit(e.sim.now, e.sim.now+k.Deadline, j, terms)
+	e.plan.Submit(e.sim.now, e.sim.now+a.deadline, j, terms)
 	e.runPlanner()
 }
 
--- a/bench/replay/yardstick.go
+++ b/bench/replay/yardstick.go
@@ -141,7 +141,7 @@
 		j.work += run.Seconds() * float64(k.CPUMilli)
 		longest = max(longest, run)
 	}
-	j.onTimeStart = a.at + min(k.target(a.size), k.Deadline) - longest
+	j.onTimeStart = a.at + min(k.target(a.size), a.deadline) - longest
 	j.latestStart = j.onTimeStart
 	if y.order.allowLate {
 		j.latestStart = a.at + k.Deadline - longest
--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -21,6 +21,20 @@
 	Reconciled bool
 	// ColdLeft is how much longer the runner is slow after its start.
 	ColdLeft time.Duration
+	// ReleasesMilli is the CPU that the runs of all entries are expected to release within each of
+	// work.ReleaseHorizons, cumulative, in thousandths of a core; nil if the guard does not
+	// estimate it.
+	ReleasesMilli []int64
+	// RunTimePermille is the mean ratio of run times at the runner to the expected ones, in
+	// thousandths, and RunTimeSamples the number of runs that it covers; zero if unknown.
+	RunTimePermille, RunTimeSamples int
+	// AllocatedByPriorityMilli is the CPU held by the runs of all entries, by work.PriorityClass, in
+	// thousandths of a core; nil if the guard does not report it.
+	AllocatedByPriorityMilli []int64
+	// OthersDemand is the demand that the other entries attached to the guard have reported, and
+	// OthersEntries the number of these entries.
+	OthersDemand  []work.Demand
+	OthersEntries int
 }
 
 // endpoint is a runner with its guard.
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -299,6 +299,8 @@
 		Need:      need,
 		DecidedAt: now,
 		TimeLeft:  j.deadline - now,
+		Expected:  j.expected[t.step],
+		Priority:  j.terms.Priority,
 		FreeMilli: free,
 		ReportAge: now - e.reportedAt,
 	})
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -31,6 +31,22 @@
 	Seed uint64
 	// AsksPeers is true if the other entries can be asked for late starts; see MustAskPeers.
 	AsksPeers bool
+	// Disabled turns off parts of the planner.
+	Disabled Features
+}
+
+// Features are parts of the planner that can be turned off.
+type Features struct {
+	// RunProgress: the progress of runs decides whether they are stopped, and run times are learnt
+	// as a distribution.
+	RunProgress bool
+	// EndpointSpeeds: endpoints that lastingly differ in speed are used accordingly.
+	EndpointSpeeds bool
+	// SharedDemand: what waits at the other entries decides on the order of jobs and on rejections.
+	SharedDemand bool
+	// BacklogLimit: the backlog of each contract is limited, and rejected callers return one after
+	// the other.
+	BacklogLimit bool
 }
 
 // Time limits.
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -98,6 +98,10 @@
 	// DecidedAt is the time of the decision, and TimeLeft the time left then until the caller's
 	// deadline.
 	DecidedAt, TimeLeft time.Duration
+	// Expected is the expected run time on an endpoint of normal speed.
+	Expected time.Duration
+	// Priority is that of the job's contract; 0 is the most urgent.
+	Priority int
 	// FreeMilli is the CPU believed free at the endpoint, in thousandths of a core, and ReportAge
 	// the time since its guard's last report.
 	FreeMilli int64
--- a/dispatch/work/account.go
+++ b/dispatch/work/account.go
@@ -35,7 +35,10 @@
 	// Clock is the runner's own clock at the time of the report.
 	Clock   time.Duration
 	Running []RunnerRunID
-	Ends    []End
+	// Progress is the progress of the running runs; it has no entry for a run whose progress the
+	// runner does not report.
+	Progress map[RunnerRunID]Progress
+	Ends     []End
 	// More is true if not all ends are listed.
 	More bool
 }
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -78,7 +78,7 @@
 		Logger:  o.Logger,
 	}, client, e.config)
 	e.jobs = jobs.New(jobs.Options{
-		Planner:      planner.Options{DataCentre: s.DataCentre, Seed: incarnation},
+		Planner:      planner.Options{DataCentre: s.DataCentre, Seed: incarnation, Disabled: s.Scheduling.disabled()},
 		Logger:       o.Logger,
 		Scope:        o.Metrics.Scope,
 		Disconnected: ingress.Disconnected,
--- a/entry/edge/settings.go
+++ b/entry/edge/settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/settings"
 )
 
@@ -27,7 +28,9 @@
 	// Store is the platform's metadata store.
 	Store  settings.Address `json:"store" validate:"required"`
 	Bounds Bounds           `json:"bounds"`
-	Log    Log              `json:"log"`
+	// Scheduling turns parts of the scheduling on or off.
+	Scheduling Scheduling `json:"scheduling"`
+	Log        Log        `json:"log"`
 }
 
 // Listen holds the addresses the entry listens on.
@@ -56,6 +59,28 @@
 	BalancerNotice settings.Duration `json:"balancer_notice"`
 }
 
+// Scheduling turns parts of the scheduling on or off.
+type Scheduling struct {
+	// RunProgress: the progress of runs decides whether they are stopped.
+	RunProgress bool `json:"run_progress"`
+	// EndpointSpeeds: endpoints that lastingly differ in speed are used accordingly.
+	EndpointSpeeds bool `json:"endpoint_speeds"`
+	// SharedDemand: what waits at other entries decides on rejections and on the order of jobs.
+	SharedDemand bool `json:"shared_demand"`
+	// BacklogLimit: the backlog of each contract is limited.
+	BacklogLimit bool `json:"backlog_limit"`
+}
+
+// disabled returns the parts of the planner that are turned off.
+func (s Scheduling) disabled() planner.Features {
+	return planner.Features{
+		RunProgress:    !s.RunProgress,
+		EndpointSpeeds: !s.EndpointSpeeds,
+		SharedDemand:   !s.SharedDemand,
+		BacklogLimit:   !s.BacklogLimit,
+	}
+}
+
 // Log configures logging.
 type Log struct {
 	Level string `json:"level" validate:"oneof=debug info warn error"`
@@ -70,7 +95,8 @@
 			// the balancer opens just before it notices.
 			BalancerNotice: settings.Duration(2300 * time.Millisecond),
 		},
-		Log: Log{Level: "info"},
+		Scheduling: Scheduling{RunProgress: true, EndpointSpeeds: true, SharedDemand: true, BacklogLimit: true},
+		Log:        Log{Level: "info"},
 	}}
 }
 
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -266,6 +266,14 @@
 	return e.plan.PendingDemand(uptime.Now(), id)
 }
 
+// Demand returns the demand of the tasks that wait for capacity of the endpoint's service, by
+// contract.
+func (e *Engine) Demand(id string) []work.Demand {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.plan.Demand(uptime.Now(), id)
+}
+
 // applyActions carries out the planner's decisions and sets the timer for the next ones. The
 // caller holds the lock.
 func (e *Engine) applyActions(now time.Duration) {
--- a/entry/jobs/reports.go
+++ b/entry/jobs/reports.go
@@ -17,6 +17,7 @@
 	Status     *planner.EndpointStatus
 	LateStarts []LateStart
 	Reports    []Report
+	Progress   []planner.RunProgress
 }
 
 // LateStart is a task of which a start may be executed by the guard's runner within the time left.
@@ -64,6 +65,9 @@
 		e.metrics.countChange(r.Change)
 		logChange(e.logger, id, r, e.report(now, id, r))
 	}
+	for _, r := range n.Progress {
+		e.plan.RecordProgress(now, id, r)
+	}
 	if n.Status != nil {
 		e.plan.UpdateEndpoint(now, id, *n.Status)
 	}
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -176,8 +176,9 @@
 				Left: time.Duration(l.GetLeftMs()) * time.Millisecond,
 			})
 		}
+		update.Progress = progressOf(m.GetProgress())
 		s.removeEnded(update.Reports)
-		if update.Status != nil || len(update.LateStarts) > 0 || len(update.Reports) > 0 {
+		if update.Status != nil || len(update.LateStarts) > 0 || len(update.Reports) > 0 || len(update.Progress) > 0 {
 			s.server.jobs.ApplyUpdate(s.guard, s, update)
 		} else {
 			s.server.jobs.Heard(s.guard, s, sentAt)
@@ -268,6 +269,7 @@
 			continue
 		}
 		m.HasPending, m.PendingMilli = s.server.jobs.PendingDemand(s.guard)
+		m.Demand = fleetwire.ToDemands(s.server.jobs.Demand(s.guard))
 		m.Guards = uint32(s.server.jobs.Guards())
 		m.Cordon = s.cordon.next(now, s.server.jobs.Cordons(), s.dataCentre)
 		if err := s.stream.Send(m); err != nil {
--- a/entry/sessions/wire.go
+++ b/entry/sessions/wire.go
@@ -27,6 +27,9 @@
 			Need:   fleetwire.ToAmounts(s.Need),
 			LifeMs: uint32(max((s.TimeLeft - max(now-s.DecidedAt, 0)).Milliseconds(), 0)),
 			Tasks:  []*wirev1.TaskStart{t},
+
+			ExpectedMs: uint32(max(s.Expected.Milliseconds(), 0)),
+			Priority:   uint32(max(s.Priority, 0)),
 		})
 	}
 	return out
@@ -45,9 +48,30 @@
 		Labels:        r.GetLabels(),
 		Reconciled:    r.GetCleared(),
 		ColdLeft:      time.Duration(r.GetColdLeftMs()) * time.Millisecond,
+
+		ReleasesMilli:            r.GetReleasesMilli(),
+		RunTimePermille:          int(r.GetRunTimePermille()),
+		RunTimeSamples:           int(r.GetRunTimeSamples()),
+		AllocatedByPriorityMilli: r.GetAllocatedByPriorityMilli(),
+		OthersDemand:             fleetwire.FromDemands(r.GetOthersDemand()),
+		OthersEntries:            int(r.GetOthersEntries()),
 	}
 }
 
+// progressOf converts a guard's reports on the progress of runs.
+func progressOf(reports []*wirev1.RunProgress) []planner.RunProgress {
+	var out []planner.RunProgress
+	for _, r := range reports {
+		out = append(out, planner.RunProgress{
+			Run:     fleetwire.ToRunID(r.GetTask(), r.GetAttempt()),
+			Percent: int(r.GetPercent()),
+			Left:    time.Duration(r.GetLeftUs()) * time.Microsecond,
+			Stalled: r.GetStalled(),
+		})
+	}
+	return out
+}
+
 func changeOf(r *wirev1.RunReport) planner.RunEvent {
 	switch r.GetState() {
 	case wirev1.RunState_RUN_STATE_RUNNING:
--- a/guard/runs/types.go
+++ b/guard/runs/types.go
@@ -82,6 +82,10 @@
 	Need work.Amounts
 	// TimeLeft is the time left until the job's caller stops waiting.
 	TimeLeft time.Duration
+	// Expected is the expected run time on an endpoint of normal speed; zero if it is unknown.
+	Expected time.Duration
+	// Priority is that of the job's contract; 0 is the most urgent.
+	Priority int
 }
 
 // Process identifies and describes one process of the runner.
@@ -107,6 +111,15 @@
 	Used       work.Amounts
 	// ColdUntil is the uptime until which the runner is slow after its start.
 	ColdUntil time.Duration
+	// ReleasesMilli is the CPU that the runs are expected to release within each of
+	// work.ReleaseHorizons, cumulative, in thousandths of a core; nil if it is not estimated.
+	ReleasesMilli []int64
+	// RunTimePermille is the mean ratio of run times at this runner to the expected ones, in
+	// thousandths, and RunTimeSamples the number of runs that it covers; zero if unknown.
+	RunTimePermille, RunTimeSamples int
+	// AllocatedByPriorityMilli is the CPU held by runs, by work.PriorityClass, in thousandths of a
+	// core; nil if it is not known.
+	AllocatedByPriorityMilli []int64
 }
 
 // Start is a start to be sent to the runner.
--- a/guard/side/settings.go
+++ b/guard/side/settings.go
@@ -30,7 +30,9 @@
 	// EntryPort is the port on which every entry serves guards.
 	EntryPort int    `json:"entry_port" validate:"required,min=1,max=65535"`
 	Bounds    Bounds `json:"bounds"`
-	Log       Log    `json:"log"`
+	// Scheduling turns parts of the scheduling on or off.
+	Scheduling Scheduling `json:"scheduling"`
+	Log        Log        `json:"log"`
 }
 
 // Listen holds the addresses the guard listens on.
@@ -53,6 +55,17 @@
 	GracePeriod settings.Duration `json:"grace"`
 }
 
+// Scheduling turns parts of the scheduling on or off.
+type Scheduling struct {
+	// RunProgress: entries are sent the progress of runs and when CPU will be released.
+	RunProgress bool `json:"run_progress"`
+	// EndpointSpeeds: entries are sent the speed of the runner.
+	EndpointSpeeds bool `json:"endpoint_speeds"`
+	// SharedDemand: entries are sent the demand of the other entries, and the most urgent demand is
+	// sent free capacity first.
+	SharedDemand bool `json:"shared_demand"`
+}
+
 // Log configures logging.
 type Log struct {
 	Level string `json:"level" validate:"oneof=debug info warn error"`
@@ -66,7 +79,8 @@
 			MaxLease:      settings.Duration(time.Second),
 			GracePeriod:   settings.Duration(6 * time.Second),
 		},
-		Log: Log{Level: "info"},
+		Scheduling: Scheduling{RunProgress: true, EndpointSpeeds: true, SharedDemand: true},
+		Log:        Log{Level: "info"},
 	}}
 }
 
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -254,6 +254,8 @@
 				Spec:     o.GetSpec(),
 				Need:     fleetwire.FromAmounts(o.GetNeed()),
 				TimeLeft: time.Duration(o.GetLifeMs()) * time.Millisecond,
+				Expected: time.Duration(o.GetExpectedMs()) * time.Millisecond,
+				Priority: int(o.GetPriority()),
 			})
 		}
 	}
--- a/guard/uplink/wire.go
+++ b/guard/uplink/wire.go
@@ -21,6 +21,11 @@
 
 		RunnerBornMs: r.StartedMilli,
 		ColdLeftMs:   uint32(max(r.ColdUntil-now, 0).Milliseconds()),
+
+		ReleasesMilli:            r.ReleasesMilli,
+		RunTimePermille:          uint32(r.RunTimePermille),
+		RunTimeSamples:           uint32(r.RunTimeSamples),
+		AllocatedByPriorityMilli: r.AllocatedByPriorityMilli,
 	}
 }
 
