guard/runs: progress reports that are due, and the CPU that runs will release

Cause: entries knew neither how far their runs are nor when the runs of the other entries at a runner end. Change: the run table feeds each listing to guard/progress and keeps the expected run time and the priority of each order. DueProgress returns the reports that change what an owner would assume, TakeStalled the runs that have become stalled. CapacityAt adds the CPU that is expected to be released and the CPU held by priority. There is no estimate of releases while one run has neither progress nor an expectation, as those of an older entry.

--- a/guard/runs/process.go
+++ b/guard/runs/process.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"almondstand.dev/dispatch/work"
+	"almondstand.dev/guard/progress"
 )
 
 // processState is what the current runner process has reported. It is replaced as a whole, so
@@ -26,6 +27,8 @@
 	orphans map[work.RunnerRunID]bool
 	// lastEndSeq is the highest sequence number of an ended run that has been read.
 	lastEndSeq int64
+	// progress is what is known of the progress of all runs.
+	progress progress.Process
 }
 
 // Process returns the current runner process, nil if there is none.
@@ -69,6 +72,7 @@
 func (t *Table) reattach(r *run) {
 	r.answeredAt, r.startValidUntil = 0, 0
 	r.stopAcked, r.stopSent, r.unresolved = false, false, false
+	r.progress, r.reported, r.stalled = progress.Run{}, reportedProgress{}, false
 	t.runs[r.id.Task] = r
 	t.used = t.used.Add(r.need)
 }
--- a/guard/runs/resume.go
+++ b/guard/runs/resume.go
@@ -19,6 +19,7 @@
 			t.stop(now, r)
 		}
 	}
+	t.resetReported(owner)
 	var reports []Report
 	for _, id := range open {
 		r, found := t.runs[id.Task]
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"almondstand.dev/dispatch/work"
+	"almondstand.dev/guard/progress"
 )
 
 // Options of a Table. The zero value of a field takes its default.
@@ -20,6 +21,8 @@
 	LeaseExtension time.Duration
 	// MaxOrderAge is the age above which an order is rejected.
 	MaxOrderAge time.Duration
+	// NoProgress turns off progress reports and the estimate of what runs will release.
+	NoProgress bool
 }
 
 // Defaults of Options. A caller whose connection broke submits its job again after 1.3 s (the
@@ -71,6 +74,15 @@
 	// unresolved is true once the process that the start was sent to is over or unresponsive
 	// while another process under the same id may still execute the start.
 	unresolved bool
+	// expected is the expected run time on an endpoint of normal speed, zero if it is unknown, and
+	// priority that of the job's contract.
+	expected time.Duration
+	priority int
+	// progress are the readings of the run's progress, reported is the last report on it, and stalled
+	// is true if it was stalled when the last run listing was applied.
+	progress progress.Run
+	reported reportedProgress
+	stalled  bool
 }
 
 // ownedRun names a run among those of all owners: two entries that received the same job use
@@ -108,6 +120,8 @@
 	lateStartSeq uint64
 	// lastNeed is the resource request of the latest order.
 	lastNeed work.Amounts
+	// stalled are the runs that have become stalled since the last TakeStalled.
+	stalled []StalledRun
 }
 
 type taskNumber struct {
@@ -233,6 +247,8 @@
 		spec:      o.Spec,
 		deadline:  sent + o.TimeLeft,
 		orderedAt: now,
+		expected:  o.Expected,
+		priority:  o.Priority,
 	}
 	t.lastNumbers[o.Run.Task] = taskNumber{n, now}
 	t.runs[o.Run.Task] = r
--- a/guard/runs/sweep.go
+++ b/guard/runs/sweep.go
@@ -33,6 +33,7 @@
 			reports = append(reports, report)
 		}
 	}
+	t.recordProgress(now, v)
 	if v.More {
 		return reports
 	}
