guard: progress of runs is sent to their entries

Cause: entries were not told how far a run is, and learnt of a run that hangs only from its run time limit. Change: AttachRequest.progress goes with the messages that are sent anyway. A session that has been replaced takes no reports, and a new session is told everything again. capacity.scheduling.run_progress of the guard turns the reports and the estimate of releases off.

--- a/guard/host/host.go
+++ b/guard/host/host.go
@@ -100,6 +100,9 @@
 	LateStartsChanged()
 	// CapacityChanged signals that the result of Capacity has changed.
 	CapacityChanged()
+	// ProgressDue signals that Progress has a report on a stalled run of the owner, which is to be
+	// sent at once.
+	ProgressDue(owner runs.Owner)
 }
 
 // Options of a Host.
@@ -194,7 +197,7 @@
 func (h *Host) Capacity() runs.Capacity {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	capacity := h.table.Capacity()
+	capacity := h.table.CapacityAt(uptime.Now())
 	capacity.Reconciled = capacity.Reconciled || h.monotonic() > h.priorLeasesExpired()
 	return capacity
 }
--- a/guard/host/host_test.go
+++ b/guard/host/host_test.go
@@ -36,6 +36,8 @@
 	ends    []work.End
 	stopped map[work.RunnerRunID]bool
 	ended   chan struct{}
+	// percent returns the progress of all runs; nil if none is listed.
+	percent func() int
 }
 
 func newFakeRunner() *fakeRunner {
@@ -136,6 +138,9 @@
 	a := work.Listing{Clock: f.clock(), Ends: f.endsAfter(seen)}
 	for n := range f.running {
 		a.Running = append(a.Running, n)
+		if f.percent != nil {
+			a.Progress = map[work.RunnerRunID]work.Progress{n: {Percent: f.percent()}}
+		}
 	}
 	return a, nil
 }
@@ -168,12 +173,20 @@
 	mu      sync.Mutex
 	reports []runs.Report
 	at      []time.Time
+	// progressDue are the owners for which a report on a stalled run was due.
+	progressDue []runs.Owner
 }
 
 func (s *reportRecorder) CapacityChanged() {}
 
 func (s *reportRecorder) LateStartsChanged() {}
 
+func (s *reportRecorder) ProgressDue(o runs.Owner) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.progressDue = append(s.progressDue, o)
+}
+
 func (s *reportRecorder) Deliver(r []runs.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/guard/host/loops.go
+++ b/guard/host/loops.go
@@ -196,6 +196,7 @@
 		return 0
 	}
 	var reports []runs.Report
+	var stalled []runs.StalledRun
 	pause = retryDelay
 	p.unresponsive = err != nil
 	h.recordReachability(err)
@@ -212,6 +213,7 @@
 		p.ackedEnd = max(p.ackedEnd, seen)
 		h.recordPollTime(now - asked)
 		reports = h.table.ApplyListing(now, asked, listing)
+		stalled = h.table.TakeStalled()
 	case errors.Is(err, runner.ErrRestarted):
 		h.handleRestart(listing)
 	case errors.Is(err, runner.ErrReplaced):
@@ -234,6 +236,7 @@
 		h.opt.Metrics.leaseExtended(remaining)
 	}
 	h.deliver(reports)
+	h.signalStalled(stalled)
 	return pause
 }
 
--- a/guard/host/metrics.go
+++ b/guard/host/metrics.go
@@ -22,6 +22,9 @@
 	unknown tally.Counter
 	// crashes counts crashes of a runner that had runs.
 	crashes tally.Counter
+	// stalled counts runs that became stalled, progress counts progress reports sent, and
+	// progressOmitted those that exceeded the limit of a message.
+	stalled, progress, progressOmitted tally.Counter
 	// cordoned is 1 while the data centre is cordoned, 0 otherwise.
 	cordoned tally.Gauge
 }
@@ -40,8 +43,13 @@
 		malformed:   s.Counter("runner_reports_malformed_total"),
 		unknown:     s.Counter("runs_unknown_total"),
 		crashes:     s.Counter("runner_crashes_total"),
+		stalled:     s.Counter("runs_stalled_total"),
+		progress:    s.Counter("progress_reports_total"),
 		cordoned:    s.Gauge("cordoned"),
-		refusals:    map[runs.Refusal]tally.Counter{},
+
+		progressOmitted: s.Counter("progress_reports_omitted_total"),
+
+		refusals: map[runs.Refusal]tally.Counter{},
 	}
 	for _, reason := range []runs.Refusal{runs.InsufficientCapacity, runs.StaleOrder, runs.NotAccepting, runs.RunnerFailed, runs.UnknownRun} {
 		m.refusals[reason] = s.Tagged(map[string]string{"reason": reason.String()}).Counter("orders_refused_total")
@@ -79,6 +87,14 @@
 
 func (m *Metrics) countMalformed() { m.malformed.Inc(1) }
 
+// countProgress counts the progress reports sent and omitted.
+func (m *Metrics) countProgress(sent, omitted int) {
+	if sent > 0 {
+		m.progress.Inc(int64(sent))
+		m.progressOmitted.Inc(int64(omitted))
+	}
+}
+
 func (m *Metrics) countUnknown() { m.unknown.Inc(1) }
 
 func (m *Metrics) countRefusal(reason runs.Refusal) { m.refusals[reason].Inc(1) }
--- a/guard/side/side.go
+++ b/guard/side/side.go
@@ -66,6 +66,7 @@
 			EntryTimeout:   fraction(resubmitDelay, entryTimeoutShare),
 			EndTimeout:     fraction(resubmitDelay, endBoundShare),
 			LeaseExtension: fraction(s.Bounds.MaxLease.Std(), leaseShare),
+			NoProgress:     !s.Scheduling.RunProgress,
 		},
 		MaxLease: s.Bounds.MaxLease.Std(),
 		Dial:     func(t runner.Target) host.Runner { return runner.New(t) },
--- a/guard/uplink/outbox.go
+++ b/guard/uplink/outbox.go
@@ -141,12 +141,14 @@
 		// The late starts are read after the reports were taken, so that a report on the end of a
 		// run is never sent before the late start of that run.
 		late := s.takeLateStarts(ctx, uptime.Now())
-		if len(reports) == 0 && len(late) == 0 && !capacity && time.Since(heartbeat) < heartbeatInterval {
+		sending := len(reports) > 0 || len(late) > 0 || capacity || time.Since(heartbeat) >= heartbeatInterval
+		progress := s.takeProgress(sending)
+		if !sending && len(progress) == 0 {
 			timer.Reset(min(wait, heartbeatInterval-time.Since(heartbeat)))
 			continue
 		}
 		clock := uptime.Now()
-		m := &wirev1.AttachRequest{ClockUs: clock.Microseconds(), Reports: reports, LateStarts: late}
+		m := &wirev1.AttachRequest{ClockUs: clock.Microseconds(), Reports: reports, LateStarts: late, Progress: progress}
 		if capacity {
 			m.Capacity = s.capacity(clock)
 		}
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -64,6 +64,8 @@
 	// deferred is true while capacity is deferred until the entry has acknowledged the
 	// previous one.
 	deferred bool
+	// progressDue is true if a progress report is to be sent at once.
+	progressDue bool
 	// withReports is true if capacity is to be sent with the next reports.
 	withReports bool
 	// retiring is true while the guard asks the entry to end the session.
--- a/guard/uplink/uplink.go
+++ b/guard/uplink/uplink.go
@@ -68,6 +68,9 @@
 	SetCordon(revision int64, cordoned bool)
 	// HasLateStarts reports whether there are late starts.
 	HasLateStarts() bool
+	// Progress returns the progress reports for an owner that go with the next message. They count
+	// as sent.
+	Progress(o runs.Owner) []runs.Progress
 	Reconcile(o runs.Owner, open []work.RunID) []runs.Report
 	Submit(sent time.Duration, o runs.Owner, orders []runs.Order, cancels []work.RunID)
 }
@@ -197,6 +200,13 @@
 	return u.current[s.owner.Entry] == s
 }
 
+// serves reports whether a session is the current one of its entry.
+func (u *Uplink) serves(s *session) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.current[s.owner.Entry] == s
+}
+
 func (u *Uplink) remove(s *session) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -231,6 +241,15 @@
 	}
 }
 
+// ProgressDue implements host.Sink.
+func (u *Uplink) ProgressDue(owner runs.Owner) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if s := u.current[owner.Entry]; s != nil && s.owner == owner {
+		s.sendProgress()
+	}
+}
+
 // CapacityChanged implements host.Sink.
 func (u *Uplink) CapacityChanged() {
 	free := u.host.HasCapacity()
--- a/guard/uplink/uplink_test.go
+++ b/guard/uplink/uplink_test.go
@@ -60,6 +60,7 @@
 func (noHost) EntryAlive(runs.Owner, time.Duration)                         {}
 func (noHost) LateStarts(uint64) ([]runs.LateStart, uint64)                 { return nil, 0 }
 func (noHost) HasLateStarts() bool                                          { return false }
+func (noHost) Progress(runs.Owner) []runs.Progress                          { return nil }
 func (noHost) Reconcile(runs.Owner, []work.RunID) []runs.Report             { return nil }
 func (noHost) Submit(time.Duration, runs.Owner, []runs.Order, []work.RunID) {}
 
