standin/worker: runs report their progress

Cause: the stand-in listed every run at 100 percent, so nothing that uses progress could be tested against it. Change: the percentage grows linearly over the run's time, the CPU usage is 0 for the first half second. A hanging run stops at Fault.HangPercent. Fault.NoProgress omits both fields. Result: the tests of standin/worker pass.

--- a/standin/worker/orders.go
+++ b/standin/worker/orders.go
@@ -154,7 +154,7 @@
 		r.addStartTime(reply)
 		running, endedRuns := [][]any{}, [][]any{}
 		for task, x := range r.runs {
-			running = append(running, []any{task, x.number, "", 100})
+			running = append(running, r.runningRow(task, x))
 		}
 		for _, e := range r.endedRuns {
 			endedRuns = append(endedRuns, []any{e.seq, e.task, e.number, e.outcome, ""})
@@ -167,6 +167,25 @@
 	_ = json.NewEncoder(w).Encode(reply)
 }
 
+// usageDelay is how long a run is listed without CPU usage after its start.
+const usageDelay = 500 * time.Millisecond
+
+// runningRow returns the row of a run in the run listing. The caller holds the lock.
+func (r *Runner) runningRow(task string, x *run) []any {
+	if r.fault.NoProgress {
+		return []any{task, x.number, ""}
+	}
+	worked, usage := time.Since(x.startedAt), int64(0)
+	if worked >= usageDelay {
+		usage = x.cpu
+	}
+	percent := x.maxPercent
+	if worked < x.duration {
+		percent = min(percent, int(worked*100/x.duration))
+	}
+	return []any{task, x.number, "", percent, usage}
+}
+
 // waitForEndedRun waits until a run has ended that is newer than the last one that the
 // caller has seen, at most for the limit.
 func (r *Runner) waitForEndedRun(ctx context.Context, seen int64, limit time.Duration) {
@@ -255,8 +274,9 @@
 	if r.fault.Slow > 0 {
 		duration = time.Duration(float64(duration) * r.fault.Slow)
 	}
+	x.startedAt, x.duration, x.maxPercent = time.Now(), duration, 100
 	if r.fault.Hang {
-		duration = time.Hour
+		duration, x.maxPercent = time.Hour, r.fault.HangPercent
 	}
 	outcome := Done
 	if spec.Fails || rand.Float64() < r.fault.FailShare {
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -56,11 +56,15 @@
 	LateBy    time.Duration
 	// LateStarts restricts LateShare to start requests.
 	LateStarts bool
-	// Slow is a factor for the run times, 0 means 1. Hang keeps runs from ending. FailShare
+	// Slow is a factor for the run times, 0 means 1. Hang keeps runs from ending; their progress
+	// stops at HangPercent, at the pace of the run time that they would have had. FailShare
 	// is the fraction of runs that fail.
-	Slow      float64
-	Hang      bool
-	FailShare float64
+	Slow        float64
+	Hang        bool
+	HangPercent int
+	FailShare   float64
+	// NoProgress omits the progress of all runs from run listings.
+	NoProgress bool
 	// Unresponsive leaves all requests without a response and without effect.
 	Unresponsive bool
 	// Suspended suspends the process: no run and no lease ends, and no report is sent. Requests
@@ -78,6 +82,11 @@
 	number int
 	cpu    int64
 	timer  *time.Timer
+	// startedAt is the time of the start, duration the time after which the work is done, and
+	// maxPercent the progress at which it stops.
+	startedAt  time.Time
+	duration   time.Duration
+	maxPercent int
 	// stopping is true between a stop request and the end of the run.
 	stopping bool
 	// expired is true once the lease has expired while the process was suspended: the run makes
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -146,3 +146,30 @@
 	r.ExecuteHeld(StartPath)
 	assert.Equal(t, r.Checker.Starts(), 2)
 }
+
+// Guards against a stand-in whose runs look stalled while they go on, or move while they hang.
+func TestRunsReportProgress(t *testing.T) {
+	r := newTestRunner(0)
+	start := func(task string, fault Fault) *run {
+		r.SetFault(fault)
+		r.do(StartPath, requestBody{Task: task, Run: 1, Spec: `{"ms":1000,"cpu":1400}`, Until: time.Hour.Milliseconds() + 500})
+		r.SetFault(Fault{})
+		return r.runs[task]
+	}
+	row := func(task string, after time.Duration) []any {
+		r.runs[task].startedAt = time.Now().Add(-after)
+		return r.runningRow(task, r.runs[task])
+	}
+	start("moves", Fault{})
+	start("slow", Fault{Slow: 4})
+	start("hangs", Fault{Hang: true})
+	start("hangs later", Fault{Hang: true, HangPercent: 30})
+	assert.DeepEqual(t, row("moves", 255*time.Millisecond), []any{"moves", 1, "", 25, int64(0)})
+	assert.DeepEqual(t, row("moves", 2*time.Second), []any{"moves", 1, "", 100, int64(1400)})
+	assert.DeepEqual(t, row("slow", 1020*time.Millisecond), []any{"slow", 1, "", 25, int64(1400)})
+	assert.DeepEqual(t, row("hangs", 2*time.Second)[3], 0)
+	assert.DeepEqual(t, row("hangs later", 155*time.Millisecond)[3], 15)
+	assert.DeepEqual(t, row("hangs later", 2*time.Second)[3], 30)
+	r.SetFault(Fault{NoProgress: true})
+	assert.DeepEqual(t, row("moves", 255*time.Millisecond), []any{"moves", 1, ""})
+}
