e2e/soak: a runner stops reporting progress while its runs go on

Cause: the soak had no fault of the progress that runners report. Every other hanging runner hangs at 30 percent instead of at 0.

--- a/e2e/soak/inject.go
+++ b/e2e/soak/inject.go
@@ -39,7 +39,7 @@
 		runner.Drain()
 		uptime.Sleep(ctx, drainDuration+f.Duration/2)
 		runner.Restart()
-	case RunnerLateRequests, RunnerSlow, RunnerHang, RunnerFailsTasks, RunnerUnresponsive:
+	case RunnerLateRequests, RunnerSlow, RunnerHang, RunnerFailsTasks, RunnerUnresponsive, RunnerNoProgress:
 		runner.SetFault(runnerFault(f))
 		uptime.Sleep(ctx, f.Duration)
 		runner.SetFault(worker.Fault{})
@@ -128,16 +128,21 @@
 	RunnerHang:         {Hang: true},
 	RunnerFailsTasks:   {FailShare: 0.7},
 	RunnerUnresponsive: {Unresponsive: true},
+	RunnerNoProgress:   {NoProgress: true},
 }
 
 // runnerFault returns the fault to inject into a runner. For RunnerLateRequests, half of
 // the faults delay requests such that a start is still valid when it takes effect; the
-// other half delay them beyond its validity.
+// other half delay them beyond its validity. For RunnerHang, half of the runs hang before they make
+// any progress.
 func runnerFault(f Fault) worker.Fault {
 	fault := runnerFaults[f.Kind]
 	if f.Kind == RunnerLateRequests && f.Index%2 == 1 {
 		fault.LateBy = 300 * time.Millisecond
 	}
+	if f.Kind == RunnerHang && f.Index%2 == 1 {
+		fault.HangPercent = 30
+	}
 	return fault
 }
 
--- a/e2e/soak/schedule.go
+++ b/e2e/soak/schedule.go
@@ -57,6 +57,8 @@
 
 	Cordon       Kind = "data centre cordoned until after the bound"
 	CordonSeries Kind = "data centre cordoned, taken back and cordoned again within a second"
+
+	RunnerNoProgress Kind = "runner stops reporting progress while its runs go on"
 )
 
 var plannedKinds = []Kind{EntryTerm, EntryHangup, GuardTerm, GuardHangup, Configure, Configure}
@@ -125,6 +127,7 @@
 	{CallersLeave, EntryThrottle, EntryThrottle, GuardThrottle},
 	{CallersHalfOpen, EntryHalfOpen, RunnerUnresponsive},
 	{Cordon, CordonSeries},
+	{RunnerNoProgress},
 }
 
 // additionalFaults returns the faults for one group of additionalKinds.
