bench/replay: runners list the progress of runs, guards report it

Cause: the replay had no progress, so that nothing that uses it could be measured. Change: the simulated guard applies a listing with progress at each end of a run and every 60 ms while runs are there, and sends due reports and estimates of releases with its messages; a run that becomes stalled causes one.

--- a/bench/replay/guard.go
+++ b/bench/replay/guard.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +19,23 @@
 // send it with others.
 const startReportDelay = 80 * time.Millisecond
 
+// pollWait is how long a poll waits at the runner for a run to end.
+const pollWait = 60 * time.Millisecond
+
+// runnerRun is a run in progress at a runner: it makes progress evenly for its duration, zero if it
+// hangs.
+type runnerRun struct {
+	startedAt, duration time.Duration
+}
+
+// percent returns the progress of the run.
+func (r runnerRun) percent(now time.Duration) int {
+	if r.duration <= 0 {
+		return 0
+	}
+	return int(min((now-r.startedAt)*100/r.duration, 100))
+}
+
 // guard simulates a guard's run table and its runner.
 type guard struct {
 	sim        *sim
@@ -29,8 +45,13 @@
 	table      *runs.Table
 	sessions   []*session
 	// running holds the runs in progress at the runner.
-	running  map[work.RunnerRunID]bool
-	endSeq   int64
+	running map[work.RunnerRunID]runnerRun
+	endSeq  int64
+	// listedAt is the time of the last run listing, and polling is true while one is scheduled.
+	// listing is reused, because a listing is made at the end of each run.
+	listedAt time.Duration
+	polling  bool
+	listing  work.Listing
 	fault    FaultKind
 	slowdown float64
 	// cpu is the capacity of its runner, in thousandths of a core.
@@ -40,7 +61,7 @@
 }
 
 func newGuard(s *sim, n int, dataCentre string) *guard {
-	g := &guard{sim: s, id: fmt.Sprintf("guard-%d", n), dataCentre: dataCentre, table: runs.New(runs.Options{}), running: map[work.RunnerRunID]bool{}, slowdown: 1, cpu: s.load.runnerCPU(n), runTimeFactor: s.load.runTimeFactor(n)}
+	g := &guard{sim: s, id: fmt.Sprintf("guard-%d", n), dataCentre: dataCentre, table: runs.New(runs.Options{}), running: map[work.RunnerRunID]runnerRun{}, slowdown: 1, cpu: s.load.runnerCPU(n), runTimeFactor: s.load.runTimeFactor(n)}
 	g.startRunner()
 	s.after(sweepInterval, g.sweep)
 	return g
@@ -50,7 +71,7 @@
 func (g *guard) startRunner() {
 	g.generation++
 	g.endSeq = 0
-	g.running = map[work.RunnerRunID]bool{}
+	g.running = map[work.RunnerRunID]runnerRun{}
 	g.deliver(g.table.Adopt(g.sim.now, runs.Process{Incarnation: g.incarnation(), Service: service}))
 	g.table.SetCapacity(work.Amounts{CPUMilli: g.cpu}, nil, false)
 	g.table.RunnerUp()
@@ -121,7 +142,8 @@
 		if g.generation != generation || g.fault == Gone {
 			return
 		}
-		g.running[name] = true
+		g.running[name] = runnerRun{startedAt: g.sim.now}
+		g.poll(pollWait)
 		job.startedRuns++
 		if job.crashAfter > 0 && x.Run.Task.Index == 0 {
 			g.sim.after(job.crashAfter, func() { g.crash(generation, job) })
@@ -161,7 +183,7 @@
 	g.generation++
 	g.fault = Gone
 	g.table.RunnerDown()
-	g.running = map[work.RunnerRunID]bool{}
+	g.running = map[work.RunnerRunID]runnerRun{}
 	g.sim.after(leaseExpiry, func() { g.deliver(sortByTask(g.table.LeaseExpired(g.sim.now, true))) })
 	g.sim.after(restartTime, func() {
 		g.fault = 0
@@ -181,7 +203,7 @@
 	g.generation++
 	g.fault = Gone
 	g.table.RunnerDown()
-	g.running = map[work.RunnerRunID]bool{}
+	g.running = map[work.RunnerRunID]runnerRun{}
 	g.sim.after(flapTime, func() {
 		g.fault = 0
 		g.startRunner()
@@ -196,6 +218,7 @@
 	case Failing:
 		g.end(name, runnerDelay, work.Failed)
 	default:
+		g.running[name] = runnerRun{g.sim.now, d}
 		g.end(name, d+runnerDelay, work.Done)
 	}
 }
@@ -204,7 +227,7 @@
 func (g *guard) end(name work.RunnerRunID, in time.Duration, state work.EndState) {
 	generation := g.generation
 	g.sim.after(in, func() {
-		if g.generation != generation || !g.running[name] {
+		if _, runs := g.running[name]; g.generation != generation || !runs {
 			return
 		}
 		delete(g.running, name)
@@ -215,8 +238,61 @@
 
 // applyListing passes the runner's state and the ended runs to the run table.
 func (g *guard) applyListing(ends []work.End) {
-	reports := g.table.ApplyListing(g.sim.now, g.sim.now, work.Listing{Running: slices.Collect(maps.Keys(g.running)), Ends: ends})
-	g.deliver(sortByTask(reports))
+	g.deliver(sortByTask(g.list(ends)))
+	g.reportStalled()
+}
+
+// list passes a run listing to the run table and returns the resulting reports.
+func (g *guard) list(ends []work.End) []runs.Report {
+	now := g.sim.now
+	g.listedAt = now
+	v := &g.listing
+	if v.Progress == nil {
+		v.Progress = map[work.RunnerRunID]work.Progress{}
+	}
+	clear(v.Progress)
+	v.Clock, v.Running, v.Ends = now, v.Running[:0], ends
+	for name, r := range g.running {
+		v.Running = append(v.Running, name)
+		v.Progress[name] = work.Progress{Percent: r.percent(now)}
+	}
+	return g.table.ApplyListing(now, now, *v)
+}
+
+// reportStalled makes the sessions send the reports on runs that have become stalled.
+func (g *guard) reportStalled() {
+	stalled := g.table.TakeStalled()
+	slices.SortFunc(stalled, func(a, b runs.StalledRun) int { return byTask(a.Run.Task, b.Run.Task) })
+	for _, r := range stalled {
+		for _, l := range g.sessions {
+			if l.owner == r.Owner {
+				l.sendProgress()
+			}
+		}
+	}
+}
+
+// poll schedules a run listing, unless one is, that is made if no run has ended by then.
+func (g *guard) poll(in time.Duration) {
+	if g.polling {
+		return
+	}
+	g.polling = true
+	g.sim.after(in, func() {
+		g.polling = false
+		if len(g.running) == 0 || g.fault == Gone {
+			return
+		}
+		if left := g.listedAt + pollWait - g.sim.now; left > 0 {
+			g.poll(left)
+			return
+		}
+		if reports := g.list(nil); len(reports) > 0 {
+			g.deliver(sortByTask(reports))
+		}
+		g.reportStalled()
+		g.poll(pollWait)
+	})
 }
 
 // stop sends the stop orders that are due to the runner.
--- a/bench/replay/link.go
+++ b/bench/replay/link.go
@@ -28,9 +28,11 @@
 	// capacityDue is the time at which capacity is to be sent, reportsDue that of the
 	// reports; never when there is nothing to send.
 	capacityDue, reportsDue time.Duration
-	capacitySent            time.Duration
-	sentCapacity            runs.Capacity
-	withReports             bool
+	// progressDue is true if a report on a stalled run is to be sent at once.
+	progressDue  bool
+	capacitySent time.Duration
+	sentCapacity runs.Capacity
+	withReports  bool
 	// read is the clock reading of the newest message whose receipt the entry has
 	// confirmed; awaitingRead is true while the next capacity is withheld until then.
 	read         time.Duration
@@ -129,9 +131,18 @@
 	l.scheduleFlush()
 }
 
+// sendProgress sends the progress reports that are due at once.
+func (l *session) sendProgress() {
+	l.progressDue = true
+	l.scheduleFlush()
+}
+
 // scheduleFlush schedules the next message for the time at which it is due.
 func (l *session) scheduleFlush() {
 	next := min(l.capacityDue, l.reportsDue)
+	if l.progressDue {
+		next = l.guard.sim.now
+	}
 	if next == l.flushAt {
 		return
 	}
@@ -154,10 +165,14 @@
 	now := l.guard.sim.now
 	due := l.capacityDue <= now || l.withReports && l.reportsDue <= now
 	reports := l.reports
-	l.reports, l.reportsDue = nil, never
+	l.reports, l.reportsDue, l.progressDue = nil, never, false
+	progress, _ := l.guard.table.DueProgress(now, l.owner)
+	for _, p := range progress {
+		l.guard.sim.result.countProgress(p.Stalled)
+	}
 	var capacity *planner.EndpointStatus
 	if due {
-		r := l.guard.table.Capacity()
+		r := l.guard.table.CapacityAt(now)
 		l.sentCapacity, l.capacitySent, l.capacityDue, l.withReports = r, now, never, false
 		capacity = &planner.EndpointStatus{
 			Service:       service,
@@ -176,13 +191,13 @@
 	l.guard.sim.result.Messages++
 	e := l.entry
 	l.guard.sim.after(messageDelay, func() {
-		e.cpu.run(readCost, func() { e.receive(l.guard.id, now, reports, capacity) })
+		e.cpu.run(readCost, func() { e.receive(l.guard.id, now, reports, progress, capacity) })
 	})
 	l.scheduleFlush()
 }
 
 // receive handles a guard's message.
-func (e *entry) receive(guard string, sent time.Duration, reports []runs.Report, capacity *planner.EndpointStatus) {
+func (e *entry) receive(guard string, sent time.Duration, reports []runs.Report, progress []runs.Progress, capacity *planner.EndpointStatus) {
 	e.clocks[guard] = clockReading{sent, e.sim.now}
 	for _, r := range reports {
 		if r.State == runs.Crashed {
@@ -191,6 +206,9 @@
 		}
 		e.plan.ReportRun(e.sim.now, guard, r.Run, changeOf(r), r.RunTime(sent))
 	}
+	for _, r := range progress {
+		e.plan.RecordProgress(e.sim.now, guard, planner.RunProgress{Run: r.Run, Percent: r.Percent, Left: r.Left, Stalled: r.Stalled})
+	}
 	if capacity != nil {
 		e.plan.UpdateEndpoint(e.sim.now, guard, *capacity)
 	}
--- a/bench/replay/result.go
+++ b/bench/replay/result.go
@@ -51,6 +51,9 @@
 	Orders int
 	// Messages is the number of messages from guards to entries.
 	Messages int
+	// ProgressReports is the number of progress reports in them, and StalledReports that of reports
+	// on stalled runs.
+	ProgressReports, StalledReports int
 	// Crashes holds, for each job that crashes runners, the number of runner processes
 	// it has crashed. FailedByCrashes is the number of other jobs that failed because of
 	// crashes.
@@ -69,6 +72,14 @@
 	}
 }
 
+// countProgress counts a progress report.
+func (r *Result) countProgress(stalled bool) {
+	r.ProgressReports++
+	if stalled {
+		r.StalledReports++
+	}
+}
+
 func (r *Result) countRefusedOrder(reason runs.Refusal) { r.RefusedOrders[reason.String()]++ }
 
 func (r *Result) countCrash(by *pendingJob) { r.Crashes[by]++ }
