guard/runs: tests of the interval between reports and of a run at the next process

Cause: with 13 safeguards of run progress taken out one by one, 11 removals failed a test; the interval of 100 ms between reports and the reset of the readings when a run goes on at the next process did not. Change: one test case for each.

--- a/guard/runs/progress_test.go
+++ b/guard/runs/progress_test.go
@@ -103,6 +103,15 @@
 	p.Resume(testStart+1000*ms, entryA, nil)
 	assert.Equal(t, len(p.due(1001*ms)), 0, "its owner does not know the run any more")
 
+	changing := newProgressTable(t, "j")
+	for at := 20 * ms; at <= 100*ms; at += 20 * ms {
+		changing.list(at, map[string]int{"j": int(at / (10 * ms))})
+	}
+	assert.Equal(t, len(changing.due(100*ms)), 1)
+	changing.list(120*ms, map[string]int{"j": 40})
+	assert.Equal(t, len(changing.due(199*ms)), 0, "within 100 ms")
+	assert.Equal(t, len(changing.due(200*ms)), 1)
+
 	var jobs []string
 	percent := map[string]int{}
 	for i := range MaxProgress + 6 {
@@ -151,6 +160,18 @@
 		last(p)
 		assert.Equal(t, len(p.due(450*ms)), 0, name)
 	}
+	// The run goes on at the next process, whose clock starts anew.
+	moved := newProgressTable(t, "long")
+	moved.list(20*ms, map[string]int{"long": 2})
+	moved.list(60*ms, map[string]int{"long": 6})
+	name := moved.starts["long"].Name
+	moved.Adopt(testStart+70*ms, Process{Incarnation: work.Incarnation{ID: "i2"}}, name)
+	for at := 80 * ms; at <= 140*ms; at += 20 * ms {
+		moved.ApplyListing(testStart+at, testStart+at, work.Listing{Clock: at, Running: []work.RunnerRunID{name},
+			Progress: map[work.RunnerRunID]work.Progress{name: {Percent: int((at - 70*ms) / (10 * ms))}}})
+	}
+	assert.Equal(t, len(moved.due(140*ms)), 1)
+
 	p := newProgressTable(t, "long")
 	for _, at := range []time.Duration{20, 60, 40, 100, 80} {
 		p.list(at*ms, map[string]int{"long": int(at / 10)})
