durations: learn run times by declared run time

A mean over all runs of a contract expects a job that declares seven times the usual run time to take about four times, and after it all others to take twice as long as they do. The new package keeps the mean and a quantile sketch for each octave of declared run time, in two generations that rotate, and answers only once a heavy tail is known: long runs that show also without the endpoints that may be slow because of a fault.

Property tests over random contracts (spread 0.4, three jobs in a hundred seven times as long) expect a tail job at 5 to 9 times the usual run time, and know no tail without one, with a third of the endpoints five times as slow, and after all run times have changed.

--- /dev/null
+++ b/dispatch/durations/durations.go
@@ -0,0 +1,329 @@
+// Package durations learns the distribution of one contract's run times by declared run time. It
+// addresses contracts with a heavy tail: a few of the jobs run several times as long as the others,
+// and their declarations say so, approximately. A mean over all runs then tells too little: it
+// expects such a job to take about half as long as it does, and the others too long for a while
+// after it.
+//
+// While no heavy tail has been learnt, nothing is known and callers use their own estimates.
+package durations
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/DataDog/sketches-go/ddsketch"
+)
+
+const (
+	// lowestClass and highestClass are the classes of declared run times below and above the
+	// reference, in octaves. They are open outwards.
+	lowestClass, highestClass = -3, 4
+	classes                   = highestClass - lowestClass + 1
+	// quantileError is the relative error of the sketches.
+	quantileError = 0.02
+	// maxBins bounds the memory of one sketch; at the error above it covers 17 octaves.
+	maxBins = 300
+
+	// longRun times the median is the run time from which a run is long. With a spread of 0.4, as
+	// contracts have without a tail, 0.03 % of the runs are longer than that.
+	longRun = 4
+	// minLongShare and maxLongShare are the bounds of the share of long runs for a tail. Below, the
+	// quantiles are those of single runs; above, run times have changed as a whole, which the
+	// callers' own estimates follow faster. Run times that change show also in maxLongShare of the
+	// shortest runs, from which those of the longest differ by less than longRun otherwise.
+	minLongShare, maxLongShare = 0.005, 0.2
+	// minLongRuns is the least number of long runs for a tail: one wide job is not one.
+	minLongRuns = 8
+	// minRuns is the number of runs from which the shares above are judged.
+	minRuns = 128
+	// judgeInterval is the number of runs between two judgements.
+	judgeInterval = 16
+	// maxFaultyDivisor: up to one in three endpoints may be slow because of a fault, as in the
+	// planner. A tail must show without the long runs there.
+	maxFaultyDivisor = 3
+
+	// generationTime and generationRuns are the least age and number of runs of the younger
+	// generation when it replaces the older one. Among 1,024 runs of jobs of eight tasks, a tail of
+	// three in a hundred is missing with a probability of 2 %.
+	generationTime = 30 * time.Second
+	generationRuns = 1024
+	// firstRuns is the number of runs whose mean declaration is the first reference. It is
+	// inaccurate, as a single job of the tail may double it: after referenceRuns the younger
+	// generation starts anew with a better one, and replaces the older one without the time above.
+	firstRuns     = 32
+	referenceRuns = 256
+
+	// fullWeightRuns is the number of runs of a class at which its mean has half the weight
+	// against the formula for all classes.
+	fullWeightRuns = 4
+	// declaredWeight is the weight of the declaration within a class; the planner uses the same
+	// between all runs.
+	declaredWeight = 0.5
+	// minClassRuns is the number of runs from which the quantiles of a class are used.
+	minClassRuns = 24
+	// limitQuantile with limitMargin is the run time limit. One run in a hundred of a class is
+	// longer than the quantile, hardly any than 1.5 times the quantile (spread 0.4).
+	limitQuantile, limitMargin = 0.99, 1.5
+	// minQuantile with minFactor is the minimum run time of a class.
+	minQuantile, minFactor = 0.05, 0.5
+)
+
+// Distribution is the distribution of the run times of one contract. A nil Distribution knows
+// nothing and learns nothing. It is not safe for concurrent use.
+type Distribution struct {
+	// older answers all questions; younger holds the runs since it replaced an earlier one. Each
+	// run is added to both, so that old runs lose their effect when younger replaces older.
+	older, younger *generation
+	// first holds the first runs, until there are enough for a reference.
+	first []run
+	// stage tells how accurate the reference of the older generation is.
+	stage stage
+	// tail is true while a heavy tail is known.
+	tail bool
+}
+
+type run struct {
+	endpoint      string
+	ran, declared time.Duration
+}
+
+// stage is the stage of learning.
+type stage int
+
+const (
+	// inaccurate: both generations have a reference from the first runs.
+	inaccurate stage = iota
+	// improving: only the younger generation has an accurate reference.
+	improving
+	accurate
+)
+
+// New returns a Distribution without runs.
+func New() *Distribution { return &Distribution{} }
+
+// generation holds the runs since its start.
+type generation struct {
+	since time.Duration
+	// reference is the declared run time, in seconds, relative to which the classes are formed:
+	// the mean declaration of the generation before.
+	reference float64
+	all       class
+	byClass   [classes]class
+	// median is the median run time at the last judgement, in seconds.
+	median float64
+	// long counts the long runs by endpoint, those at endpoints without any included.
+	long map[string]int
+}
+
+// class holds the runs of one class of declared run times.
+type class struct {
+	runs          int
+	ran, declared float64
+	sketch        *ddsketch.DDSketch
+}
+
+func newGeneration(now time.Duration, reference float64) *generation {
+	return &generation{since: now, reference: reference, long: map[string]int{}}
+}
+
+// Add adds the run time of a run that ended now at an endpoint, in units of a normal endpoint. Runs
+// without a declaration count with the reference.
+func (d *Distribution) Add(now time.Duration, endpoint string, ran, declared time.Duration) {
+	if d == nil || ran <= 0 {
+		return
+	}
+	if d.older == nil {
+		d.addFirst(now, run{endpoint, ran, declared})
+		return
+	}
+	d.older.add(endpoint, ran, declared)
+	d.younger.add(endpoint, ran, declared)
+	if d.older.all.runs%judgeInterval == 0 {
+		// The younger generation counts its long runs as well.
+		d.younger.judge(false)
+		d.tail = d.older.judge(d.tail)
+	}
+	d.rotate(now)
+}
+
+// addFirst keeps one of the first runs, and starts the generations when there are enough.
+func (d *Distribution) addFirst(now time.Duration, r run) {
+	d.first = append(d.first, r)
+	if len(d.first) < firstRuns {
+		return
+	}
+	sum, n := 0.0, 0
+	for _, r := range d.first {
+		if r.declared > 0 {
+			sum += r.declared.Seconds()
+			n++
+		}
+	}
+	reference := 1.0
+	if n > 0 {
+		reference = sum / float64(n)
+	}
+	d.older, d.younger = newGeneration(now, reference), newGeneration(now, reference)
+	for _, r := range d.first {
+		d.older.add(r.endpoint, r.ran, r.declared)
+	}
+	d.first = nil
+}
+
+// rotate replaces the older generation by the younger one if that suffices.
+func (d *Distribution) rotate(now time.Duration) {
+	y := d.younger
+	switch {
+	case d.stage == inaccurate && d.older.all.runs >= referenceRuns:
+		d.stage = improving
+		d.younger = newGeneration(now, d.older.meanDeclared())
+		return
+	case d.stage == inaccurate || y.all.runs < generationRuns || d.stage == accurate && now-y.since < generationTime:
+		return
+	}
+	d.stage = accurate
+	d.older, d.younger = y, newGeneration(now, y.meanDeclared())
+	d.tail = d.older.judge(d.tail)
+}
+
+func (g *generation) meanDeclared() float64 { return g.all.declared / float64(g.all.runs) }
+
+func (g *generation) add(endpoint string, ran, declared time.Duration) {
+	r, d := ran.Seconds(), declared.Seconds()
+	if declared <= 0 {
+		d = g.reference
+	}
+	g.all.add(r, d)
+	g.class(d).add(r, d)
+	isLong := 0
+	if g.median > 0 && r >= longRun*g.median {
+		isLong = 1
+	}
+	g.long[endpoint] += isLong
+}
+
+// class returns the class of a declared run time, in seconds.
+func (g *generation) class(declared float64) *class {
+	if declared <= 0 {
+		declared = g.reference
+	}
+	octave := math.Floor(math.Log2(declared / g.reference))
+	return &g.byClass[int(min(max(octave, lowestClass), highestClass))-lowestClass]
+}
+
+// judge returns whether the run times have a heavy tail, given whether they had before.
+func (g *generation) judge(before bool) bool {
+	g.median = g.all.quantile(0.5)
+	if g.all.runs < minRuns {
+		return before
+	}
+	bulkAgrees := g.all.quantile(1-maxLongShare) < longRun*g.all.quantile(maxLongShare)
+	return bulkAgrees && float64(g.longElsewhere()) >= max(minLongRuns, minLongShare*float64(g.all.runs))
+}
+
+// longElsewhere counts the long runs without those at the endpoints that have most of them, as many
+// as may be slow because of a fault.
+func (g *generation) longElsewhere() int {
+	counts := slices.Sorted(maps.Values(g.long))
+	sum := 0
+	for _, n := range counts[:len(counts)-maxFaulty(len(counts))] {
+		sum += n
+	}
+	return sum
+}
+
+// maxFaulty returns how many of a number of endpoints may be slow because of a fault.
+func maxFaulty(endpoints int) int {
+	if endpoints == 1 {
+		return 0
+	}
+	return max(endpoints/maxFaultyDivisor, 1)
+}
+
+// HasTail reports whether a heavy tail has been learnt.
+func (d *Distribution) HasTail() bool { return d != nil && d.tail }
+
+// Expected returns the expected run time of a task; known is false while no heavy tail has been
+// learnt. With few runs in the class of the declared run time it approaches the formula for all
+// classes: half the declared time, scaled by what declarations were off, and half the mean.
+func (d *Distribution) Expected(declared time.Duration) (run time.Duration, known bool) {
+	if !d.HasTail() {
+		return 0, false
+	}
+	g := d.older
+	if declared <= 0 {
+		return seconds(g.all.ran / float64(g.all.runs)), true
+	}
+	own := declared.Seconds()
+	c := g.class(own)
+	expected := g.all.expected(own)
+	if c.runs > 0 {
+		weight := float64(c.runs) / float64(c.runs+fullWeightRuns)
+		expected += weight * (c.expected(own) - expected)
+	}
+	return seconds(expected), true
+}
+
+// Min returns the minimum run time of a task; known is false while no heavy tail has been learnt or
+// few runs with such a declaration have ended.
+func (d *Distribution) Min(declared time.Duration) (run time.Duration, known bool) {
+	c, expected := d.judged(declared)
+	if c == nil {
+		return 0, false
+	}
+	return min(seconds(c.quantile(minQuantile)), time.Duration(minFactor*float64(expected))), true
+}
+
+// Limit returns the run time that hardly any run exceeds; known is as for Min.
+func (d *Distribution) Limit(declared time.Duration) (run time.Duration, known bool) {
+	c, _ := d.judged(declared)
+	if c == nil {
+		return 0, false
+	}
+	return seconds(limitMargin * c.quantile(limitQuantile)), true
+}
+
+// judged returns the class of a declared run time with the expected run time, or nil if its
+// quantiles are not to be used.
+func (d *Distribution) judged(declared time.Duration) (c *class, expected time.Duration) {
+	expected, known := d.Expected(declared)
+	if !known {
+		return nil, 0
+	}
+	c = d.older.class(declared.Seconds())
+	if declared <= 0 {
+		c = &d.older.all
+	}
+	if c.runs < minClassRuns {
+		return nil, 0
+	}
+	return c, expected
+}
+
+func (c *class) add(ran, declared float64) {
+	if c.sketch == nil {
+		// It fails only for an error out of range.
+		c.sketch, _ = ddsketch.LogCollapsingLowestDenseDDSketch(quantileError, maxBins)
+	}
+	c.runs++
+	c.ran += ran
+	c.declared += declared
+	// It fails only for values outside of the range of the mapping, about 1e-308 to 1e308.
+	_ = c.sketch.Add(ran)
+}
+
+// expected applies the formula to the runs of the class.
+func (c *class) expected(declared float64) float64 {
+	return declaredWeight*declared*c.ran/c.declared + (1-declaredWeight)*c.ran/float64(c.runs)
+}
+
+// quantile returns a quantile of the run times, in seconds; the class must have runs.
+func (c *class) quantile(q float64) float64 {
+	// It fails only for an empty sketch and for quantiles outside of 0 to 1.
+	v, _ := c.sketch.GetValueAtQuantile(q)
+	return v
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/dispatch/durations/durations_test.go
@@ -0,0 +1,109 @@
+package durations
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+const (
+	ms        = time.Millisecond
+	endpoints = 12
+)
+
+// contract draws run times and declarations with a spread of 0.4, of jobs of four tasks.
+type contract struct {
+	random *rand.Rand
+	now    time.Duration
+	// mean is the run time of most jobs; share of them take times as long.
+	mean         time.Duration
+	share, times float64
+}
+
+func (c *contract) spread() float64 { return math.Exp(0.4 * c.random.NormFloat64()) }
+
+func (c *contract) run(d *Distribution, jobs int) {
+	for range jobs {
+		size := c.spread()
+		if c.random.Float64() < c.share {
+			size *= c.times
+		}
+		declared := size * c.spread()
+		for range 4 {
+			c.now += 10 * ms
+			ran := size * (0.85 + 0.3*c.random.Float64())
+			d.Add(c.now, fmt.Sprint(c.random.IntN(endpoints)), time.Duration(ran*float64(c.mean)), time.Duration(declared*float64(c.mean)))
+		}
+	}
+}
+
+// Guards against a job of the tail that is expected to take four times the mean: its declaration is
+// averaged with the mean of all jobs.
+func TestTailIsExpectedAsDeclared(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seed := rapid.Uint64().Draw(t, "seed")
+		c := &contract{random: rand.New(rand.NewPCG(seed, 1)), mean: 60 * ms, share: 0.03, times: 7}
+		d := New()
+		c.run(d, rapid.IntRange(1500, 3000).Draw(t, "jobs"))
+		assert.Assert(t, d.HasTail())
+		tail, known := d.Expected(7 * 60 * ms)
+		assert.Assert(t, known && tail > 5*60*ms && tail < 9*60*ms, "tail %v", tail)
+		usual, _ := d.Expected(60 * ms)
+		assert.Assert(t, usual > 45*ms && usual < 85*ms, "usual %v", usual)
+		limit, known := d.Limit(7 * 60 * ms)
+		assert.Assert(t, !known || limit > tail, "limit %v of %v", limit, tail)
+	})
+}
+
+// Guards against changed decisions where there is no tail, where single endpoints are slow, and
+// where all run times have changed.
+func TestNoTailIsKnown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &contract{random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), mean: 60 * ms}
+		d := New()
+		slow := rapid.IntRange(0, endpoints/maxFaultyDivisor).Draw(t, "slow")
+		c.run(d, 300)
+		for range 300 {
+			c.run(d, 1)
+			for e := range slow {
+				d.Add(c.now, fmt.Sprint(e), 300*ms, 60*ms)
+			}
+		}
+		assert.Assert(t, !d.HasTail())
+		c.mean = 600 * ms
+		c.run(d, 600)
+		_, known := d.Expected(60 * ms)
+		assert.Assert(t, !known, "run times have changed as a whole")
+	})
+}
+
+// Guards against old observations that keep their effect: the tail has ended.
+func TestOldRunsLoseTheirEffect(t *testing.T) {
+	c := &contract{random: rand.New(rand.NewPCG(1, 1)), mean: 60 * ms, share: 0.03, times: 7}
+	d := New()
+	c.run(d, 1000)
+	assert.Assert(t, d.HasTail())
+	c.share = 0
+	c.run(d, 3000)
+	assert.Assert(t, !d.HasTail())
+}
+
+// Guards against quantiles of a few runs, and a nil Distribution.
+func TestFewRuns(t *testing.T) {
+	var none *Distribution
+	none.Add(time.Second, "a", ms, ms)
+	_, known := none.Expected(ms)
+	assert.Assert(t, !known)
+	c := &contract{random: rand.New(rand.NewPCG(2, 1)), mean: 60 * ms, share: 0.03, times: 7}
+	d := New()
+	c.run(d, 1000)
+	expected, known := d.Expected(100 * 60 * ms)
+	assert.Assert(t, known && expected > 0)
+	_, known = d.Limit(100 * 60 * ms)
+	assert.Assert(t, !known, "hardly any run was declared so long")
+}
