planner: keep runs whose progress moves, stop stalled ones at once

A run was stopped after three times the expected run time or twice the mean of its job's finished tasks, so jobs that are long by nature were stopped and started again. Expected, minimum and longest run times now come from package durations once it has learnt a heavy tail, and run times are learnt, limited and compared in units of a normal endpoint.

A run with valid progress is stopped only if a run elsewhere ends in time and this one does not, or if its endpoint is the cause and a run elsewhere ends well before it. A stalled run is stopped at once; a second stall of the same task does not count against the next endpoint. Without progress and without a tail, or with run_progress turned off, decisions are unchanged.

--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -95,6 +95,7 @@
 	for _, t := range e.runs {
 		t.orphaned = t.orphaned || newGuard
 		if t.orphaned {
+			t.progress = progress{}
 			continue
 		}
 		open = append(open, t.run())
--- a/dispatch/planner/estimate.go
+++ b/dispatch/planner/estimate.go
@@ -1,6 +1,10 @@
 package planner
 
-import "time"
+import (
+	"time"
+
+	"almondstand.dev/dispatch/durations"
+)
 
 const (
 	// defaultRunTime is the assumed run time of a task when nothing is known about it.
@@ -37,18 +41,27 @@
 	// retestAt is the earliest time of the next retest, retestInterval the last interval, which
 	// doubles with each retest.
 	retestAt, retestInterval time.Duration
+	// runTimes is the distribution of the run times, which decides instead of the means once it has
+	// learnt a heavy tail; nil if Features.RunProgress is turned off.
+	runTimes *durations.Distribution
 }
 
 func (p *Planner) estimate(contract string) *estimate {
 	e := p.estimates[contract]
 	if e == nil {
 		e = &estimate{}
+		if !p.opt.Disabled.RunProgress {
+			e.runTimes = durations.New()
+		}
 		p.estimates[contract] = e
 	}
 	return e
 }
 
 func (e *estimate) expectedRunTime(declared time.Duration) time.Duration {
+	if run, known := e.runTimes.Expected(declared); known {
+		return run
+	}
 	if e.meanRan == 0 {
 		if declared > 0 {
 			return declared
@@ -69,9 +82,22 @@
 	if e.meanRan == 0 {
 		return 0
 	}
+	if run, known := e.runTimes.Min(declared); known {
+		return run
+	}
 	return time.Duration(minRunTimeFactor * float64(min(e.expectedRunTime(declared), seconds(e.meanRan))))
 }
 
+// runTimeLimit is the run time on a normal endpoint from which a run is considered hung if nothing is
+// known of its progress and of the job's other tasks.
+func (e *estimate) runTimeLimit(declared, expected time.Duration) time.Duration {
+	limit := time.Duration(runTimeLimitFactor * float64(expected))
+	if run, known := e.runTimes.Limit(declared); known {
+		limit = max(limit, run)
+	}
+	return limit
+}
+
 // retestDue reports whether a job is to be accepted although the learnt run times leave its
 // caller no time, and if so schedules the next retest. While all such jobs are refused,
 // nothing runs that could correct the learnt run times.
@@ -92,7 +118,13 @@
 }
 
 // reset resets the learnt run times.
-func (e *estimate) reset() { *e = estimate{normalRunAt: e.normalRunAt} }
+func (e *estimate) reset() {
+	runTimes := e.runTimes
+	if runTimes != nil {
+		runTimes = durations.New()
+	}
+	*e = estimate{normalRunAt: e.normalRunAt, runTimes: runTimes}
+}
 
 func (e *estimate) learn(now, ran, declared time.Duration) {
 	e.updatedAt = now
--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -24,6 +24,9 @@
 	// critical path of steps.
 	minRunTimes     []time.Duration
 	minCriticalPath time.Duration
+	// runTimeLimits are the run times on a normal endpoint from which a run is considered hung, by
+	// step, as long as nothing is known of the other tasks.
+	runTimeLimits []time.Duration
 	// retest is true for a job accepted against the learnt run times, until its first run is
 	// done.
 	retest bool
@@ -36,7 +39,7 @@
 	unfinished []int
 	// queued is true while the job is in one of its service's lists.
 	queued bool
-	// meanRunTime is the mean run time of the finished tasks.
+	// meanRunTime is the mean run time of the finished tasks, in units of a normal endpoint.
 	meanRunTime time.Duration
 	doneTasks   int
 }
@@ -68,6 +71,10 @@
 	// stopping is true once the stop of the open run was ordered, and stopReason is the reason.
 	stopping   bool
 	stopReason Reason
+	// progress is what the guard last reported of the open run, and kept is true once that run was
+	// kept beyond its limit because of it.
+	progress progress
+	kept     bool
 	// orphaned is true when the guard that got the open run is gone and its successor has not
 	// reported the runner as reconciled yet.
 	orphaned bool
@@ -104,6 +111,7 @@
 		least := e.minRunTime(step.Declared)
 		j.expected = append(j.expected, run)
 		j.minRunTimes = append(j.minRunTimes, least)
+		j.runTimeLimits = append(j.runTimeLimits, e.runTimeLimit(step.Declared, run))
 		for _, a := range step.After {
 			ends[s] = max(ends[s], ends[a])
 			minEnds[s] = max(minEnds[s], minEnds[a])
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -278,6 +278,7 @@
 	t.ordered = now
 	t.running = 0
 	t.stopping = false
+	t.progress, t.kept = progress{}, false
 	t.orphaned = false
 	need := j.work.Steps[t.step].Need
 	free := e.free().CPUMilli
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -112,8 +112,9 @@
 	lateStartsPruned time.Duration
 	contact          contact
 	// crashes are the crashes of the last seconds, oldest first.
-	crashes     []*crash
-	crashCounts CrashCounts
+	crashes        []*crash
+	crashCounts    CrashCounts
+	progressCounts ProgressCounts
 	// cordons are the cordoned data centres.
 	cordons map[string]bool
 	hearing hearing
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -79,7 +79,7 @@
 		if overran {
 			// The run time is longer still. Without it, a contract whose tasks now take longer
 			// than the limits by its older run times would never complete a run.
-			p.recordRunTime(now, t.job, ran, t.job.work.Steps[t.step].Declared)
+			p.recordRunTime(now, t.job, e.normalRunTime(ran), t.job.work.Steps[t.step].Declared)
 		}
 		t.avoid = e
 	case NotStarted:
@@ -132,10 +132,11 @@
 // recordDone records that a task is done.
 func (p *Planner) recordDone(now time.Duration, t *task, e *endpoint, ran time.Duration) {
 	j := t.job
+	normal := e.normalRunTime(ran)
 	if !t.done {
 		t.done = true
 		j.unfinished[t.step]--
-		j.meanRunTime += (ran - j.meanRunTime) / time.Duration(j.doneTasks+1)
+		j.meanRunTime += (normal - j.meanRunTime) / time.Duration(j.doneTasks+1)
 		j.doneTasks++
 	}
 	expected := j.expected[t.step]
@@ -156,7 +157,9 @@
 		estimate.normalRunAt = now
 	}
 	if estimate.learnsFrom(now, slow) {
-		p.recordRunTime(now, j, ran, j.work.Steps[t.step].Declared)
+		declared := j.work.Steps[t.step].Declared
+		p.recordRunTime(now, j, normal, declared)
+		estimate.runTimes.Add(now, e.id, normal, declared)
 	}
 	if j.outcome != 0 {
 		return
@@ -173,7 +176,12 @@
 	p.end(now, j, Completed, ReasonDone)
 }
 
-// recordRunTime adds the run time of a task to the contract's estimate. The first one of a
+// normalRunTime returns the run time that a run of the endpoint would have had on a normal one.
+func (e *endpoint) normalRunTime(ran time.Duration) time.Duration {
+	return time.Duration(float64(ran) / e.runTimeFactor())
+}
+
+// recordRunTime adds the run time of a task on a normal endpoint to the contract's estimate. The first one of a
 // retest replaces what was learnt before.
 func (p *Planner) recordRunTime(now time.Duration, j *job, ran, declared time.Duration) {
 	e := p.estimate(j.terms.Contract)
@@ -223,8 +231,8 @@
 	// factor of two.
 	runTimeLimitFactor = 3
 	runTimeLimitMargin = 60 * time.Millisecond
-	// peerLimitFactor applies instead to the mean of the job's finished tasks: tasks of one job
-	// differ by some 15 %.
+	// peerLimitFactor applies instead to the mean of the job's finished tasks, normalised by the
+	// lasting speeds of their endpoints: tasks of one job differ by some 15 %.
 	peerLimitFactor = 2
 	// maxLimitDoublings keeps the doubled limit from overflowing; a caller waits only some
 	// seconds.
@@ -243,6 +251,14 @@
 		if j.peerRunTimesKnown() {
 			expected = j.meanRunTime
 		}
+		switch decision, until := p.judgeProgress(now, t); decision {
+		case keepsRunning:
+			next = min(next, until)
+			continue
+		case stopSlow, stopStalled:
+			p.stopLongRun(now, t, decision.reason())
+			continue
+		}
 		due := t.running + t.runTimeLimit()
 		if now < due {
 			next = min(next, due)
@@ -251,21 +267,26 @@
 		if now+expected+startMargin+stopLatency > j.deadline-answerMargin || !j.service.hasAlternative(t.endpoint) || p.hasLateStart(now, t) {
 			continue
 		}
-		if t.overruns == 0 {
-			// If a second run, at another endpoint, takes too long as well, the task is the
-			// cause.
-			t.endpoint.health.recordFailure(now, j.service.failureRate)
-		}
-		t.overruns++
-		p.stop(t, ReasonRunTooLong)
+		p.stopLongRun(now, t, ReasonRunTooLong)
 	}
 	return next
 }
 
+// stopLongRun stops a run that takes too long or has stalled.
+func (p *Planner) stopLongRun(now time.Duration, t *task, reason Reason) {
+	if t.overruns == 0 {
+		// If a second run, at another endpoint, takes too long as well, the task is the
+		// cause.
+		t.endpoint.health.recordFailure(now, t.job.service.failureRate)
+	}
+	t.overruns++
+	p.stop(t, reason)
+}
+
 // overranBefore reports whether an earlier run of the task than the open one was stopped for taking
 // too long: then the task is the cause, not the endpoint.
 func (t *task) overranBefore() bool {
-	return t.overruns > 1 || t.overruns == 1 && t.stopReason != ReasonRunTooLong
+	return t.overruns > 1 || t.overruns == 1 && t.stopReason != ReasonRunTooLong && t.stopReason != ReasonRunStalled
 }
 
 // peerRunTimesKnown reports whether enough of the job's tasks have finished to tell how long
@@ -274,14 +295,16 @@
 	return len(j.work.Steps) == 1 && 2*j.doneTasks >= len(j.tasks)
 }
 
-// runTimeLimit is the run time from which a run is considered hung. It doubles with each run
+// runTimeLimit is the run time from which a run is considered hung if nothing is known of its
+// progress. It doubles with each run
 // of the task stopped for this: otherwise a task that simply takes long would be stopped at
 // one endpoint after another and never end.
 func (t *task) runTimeLimit() time.Duration {
-	limit := time.Duration(runTimeLimitFactor*float64(t.job.expected[t.step])) + runTimeLimitMargin
+	normal := t.job.runTimeLimits[t.step]
 	if t.job.peerRunTimesKnown() {
-		limit = min(limit, time.Duration(peerLimitFactor*float64(t.job.meanRunTime))+runTimeLimitMargin)
+		normal = min(normal, time.Duration(peerLimitFactor*float64(t.job.meanRunTime)))
 	}
+	limit := time.Duration(float64(normal)*t.endpoint.runTimeFactor()) + runTimeLimitMargin
 	return limit << min(t.overruns, maxLimitDoublings)
 }
 
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -68,6 +68,8 @@
 	ReasonLateStartsUnknown Reason = "late_starts_unknown"
 	// ReasonRunTooLong: a run takes far longer than expected.
 	ReasonRunTooLong Reason = "runs_too_long"
+	// ReasonRunStalled: a run makes no progress.
+	ReasonRunStalled Reason = "run_stalled"
 )
 
 // Ended reports the outcome of a job.
@@ -115,10 +117,19 @@
 	Reason   Reason
 }
 
+// Kept reports a run that is beyond its run time limit and goes on because of its progress.
+type Kept struct {
+	Endpoint string
+	Run      work.RunID
+	// Ran is how long it has run, and Left the time until it ends at its own pace.
+	Ran, Left time.Duration
+}
+
 // Actions are what the caller of Act has to carry out now.
 type Actions struct {
 	Starts []Start
 	Stops  []Stop
+	Kept   []Kept
 	Ended  []Ended
 	// Settled lists jobs that ended earlier and whose last run is now over.
 	Settled []string
