replay: loads with a heavy tail and with runners that hang

Kinds may have a spread of run times and declarations like that of the deployments, and results hold the times at which runs were stopped as too long. Older loads draw the same random numbers as before.

--- a/bench/replay/arrivals.go
+++ b/bench/replay/arrivals.go
@@ -120,13 +120,20 @@
 
 func (l Load) draw(random *rand.Rand, kind int, at time.Duration) arrival {
 	z := l.drawDataCentre(random, at-simStart)
+	spread := l.Kinds[kind].Spread
 	size := minSize + random.Float64()*sizeRange
+	if spread > 0 {
+		size = math.Exp(spread * random.NormFloat64())
+	}
 	deadline := l.Kinds[kind].Deadline
 	if share := l.Kinds[kind].TailShare; share > 0 && random.Float64() < share {
 		size *= l.Kinds[kind].TailTimes
 		deadline = time.Duration(float64(deadline) * l.Kinds[kind].TailTimes)
 	}
 	declared := size * (minDeclaredFactor + declaredFactorRange*random.Float64())
+	if spread > 0 {
+		declared = size * math.Exp(spread*random.NormFloat64())
+	}
 	return arrival{at: at, kind: kind, dataCentre: z.Name, entry: z.drawEntry(random), size: size, declared: declared, deadline: deadline}
 }
 
--- a/bench/replay/load.go
+++ b/bench/replay/load.go
@@ -25,6 +25,10 @@
 	Priority int
 	// TailShare of the jobs have tasks that run TailTimes as long.
 	TailShare, TailTimes float64
+	// Spread, if not zero, is the spread (the standard deviation of the logarithm) of the run
+	// times of the jobs and of the factor by which declared run times are wrong, instead of the
+	// standard ranges.
+	Spread float64
 }
 
 // DataCentre is a data centre with its entries and runners and its share of the callers.
@@ -191,5 +195,5 @@
 	hanging.RunnerFaults = []RunnerFault{{At: 4 * time.Second, For: 5 * time.Second, Kind: Hanging, Runners: 1}}
 	gone := base("gone")
 	gone.RunnerFaults = []RunnerFault{{At: 4 * time.Second, For: 3 * time.Second, Kind: Gone, Runners: 3}}
-	return append([]Load{calm, burst, narrowBurst, slow, failing, hanging, gone}, slices.Concat(smallLoads(), largeLoads(), thinEntryLoads(), crashLoads(), shiftedLoads())...)
+	return append([]Load{calm, burst, narrowBurst, slow, failing, hanging, gone}, slices.Concat(smallLoads(), largeLoads(), thinEntryLoads(), crashLoads(), shiftedLoads(), tailLoads())...)
 }
--- a/bench/replay/result.go
+++ b/bench/replay/result.go
@@ -58,7 +58,10 @@
 	FailedByCrashes int
 	// RunsLost is the number of runs that flapping runners lost.
 	RunsLost int
-	kinds    []Kind
+	// LongRunStops holds the times, since the start, at which entries stopped runs because they took
+	// too long or stalled.
+	LongRunStops []time.Duration
+	kinds        []Kind
 }
 
 func newResult(l Load, policy string) *Result {
@@ -69,6 +72,25 @@
 	}
 }
 
+// countStop counts the stop of a run, by its time since the start.
+func (r *Result) countStop(at time.Duration, reason planner.Reason) {
+	if reason == planner.ReasonRunTooLong || reason == planner.ReasonRunStalled {
+		r.LongRunStops = append(r.LongRunStops, at)
+	}
+}
+
+// LongRunStopsAfter counts the runs that were stopped because they took too long or stalled later than
+// a time since the start.
+func (r *Result) LongRunStopsAfter(at time.Duration) int {
+	n := 0
+	for _, stopped := range r.LongRunStops {
+		if stopped > at {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *Result) countRefusedOrder(reason runs.Refusal) { r.RefusedOrders[reason.String()]++ }
 
 func (r *Result) countCrash(by *pendingJob) { r.Crashes[by]++ }
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -262,6 +262,7 @@
 	}
 	for _, x := range out.Stops {
 		of(x.Endpoint).stops = append(of(x.Endpoint).stops, x.Run)
+		s.result.countStop(s.now-simStart, x.Reason)
 	}
 	for _, id := range out.NotifyWaiting {
 		of(id)
