entry: event, counters and explanation for runs kept or stopped by progress

1262 job.run_kept names a run that goes on beyond its limit because its progress moves; 1255 job.run_stopped has the new reason run_stalled. Both show in the causes of explain, and in the counters runs_kept_total and runs_stalled_total.

--- a/entry/edge/gauges.go
+++ b/entry/edge/gauges.go
@@ -31,6 +31,9 @@
 	suspects := scope.Gauge("crash_suspects")
 	taskCrashes := scope.Tagged(map[string]string{"cause": "task"}).Gauge("runner_crashes")
 	commonCauseCrashes := scope.Tagged(map[string]string{"cause": "common"}).Gauge("runner_crashes")
+	var decided planner.ProgressCounts
+	kept := scope.Counter("runs_kept_total")
+	stalled := scope.Counter("runs_stalled_total")
 	tick := time.NewTicker(gaugeInterval)
 	defer tick.Stop()
 	for {
@@ -56,6 +59,10 @@
 		suspects.Update(float64(crashes.Suspects))
 		taskCrashes.Update(float64(crashes.Attributed))
 		commonCauseCrashes.Update(float64(crashes.CommonCause))
+		byProgress := e.jobs.ProgressCounts()
+		kept.Inc(int64(byProgress.Kept - decided.Kept))
+		stalled.Inc(int64(byProgress.Stalled - decided.Stalled))
+		decided = byProgress
 		droppedLines.Update(float64(e.opts.Metrics.LinesDropped()))
 	}
 }
--- a/entry/explain/explain_test.go
+++ b/entry/explain/explain_test.go
@@ -44,3 +44,17 @@
 	_, err := FromLogs("zzz", strings.NewReader(entryLog))
 	assert.Assert(t, errors.Is(err, ErrUnknownRequest))
 }
+
+const progressLog = `{"time":"2026-01-01T00:00:01.000Z","level":"INFO","msg":"job.taken","entry":"e1","event":1251,"job":"a"}
+{"time":"2026-01-01T00:00:01.300Z","level":"INFO","msg":"job.run_kept","entry":"e1","event":1262,"job":"a","index":0,"guard":"g1","ran_ms":240,"left_ms":180}
+{"time":"2026-01-01T00:00:01.350Z","level":"INFO","msg":"job.run_stopped","entry":"e1","event":1255,"job":"a","index":1,"guard":"g2","why":"run_stalled"}
+{"time":"2026-01-01T00:00:01.500Z","level":"INFO","msg":"job.completed","entry":"e1","event":1256,"job":"a","waited_ms":2,"took_ms":500}
+`
+
+// Guards against a late answer without an explanation: a run was kept or stopped for its progress.
+func TestCauseNamesDecisionsByProgress(t *testing.T) {
+	s, err := FromLogs("a", strings.NewReader(progressLog))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Cause, "completed at e1 after 500 ms, of which 2 ms waiting for the first start. On the way: "+
+		"1 times kept beyond the limit because of progress at g1, 1 times stopped without progress at g2")
+}
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -20,7 +20,10 @@
 			"rejected the start or did not answer it (not_started). For a crash, others is the number of other runs on that runner, beside the jobs of some of them, and newest whether this run started last.",
 		"If most of them come from one guard, check its runner; if one job's runs crash at several guards, check that job.")
 	runStopped = eventlog.Define(1255, "job.run_stopped", slog.LevelInfo,
-		"A stop order for a run was sent: its job has ended, or the run takes far longer than estimated (runs_too_long).", "See job.run_wrong.")
+		"A stop order for a run was sent: its job has ended, or the run takes far longer than estimated or than it would elsewhere (runs_too_long), or makes no progress (run_stalled).", "See job.run_wrong.")
+	runKept = eventlog.Define(1262, "job.run_kept", slog.LevelInfo,
+		"A run has taken ran_ms, longer than its limit, and is not stopped: its progress moves, and at its own pace it ends in left_ms.",
+		"None. If many runs of one contract are kept, its callers' declared run times are too short.")
 	jobCompleted = eventlog.Define(1256, "job.completed", slog.LevelInfo,
 		"Every task of a job completed.", "None.")
 	jobFailed = eventlog.Define(1257, "job.not_completed", slog.LevelWarn,
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -235,6 +235,13 @@
 	return e.plan.CountSlow()
 }
 
+// ProgressCounts returns counts of the decisions on runs by their progress.
+func (e *Engine) ProgressCounts() planner.ProgressCounts {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.plan.ProgressCounts()
+}
+
 // CrashCounts returns counts of the crashes that guards reported, by how the planner classified them.
 func (e *Engine) CrashCounts() planner.CrashCounts {
 	e.mu.Lock()
@@ -302,6 +309,7 @@
 			g.SendOrders(o.starts, o.stops)
 		}
 	}
+	logKept(e.logger, actions.Kept)
 	for _, id := range actions.NotifyWaiting {
 		if g := e.guards[id]; g != nil && byGuard[id] == nil {
 			g.Wake()
--- a/entry/jobs/log.go
+++ b/entry/jobs/log.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// logKept logs the runs that are kept beyond their limit.
+func logKept(l *slog.Logger, kept []planner.Kept) {
+	for _, k := range kept {
+		runKept.Log(context.Background(), l, slog.String("job", k.Run.Task.Job), slog.Int("step", k.Run.Task.Step), slog.Int("index", k.Run.Task.Index),
+			slog.Int("attempt", k.Run.Attempt), slog.String("guard", k.Endpoint), millis("ran_ms", k.Ran), millis("left_ms", k.Left))
+	}
+}
+
 // maxLoggedJobs bounds the jobs in one line.
 const maxLoggedJobs = 20
 
