guard/runs: capacity tells the runner's lasting speed

Entries can't compare run times at a runner with what all entries expected of them. The guard adds each run that completed to the estimate of its runner's process; runs that failed, were stopped, began while the runner was cold or began at another process don't count. capacity.scheduling.endpoint_speeds turns it off.

--- a/guard/runs/process.go
+++ b/guard/runs/process.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"almondstand.dev/dispatch/work"
+	"almondstand.dev/guard/speed"
 )
 
 // processState is what the current runner process has reported. It is replaced as a whole, so
@@ -26,6 +27,8 @@
 	orphans map[work.RunnerRunID]bool
 	// lastEndSeq is the highest sequence number of an ended run that has been read.
 	lastEndSeq int64
+	// speed estimates the run times at this process.
+	speed speed.Estimate
 }
 
 // Process returns the current runner process, nil if there is none.
@@ -67,7 +70,7 @@
 // reattach returns a detached run to the table; it runs at another process than the one its
 // start was sent to.
 func (t *Table) reattach(r *run) {
-	r.answeredAt, r.startValidUntil = 0, 0
+	r.answeredAt, r.startValidUntil, r.expected = 0, 0, 0
 	r.stopAcked, r.stopSent, r.unresolved = false, false, false
 	t.runs[r.id.Task] = r
 	t.used = t.used.Add(r.need)
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -20,6 +20,8 @@
 	LeaseExtension time.Duration
 	// MaxOrderAge is the age above which an order is rejected.
 	MaxOrderAge time.Duration
+	// DisableEndpointSpeeds turns off the estimate of the runner's speed.
+	DisableEndpointSpeeds bool
 }
 
 // Defaults of Options. A caller whose connection broke submits its job again after 1.3 s (the
@@ -43,6 +45,8 @@
 	name  work.RunnerRunID
 	need  work.Amounts
 	spec  string
+	// expected is the expected run time on an endpoint of normal speed; zero if it is unknown.
+	expected time.Duration
 	// deadline is the uptime at which the caller stops waiting.
 	deadline time.Duration
 	// orderedAt is the uptime at which the order arrived.
@@ -167,7 +171,9 @@
 	if t.runner == nil {
 		return Capacity{}
 	}
-	return Capacity{Process: t.runner.Process, AcceptsStarts: t.AcceptsStarts(), Reconciled: t.runner.listingRead && len(t.runner.orphans) == 0, Used: t.used, ColdUntil: t.runner.coldUntil}
+	c := Capacity{Process: t.runner.Process, AcceptsStarts: t.AcceptsStarts(), Reconciled: t.runner.listingRead && len(t.runner.orphans) == 0, Used: t.used, ColdUntil: t.runner.coldUntil}
+	c.RunTimePermille, c.RunTimeSamples = t.runner.speed.Permille()
+	return c
 }
 
 // HasCapacity reports whether another run of the size that was requested last fits.
@@ -231,6 +237,7 @@
 		name:      work.RunnerRunID{Task: o.Run.Task, Number: n},
 		need:      o.Need,
 		spec:      o.Spec,
+		expected:  o.Expected,
 		deadline:  sent + o.TimeLeft,
 		orderedAt: now,
 	}
--- a/guard/runs/sweep.go
+++ b/guard/runs/sweep.go
@@ -23,6 +23,7 @@
 		t.runner.lastEndSeq = max(t.runner.lastEndSeq, e.Seq)
 		delete(t.runner.orphans, e.Run)
 		if r := t.find(e.Run); r != nil {
+			t.recordRunTime(now, r, stateOf(e.State))
 			reports = append(reports, t.end(now, r, stateOf(e.State))...)
 		}
 	}
--- a/guard/side/side.go
+++ b/guard/side/side.go
@@ -66,6 +66,8 @@
 			EntryTimeout:   fraction(resubmitDelay, entryTimeoutShare),
 			EndTimeout:     fraction(resubmitDelay, endBoundShare),
 			LeaseExtension: fraction(s.Bounds.MaxLease.Std(), leaseShare),
+
+			DisableEndpointSpeeds: !s.Scheduling.EndpointSpeeds,
 		},
 		MaxLease: s.Bounds.MaxLease.Std(),
 		Dial:     func(t runner.Target) host.Runner { return runner.New(t) },
