planner: endpoints of lastingly unequal speed

Entries take all endpoints for equal: run times are learnt over fast and slow ones together, a slow one counts as broken, and long jobs start where they end late. Each endpoint now has a run time factor, the ratio of its reported run times to the median of its service; run times are learnt in units of a normal endpoint, targets count in units of the mean one, and an endpoint is slow only in relation to its own factor. Speed decides on a placement only where the job would be late otherwise; then all endpoints are searched.

--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -123,7 +123,7 @@
 				sim:        s,
 				number:     n,
 				dataCentre: z.Name,
-				plan:       planner.New(planner.Options{DataCentre: z.Name, Seed: seed*entrySeeds + uint64(n)}),
+				plan:       planner.New(planner.Options{DataCentre: z.Name, Seed: seed*entrySeeds + uint64(n), Disabled: s.load.Disabled}),
 				jobs:       map[string]*pendingJob{},
 				clocks:     map[string]clockReading{},
 				confirmed:  map[string]time.Duration{},
--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -59,6 +59,7 @@
 	runs       map[work.TaskID]*task
 	health     health
 	speed      speed
+	lasting    lastingSpeed
 	// suspects counts the open runs of tasks that have crashes attributed to them.
 	suspects int
 	// cordoned is true while the endpoint's data centre is cordoned.
@@ -192,6 +193,7 @@
 	e.maxTotal = e.maxTotal.Max(r.Total)
 	e.used = r.Used
 	e.labels = r.Labels
+	p.updateSpeed(e, r)
 	e.coldUntil = 0
 	if r.ColdLeft > 0 {
 		e.coldUntil = now + r.ColdLeft
@@ -205,10 +207,12 @@
 	}
 	if e.service != nil {
 		e.service.endpoints = slices.DeleteFunc(e.service.endpoints, func(o *endpoint) bool { return o == e })
+		p.updateFactors(e.service)
 	}
 	e.service = to
 	if to != nil {
 		to.endpoints = append(to.endpoints, e)
+		p.updateFactors(to)
 	}
 }
 
--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -18,6 +18,9 @@
 	// startBy is the latest start that meets the response-time target, keepUntil the latest
 	// start for an answer that is of any use.
 	startBy, keepUntil time.Duration
+	// longest is the expected time that the job takes on normal endpoints, and inTimeEnd the latest
+	// end of its last task that meets the response-time target.
+	longest, inTimeEnd time.Duration
 	// expected is the expected run time of a task, by step.
 	expected []time.Duration
 	// minRunTimes is the minimum run time of a task, by step, and minCriticalPath that of the
@@ -95,7 +98,7 @@
 }
 
 // predict computes the latest start times of the job.
-func (j *job) predict(e *estimate) {
+func (j *job) predict(e *estimate, meanFactor float64) {
 	ends := make([]time.Duration, len(j.work.Steps))
 	minEnds := make([]time.Duration, len(j.work.Steps))
 	var criticalPath time.Duration
@@ -114,10 +117,11 @@
 		j.minCriticalPath = max(j.minCriticalPath, minEnds[s])
 	}
 	longest := time.Duration(float64(criticalPath) * maxToMeanRunTime)
-	target := time.Duration(float64(criticalPath)*j.terms.TargetFactor) + j.terms.TargetMargin
+	target := time.Duration(float64(criticalPath)*j.terms.TargetFactor*meanFactor) + j.terms.TargetMargin
 	end := j.deadline - answerMargin
 	margin := min(startMargin, max(target-longest, 0)/startMarginDivisor)
-	j.startBy = min(j.arrived+target, end) - longest - margin
+	j.longest, j.inTimeEnd = longest, min(j.arrived+target, end)-margin
+	j.startBy = j.inTimeEnd - longest
 	j.keepUntil = min(j.arrived+lateFactor*target, end) - longest - margin
 	// A job with hardly any time is served only if there is capacity at once.
 	j.startBy = max(j.startBy, j.arrived+time.Millisecond)
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -154,6 +154,7 @@
 	var best *endpoint
 	var bestScore score
 	found := 0
+	lateSeen := false
 	consider := func(e *endpoint) {
 		if p.mayRunElsewhere(now, first, e) {
 			return
@@ -167,6 +168,10 @@
 		}
 		found++
 		sc.avoided = e == first.avoid
+		if s.speeds.differ && !j.inTimeAt(now, e.runTimeFactor()) {
+			sc.late, sc.end = true, j.predictedEnd(now, step, e)
+			lateSeen = true
+		}
 		if best == nil || sc.better(bestScore) {
 			best, bestScore = e, sc
 		}
@@ -180,11 +185,14 @@
 			consider(s.endpoints[p.random.IntN(n)])
 		}
 	}
-	if best == nil || bestScore.tier > tierNormal || bestScore.avoided {
+	if best == nil || bestScore.tier > tierNormal || bestScore.avoided || bestScore.late && j.inTimeAt(now, s.speeds.least) {
 		for i, at := 0, p.random.IntN(max(n, 1)); i < n; i++ {
 			consider(s.endpoints[(at+i)%n])
 		}
 	}
+	if best != nil {
+		best.lasting.decided = lateSeen && !bestScore.late
+	}
 	return best, bestScore.tasks
 }
 
@@ -200,6 +208,10 @@
 	// sameDataCentre whether it is in this entry's data centre.
 	freeShare      float64
 	sameDataCentre bool
+	// late is true if the job is expected to miss its response-time target at the endpoint, and end is
+	// then when a task is expected to end there; not set where all endpoints are of one speed.
+	late bool
+	end  time.Duration
 }
 
 func (s score) better(o score) bool {
@@ -208,8 +220,12 @@
 		return !s.avoided
 	case s.tier != o.tier:
 		return s.tier < o.tier
+	case s.late != o.late:
+		return !s.late
 	case s.remoteRack != o.remoteRack:
 		return !s.remoteRack
+	case s.end != o.end:
+		return s.end < o.end
 	case s.tasks != o.tasks:
 		// Fewer runners for a job mean fewer whose fault can delay it, and fewer messages.
 		return s.tasks > o.tasks
@@ -254,7 +270,7 @@
 // canWait reports whether a run at a slow endpoint would still end before the caller's
 // deadline.
 func (j *job) canWait(now time.Duration, step int, e *endpoint) bool {
-	run := time.Duration(float64(j.expected[step]) * e.relativeRunTime())
+	run := time.Duration(float64(j.expected[step]) * e.relativeRunTime() * e.runTimeFactor())
 	return now+run < j.deadline-answerMargin
 }
 
@@ -301,6 +317,7 @@
 		TimeLeft:  j.deadline - now,
 		Expected:  j.expected[t.step],
 		Priority:  j.terms.Priority,
+		Speed:     e.decidedSpeed(),
 		FreeMilli: free,
 		ReportAge: now - e.reportedAt,
 	})
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -142,6 +142,7 @@
 	failureRate float64
 	// runTimes is the level of the service's run times.
 	runTimes level
+	speeds   serviceSpeeds
 }
 
 // New returns a planner without endpoints.
@@ -223,7 +224,7 @@
 	}
 	j.service = p.service(t.Service)
 	estimate := p.estimate(t.Contract)
-	j.predict(estimate)
+	j.predict(estimate, j.service.meanFactor())
 	if now > j.latestStart(j.minCriticalPath) && estimate.retestDue(now) {
 		j.retestRunTimes()
 	}
@@ -360,7 +361,7 @@
 	queued, capacity := s.waitingWork(), 0.0
 	for _, e := range s.endpoints {
 		if !e.cordoned {
-			capacity += float64(e.total.CPUMilli) / milli
+			capacity += float64(e.total.CPUMilli) / milli / e.runTimeFactor()
 		}
 	}
 	drain := minRetryAfter
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -132,6 +132,7 @@
 // recordDone records that a task is done.
 func (p *Planner) recordDone(now time.Duration, t *task, e *endpoint, ran time.Duration) {
 	j := t.job
+	ran = e.normalRunTime(ran)
 	if !t.done {
 		t.done = true
 		j.unfinished[t.step]--
--- a/dispatch/planner/runtimefactor.go
+++ b/dispatch/planner/runtimefactor.go
@@ -1,5 +1,153 @@
 package planner
 
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Endpoints of one service may lastingly differ in speed, as machines of several generations do.
+// Their guards report the ratio of run times to expectations; its ratio to that of a normal
+// endpoint, the median, is the endpoint's run time factor. Run times are learnt in units of a normal
+// endpoint, and an endpoint counts as slow (a fault) only in relation to its own factor.
+const (
+	// minSpeedSamples is the least number of samples with which a reported ratio is used.
+	minSpeedSamples = 16
+	// maxSpeedSamples is the number of samples over which guards average.
+	maxSpeedSamples = 256
+	// minSpeedRatio is the least ratio to the median, in either direction, of an endpoint that
+	// differs from a normal one.
+	minSpeedRatio = 1.25
+	// speedErrorFactor divided by the root of the number of samples is added to the logarithm of
+	// minSpeedRatio: the mean of n ratios with a spread of 0.45 is off by 0.45/√n, so that of many
+	// equal endpoints some would exceed the least ratio by chance.
+	speedErrorFactor = 1.0
+	// minRunTimeFactorOfEndpoint and maxRunTimeFactorOfEndpoint are the bounds of the factor.
+	minRunTimeFactorOfEndpoint = 0.4
+	maxRunTimeFactorOfEndpoint = 2.5
+	// minRatioChange is the relative change of a reported ratio, and minSamplesChange that of the
+	// number of samples, after which the factors are computed again: each guard reports some fifty
+	// times a second.
+	minRatioChange   = 0.02
+	minSamplesChange = 1.25
+	// maxReportedRatio bounds a reported ratio; a larger one is malformed.
+	maxReportedRatio = 1000
+)
+
+// lastingSpeed is the lasting speed of an endpoint.
+type lastingSpeed struct {
+	// ratio is the reported ratio of run times to the expected ones, and samples the number of runs
+	// that it covers; zero if unknown.
+	ratio   float64
+	samples int
+	// factor is the run time factor; zero stands for 1.
+	factor float64
+	// decided is true if the speed decided the last choice of the endpoint.
+	decided bool
+}
+
+// serviceSpeeds are the speeds of a service's endpoints.
+type serviceSpeeds struct {
+	// differ is true if an endpoint has a run time factor other than 1, and least is the least
+	// factor of an endpoint.
+	differ bool
+	least  float64
+	// mean is the mean factor of the endpoints by capacity; zero stands for 1.
+	mean float64
+}
+
 // runTimeFactor returns the lasting ratio of the endpoint's run times to those of a normal endpoint
 // of its service; 1 for an endpoint that does not differ.
-func (e *endpoint) runTimeFactor() float64 { return 1 }
+func (e *endpoint) runTimeFactor() float64 {
+	if e.lasting.factor == 0 {
+		return 1
+	}
+	return e.lasting.factor
+}
+
+// meanFactor returns the mean run time factor of the service's endpoints.
+func (s *service) meanFactor() float64 {
+	if s.speeds.mean == 0 {
+		return 1
+	}
+	return s.speeds.mean
+}
+
+// updateSpeed updates an endpoint's lasting speed from its guard's report.
+func (p *Planner) updateSpeed(e *endpoint, r EndpointStatus) {
+	ratio, samples := float64(r.RunTimePermille)/milli, min(r.RunTimeSamples, maxSpeedSamples)
+	if p.opt.Disabled.EndpointSpeeds || samples < minSpeedSamples || ratio <= 0 || ratio > maxReportedRatio {
+		ratio, samples = 0, 0
+	}
+	l := &e.lasting
+	if math.Abs(ratio-l.ratio) <= minRatioChange*l.ratio && samples >= l.samples && float64(samples) <= minSamplesChange*float64(l.samples) {
+		return
+	}
+	l.ratio, l.samples = ratio, samples
+	if e.service != nil {
+		p.updateFactors(e.service)
+	}
+}
+
+// updateFactors computes the run time factors of the service's endpoints.
+func (p *Planner) updateFactors(s *service) {
+	var known []float64
+	for _, e := range s.endpoints {
+		if e.lasting.samples > 0 {
+			known = append(known, e.lasting.ratio)
+		}
+	}
+	normal := 0.0
+	if n := len(known); n > 0 {
+		slices.Sort(known)
+		normal = math.Sqrt(known[(n-1)/2] * known[n/2])
+	}
+	s.speeds.differ, s.speeds.least = false, math.Inf(1)
+	sum, weights := 0.0, 0.0
+	for _, e := range s.endpoints {
+		p.setRunTimeFactor(e, e.lasting.factorOf(normal))
+		f := e.runTimeFactor()
+		s.speeds.differ = s.speeds.differ || f != 1
+		s.speeds.least = min(s.speeds.least, f)
+		sum += f * float64(e.total.CPUMilli)
+		weights += float64(e.total.CPUMilli)
+	}
+	s.speeds.mean = 1
+	if s.speeds.differ && weights > 0 {
+		s.speeds.mean = sum / weights
+	}
+}
+
+// factorOf returns the run time factor, given the ratio of a normal endpoint.
+func (l lastingSpeed) factorOf(normal float64) float64 {
+	if l.samples == 0 {
+		return 1
+	}
+	relative := l.ratio / normal
+	if math.Abs(math.Log(relative)) < math.Log(minSpeedRatio)+speedErrorFactor/math.Sqrt(float64(l.samples)) {
+		return 1
+	}
+	return min(max(relative, minRunTimeFactorOfEndpoint), maxRunTimeFactorOfEndpoint)
+}
+
+// setRunTimeFactor sets the factor. The mean of the endpoint's last runs is in units of the factor.
+func (p *Planner) setRunTimeFactor(e *endpoint, f float64) {
+	old := e.runTimeFactor()
+	if f == old {
+		return
+	}
+	e.health.meanRatio *= old / f
+	e.lasting.factor = f
+	if speed := speedOf(f); speed != speedOf(old) {
+		p.out.SpeedChanges = append(p.out.SpeedChanges, SpeedChange{Endpoint: e.id, Speed: speed, Factor: f, Samples: e.lasting.samples})
+	}
+}
+
+// normalRunTime converts a run time at the endpoint to that at a normal one.
+func (e *endpoint) normalRunTime(ran time.Duration) time.Duration {
+	f := e.runTimeFactor()
+	if f == 1 {
+		return ran
+	}
+	return time.Duration(float64(ran) / f)
+}
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -106,6 +106,8 @@
 	// the time since its guard's last report.
 	FreeMilli int64
 	ReportAge time.Duration
+	// Speed is the endpoint's run time factor if its speed decided the choice; zero otherwise.
+	Speed float64
 }
 
 // Stop is an order to stop one run.
@@ -125,4 +127,6 @@
 	// NotifyWaiting lists endpoints whose guards must be notified that tasks are waiting for
 	// capacity.
 	NotifyWaiting []string
+	// SpeedChanges lists endpoints that became fast, normal or lastingly slow.
+	SpeedChanges []SpeedChange
 }
