entry: endpoints by lasting speed in metrics and events

An operator could not tell which endpoints entries take for fast or slow by nature. Gauge endpoints_by_speed, event 1270 when an endpoint's speed changes, and chosen_for_speed in job.task_ordered, which explain shows.

The tests of entry/jobs, edge, explain and cmd/almondstand pass.

--- a/entry/edge/gauges.go
+++ b/entry/edge/gauges.go
@@ -27,6 +27,10 @@
 	running := scope.Gauge("jobs_running")
 	droppedLines := scope.Gauge("log_lines_left_out")
 	slow := scope.Gauge("endpoints_slow")
+	endpointsBySpeed := map[planner.Speed]tally.Gauge{}
+	for _, speed := range planner.Speeds() {
+		endpointsBySpeed[speed] = scope.Tagged(map[string]string{"speed": string(speed)}).Gauge("endpoints_by_speed")
+	}
 	cordoned := scope.Gauge("data_centres_cordoned")
 	suspects := scope.Gauge("crash_suspects")
 	taskCrashes := scope.Tagged(map[string]string{"cause": "task"}).Gauge("runner_crashes")
@@ -47,6 +51,9 @@
 			endpointsByState[state].Update(float64(n))
 		}
 		slow.Update(float64(e.jobs.SlowEndpoints()))
+		for speed, n := range e.jobs.Speeds() {
+			endpointsBySpeed[speed].Update(float64(n))
+		}
 		cordoned.Update(float64(len(e.config.Cordons().DataCentres())))
 		count := e.jobs.Count("")
 		waiting.Update(float64(count.Waiting))
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -11,7 +11,8 @@
 		"A job was accepted. expected_ms is the estimated run time of a task, start_in_ms the time within which it must start to meet "+
 			"its contract's target latency, keep_for_ms the longest time it may stay queued, jobs_ahead the number of jobs queued at this entry.", "None.")
 	taskOrdered = eventlog.Define(1252, "job.task_ordered", slog.LevelInfo,
-		"Start orders for tasks of a job were sent to a guard. free_milli is the estimate of its free CPU in thousandths of a core, room_age_ms the age of the capacity report behind it.",
+		"Start orders for tasks of a job were sent to a guard. free_milli is the estimate of its free CPU in thousandths of a core, room_age_ms the age of the capacity report behind it. "+
+			"chosen_for_speed, if present, is the ratio of the endpoint's run times to those of a normal one: elsewhere the job was expected to miss its target latency.",
 		"None.")
 	runEnded = eventlog.Define(1253, "job.run_over", slog.LevelInfo,
 		"A run completed, or its guard had no free capacity to start it and the task is scheduled again.", "None.")
@@ -38,6 +39,10 @@
 		"The entry may have missed late starts: it has just started, or has not heard from a guard for a second, or a guard was replaced. It asked other entries for theirs; "+
 			"tasks is the number of late starts that they reported, and jobs lists the jobs of some. Logged only if there were any, or if unanswered entries did not answer in time.",
 		"If unanswered is not zero for long, check the network between the entries.")
+	endpointSpeed = eventlog.Define(1270, "endpoint.speed", slog.LevelInfo,
+		"An endpoint became fast, normal or slow in relation to the median of its service's endpoints. run_time_factor is the ratio of its run times to theirs over a long window, and samples the number of jobs that it covers, "+
+			"256 at most; none if its guard or its runner's process is new.",
+		"None if its host is of another kind than the others; otherwise compare the host with them: processors, frequency, memory, other programs.")
 	processPaused = eventlog.Define(1258, "entry.stood_still", slog.LevelWarn,
 		"The process was paused for for_ms; it sends no orders for a moment, until it has read the messages that arrived meanwhile.",
 		"If it repeats, check the host: CPU contention, memory, suspension.")
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -235,6 +235,13 @@
 	return e.plan.CountSlow()
 }
 
+// Speeds counts the endpoints by their lasting speed; speeds without endpoints are included.
+func (e *Engine) Speeds() map[planner.Speed]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.plan.CountSpeeds()
+}
+
 // CrashCounts returns counts of the crashes that guards reported, by how the planner classified them.
 func (e *Engine) CrashCounts() planner.CrashCounts {
 	e.mu.Lock()
@@ -302,6 +309,7 @@
 			g.SendOrders(o.starts, o.stops)
 		}
 	}
+	logSpeedChanges(e.logger, actions.SpeedChanges)
 	for _, id := range actions.NotifyWaiting {
 		if g := e.guards[id]; g != nil && byGuard[id] == nil {
 			g.Wake()
--- a/entry/jobs/log.go
+++ b/entry/jobs/log.go
@@ -27,9 +27,15 @@
 		for ; i < len(starts) && starts[i].Run.Task.Job == first.Run.Task.Job && starts[i].Run.Task.Step == first.Run.Task.Step; i++ {
 			indexes = append(indexes, starts[i].Run.Task.Index)
 		}
-		taskOrdered.Log(context.Background(), l, slog.String("job", first.Run.Task.Job), slog.Int("step", first.Run.Task.Step),
+		attrs := []slog.Attr{
+			slog.String("job", first.Run.Task.Job), slog.Int("step", first.Run.Task.Step),
 			slog.Any("tasks", indexes), slog.Int("attempt", first.Run.Attempt), slog.String("guard", guard),
-			slog.Int64("free_milli", first.FreeMilli), slog.Int64("need_milli", first.Need.CPUMilli), millis("room_age_ms", first.ReportAge))
+			slog.Int64("free_milli", first.FreeMilli), slog.Int64("need_milli", first.Need.CPUMilli), millis("room_age_ms", first.ReportAge),
+		}
+		if first.Speed > 0 {
+			attrs = append(attrs, slog.Float64("chosen_for_speed", first.Speed))
+		}
+		taskOrdered.Log(context.Background(), l, attrs...)
 	}
 	for _, s := range stops {
 		runStopped.Log(context.Background(), l, slog.String("job", s.Run.Task.Job), slog.Int("step", s.Run.Task.Step),
@@ -37,6 +43,13 @@
 	}
 }
 
+func logSpeedChanges(l *slog.Logger, changes []planner.SpeedChange) {
+	for _, c := range changes {
+		endpointSpeed.Log(context.Background(), l, slog.String("guard", c.Endpoint), slog.String("speed", string(c.Speed)),
+			slog.Float64("run_time_factor", c.Factor), slog.Int("samples", c.Samples))
+	}
+}
+
 // maxLoggedJobs bounds the jobs in one line.
 const maxLoggedJobs = 20
 
