planner, explain, docs: proofs of endpoint speeds

Three safeguards could be taken out without a failing test: the order of late endpoints, which was decided twice, and the exclusion of runs on a cold runner and of runs whose start was not confirmed. The predicted end alone now decides between late endpoints, before the rack of the data, and the tests cover the other two. explain names the endpoints that were chosen for their speed.

--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -169,7 +169,7 @@
 		found++
 		sc.avoided = e == first.avoid
 		if s.speeds.differ && !j.inTimeAt(now, e.runTimeFactor()) {
-			sc.late, sc.end = true, j.predictedEnd(now, step, e)
+			sc.lateEnd = j.predictedEnd(now, step, e)
 			lateSeen = true
 		}
 		if best == nil || sc.better(bestScore) {
@@ -185,13 +185,13 @@
 			consider(s.endpoints[p.random.IntN(n)])
 		}
 	}
-	if best == nil || bestScore.tier > tierNormal || bestScore.avoided || bestScore.late && j.inTimeAt(now, s.speeds.least) {
+	if best == nil || bestScore.tier > tierNormal || bestScore.avoided || bestScore.lateEnd > 0 && j.inTimeAt(now, s.speeds.least) {
 		for i, at := 0, p.random.IntN(max(n, 1)); i < n; i++ {
 			consider(s.endpoints[(at+i)%n])
 		}
 	}
 	if best != nil {
-		best.lasting.decided = lateSeen && !bestScore.late
+		best.lasting.decided = lateSeen && bestScore.lateEnd == 0
 	}
 	return best, bestScore.tasks
 }
@@ -208,10 +208,9 @@
 	// sameDataCentre whether it is in this entry's data centre.
 	freeShare      float64
 	sameDataCentre bool
-	// late is true if the job is expected to miss its response-time target at the endpoint, and end is
-	// then when a task is expected to end there; not set where all endpoints are of one speed.
-	late bool
-	end  time.Duration
+	// lateEnd is when a task is expected to end there if the job is then expected to miss its
+	// response-time target; zero if it is in time, or where all endpoints are of one speed.
+	lateEnd time.Duration
 }
 
 func (s score) better(o score) bool {
@@ -220,12 +219,10 @@
 		return !s.avoided
 	case s.tier != o.tier:
 		return s.tier < o.tier
-	case s.late != o.late:
-		return !s.late
+	case s.lateEnd != o.lateEnd:
+		return s.lateEnd < o.lateEnd
 	case s.remoteRack != o.remoteRack:
 		return !s.remoteRack
-	case s.end != o.end:
-		return s.end < o.end
 	case s.tasks != o.tasks:
 		// Fewer runners for a job mean fewer whose fault can delay it, and fewer messages.
 		return s.tasks > o.tasks
--- a/dispatch/planner/runtimefactor.go
+++ b/dispatch/planner/runtimefactor.go
@@ -22,9 +22,9 @@
 	// minSpeedRatio: the mean of n ratios with a spread of 0.45 is off by 0.45/√n, so that of many
 	// equal endpoints some would exceed the least ratio by chance.
 	speedErrorFactor = 1.0
-	// minRunTimeFactorOfEndpoint and maxRunTimeFactorOfEndpoint are the bounds of the factor.
-	minRunTimeFactorOfEndpoint = 0.4
-	maxRunTimeFactorOfEndpoint = 2.5
+	// minFactor and maxFactor are the bounds of the factor.
+	minFactor = 0.4
+	maxFactor = 2.5
 	// minRatioChange is the relative change of a reported ratio, and minSamplesChange that of the
 	// number of samples, after which the factors are computed again: each guard reports some fifty
 	// times a second.
@@ -127,7 +127,7 @@
 	if math.Abs(math.Log(relative)) < math.Log(minSpeedRatio)+speedErrorFactor/math.Sqrt(float64(l.samples)) {
 		return 1
 	}
-	return min(max(relative, minRunTimeFactorOfEndpoint), maxRunTimeFactorOfEndpoint)
+	return min(max(relative, minFactor), maxFactor)
 }
 
 // setRunTimeFactor sets the factor. The mean of the endpoint's last runs is in units of the factor.
--- a/entry/explain/cause.go
+++ b/entry/explain/cause.go
@@ -108,13 +108,16 @@
 	return strings.Join(parts, ", ")
 }
 
-// problems counts the problems logged while the request was processed.
+// problems counts the problems logged while the request was processed, and the orders for which the
+// speed of the endpoint was decisive.
 func problems(lines []LogEvent) string {
 	count := map[string]int{}
 	for _, l := range lines {
 		switch {
 		case l.AboutRequest && l.Name == runWrong:
 			count[l.Fields["change"]+" at "+l.Fields["guard"]]++
+		case l.AboutRequest && l.Name == taskOrdered && l.Fields["chosen_for_speed"] != "":
+			count["chosen for its speed: "+l.Fields["guard"]]++
 		case l.AboutRequest && l.Name == runStopped && l.Fields["why"] == "runs_too_long":
 			count["ran too long at "+l.Fields["guard"]]++
 		case !l.AboutRequest && (l.Name == "session.guard_lost" || l.Name == "guard.look_failed"):
--- a/entry/explain/explain_test.go
+++ b/entry/explain/explain_test.go
@@ -44,3 +44,12 @@
 	_, err := FromLogs("zzz", strings.NewReader(entryLog))
 	assert.Assert(t, errors.Is(err, ErrUnknownRequest))
 }
+
+// A placement that the endpoint's speed decided is told with the cause: elsewhere the request would
+// have been late.
+func TestPlacementBySpeed(t *testing.T) {
+	log := strings.Replace(entryLog, `"guard":"g1"}`, `"guard":"g1","chosen_for_speed":0.46}`, 1)
+	s, err := FromLogs("a", strings.NewReader(log))
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(s.Cause, "On the way: 1 times chosen for its speed: g1"), s.Cause)
+}
--- a/guard/runs/speed_test.go
+++ b/guard/runs/speed_test.go
@@ -25,16 +25,21 @@
 }
 
 // TestSpeedOfTheRunner guards against a speed that runs which say nothing of it change: those that
-// failed, were stopped or began while the runner was cold.
+// failed, were stopped, began while the runner was cold or whose start was not confirmed.
 func TestSpeedOfTheRunner(t *testing.T) {
 	table := newTable(4)
+	unanswered := order("unanswered", 0)
+	unanswered.Expected = 100 * ms
+	s := mustStart(t, table, testStart, entryA, unanswered)
+	table.ApplyListing(testStart+250*ms, testStart+250*ms, work.Listing{Ends: []work.End{{Seq: 1, Run: s.Name, State: work.Done}}})
+	assert.Equal(t, table.Capacity().RunTimeSamples, 0)
 	for i := range 20 {
 		runFor(t, table, testStart, 200*ms, fmt.Sprint("done", i), work.Done, false)
 		runFor(t, table, testStart, 9*ms, fmt.Sprint("failed", i), work.Failed, false)
 		runFor(t, table, testStart, 9*ms, fmt.Sprint("stopped", i), work.Done, true)
 	}
 	table.SetColdUntil(testStart + time.Second)
-	runFor(t, table, testStart, 900*ms, "cold", work.Done, false)
+	runFor(t, table, testStart, 250*ms, "cold", work.Done, false)
 	c := table.Capacity()
 	assert.Equal(t, c.RunTimePermille, 2000)
 	assert.Equal(t, c.RunTimeSamples, 20)
