--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -140,7 +140,7 @@
 		j.doneTasks++
 	}
 	expected := j.expected[t.step]
-	ratio := e.service.runTimes.relative(float64(ran) / float64(max(expected, time.Millisecond)))
+	ratio := e.service.runTimes.relative(float64(normal) / float64(max(expected, time.Millisecond)))
 	if e.cold(now - ran) {
 		// The run says nothing of the endpoint's speed once it is warm.
 		ratio = max(e.health.meanRatio, 1)
@@ -176,11 +176,6 @@
 	p.end(now, j, Completed, ReasonDone)
 }
 
-// normalRunTime returns the run time that a run of the endpoint would have had on a normal one.
-func (e *endpoint) normalRunTime(ran time.Duration) time.Duration {
-	return time.Duration(float64(ran) / e.runTimeFactor())
-}
-
 // recordRunTime adds the run time of a task on a normal endpoint to the contract's estimate. The first one of a
 // retest replaces what was learnt before.
 func (p *Planner) recordRunTime(now time.Duration, j *job, ran, declared time.Duration) {
--- a/entry/explain/explain_test.go
+++ b/entry/explain/explain_test.go
@@ -58,3 +58,12 @@
 	assert.Equal(t, s.Cause, "completed at e1 after 500 ms, of which 2 ms waiting for the first start. On the way: "+
 		"1 times kept beyond the limit because of progress at g1, 1 times stopped without progress at g2")
 }
+
+// A placement that the endpoint's speed decided is told with the cause: elsewhere the request would
+// have been late.
+func TestPlacementBySpeed(t *testing.T) {
+	log := strings.Replace(entryLog, `"guard":"g1"}`, `"guard":"g1","chosen_for_speed":0.46}`, 1)
+	s, err := FromLogs("a", strings.NewReader(log))
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(s.Cause, "On the way: 1 times chosen for its speed: g1"), s.Cause)
+}
--- a/guard/runs/process.go
+++ b/guard/runs/process.go
@@ -5,6 +5,7 @@
 
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/guard/progress"
+	"almondstand.dev/guard/speed"
 )
 
 // processState is what the current runner process has reported. It is replaced as a whole, so
@@ -29,6 +30,8 @@
 	lastEndSeq int64
 	// progress is what is known of the progress of all runs.
 	progress progress.Process
+	// speed estimates the run times at this process.
+	speed speed.Estimate
 }
 
 // Process returns the current runner process, nil if there is none.
@@ -70,7 +73,7 @@
 // reattach returns a detached run to the table; it runs at another process than the one its
 // start was sent to.
 func (t *Table) reattach(r *run) {
-	r.answeredAt, r.startValidUntil = 0, 0
+	r.answeredAt, r.startValidUntil, r.expected = 0, 0, 0
 	r.stopAcked, r.stopSent, r.unresolved = false, false, false
 	r.progress, r.reported, r.stalled = progress.Run{}, reportedProgress{}, false
 	t.runs[r.id.Task] = r
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -23,6 +23,8 @@
 	MaxOrderAge time.Duration
 	// NoProgress turns off progress reports and the estimate of what runs will release.
 	NoProgress bool
+	// DisableEndpointSpeeds turns off the estimate of the runner's speed.
+	DisableEndpointSpeeds bool
 }
 
 // Defaults of Options. A caller whose connection broke submits its job again after 1.3 s (the
@@ -181,7 +183,9 @@
 	if t.runner == nil {
 		return Capacity{}
 	}
-	return Capacity{Process: t.runner.Process, AcceptsStarts: t.AcceptsStarts(), Reconciled: t.runner.listingRead && len(t.runner.orphans) == 0, Used: t.used, ColdUntil: t.runner.coldUntil}
+	c := Capacity{Process: t.runner.Process, AcceptsStarts: t.AcceptsStarts(), Reconciled: t.runner.listingRead && len(t.runner.orphans) == 0, Used: t.used, ColdUntil: t.runner.coldUntil}
+	c.RunTimePermille, c.RunTimeSamples = t.runner.speed.Permille()
+	return c
 }
 
 // HasCapacity reports whether another run of the size that was requested last fits.
--- a/guard/side/side.go
+++ b/guard/side/side.go
@@ -67,6 +67,8 @@
 			EndTimeout:     fraction(resubmitDelay, endBoundShare),
 			LeaseExtension: fraction(s.Bounds.MaxLease.Std(), leaseShare),
 			NoProgress:     !s.Scheduling.RunProgress,
+
+			DisableEndpointSpeeds: !s.Scheduling.EndpointSpeeds,
 		},
 		MaxLease: s.Bounds.MaxLease.Std(),
 		Dial:     func(t runner.Target) host.Runner { return runner.New(t) },
