guard/runs: progress of runs uses the lasting speed of the runner

Whether a run takes much longer than expected, and when it releases its CPU, is judged by the run times that are usual at its runner.

--- a/guard/runs/process.go
+++ b/guard/runs/process.go
@@ -73,7 +73,8 @@
 // reattach returns a detached run to the table; it runs at another process than the one its
 // start was sent to.
 func (t *Table) reattach(r *run) {
-	r.answeredAt, r.startValidUntil, r.expected = 0, 0, 0
+	r.answeredAt, r.startValidUntil = 0, 0
+	r.reattached = true
 	r.stopAcked, r.stopSent, r.unresolved = false, false, false
 	r.progress, r.reported, r.stalled = progress.Run{}, reportedProgress{}, false
 	t.runs[r.id.Task] = r
--- a/guard/runs/progress.go
+++ b/guard/runs/progress.go
@@ -54,7 +54,7 @@
 
 // recordProgress records the progress of the runs in a run listing that was read at the uptime now.
 func (t *Table) recordProgress(now time.Duration, v work.Listing) {
-	if t.opt.NoProgress {
+	if t.opt.DisableRunProgress {
 		return
 	}
 	p := &t.runner.progress
@@ -106,14 +106,26 @@
 	return r.expected
 }
 
+// minSpeedSamples is the number of samples from which the ratio of run times is used.
+const minSpeedSamples = 16
+
 // runTimePermille returns the mean ratio of run times at this runner to the expected ones, in
 // thousandths, and zero if it is unknown.
-func (t *Table) runTimePermille() int { return 0 }
+func (t *Table) runTimePermille() int {
+	if t.runner == nil {
+		return 0
+	}
+	ratio, samples := t.runner.speed.Permille()
+	if samples < minSpeedSamples {
+		return 0
+	}
+	return ratio
+}
 
 // DueProgress returns the progress reports that are to be sent to an owner with the next message, at
 // most MaxProgress, stalled runs first, and the number of those omitted. They count as sent.
 func (t *Table) DueProgress(now time.Duration, owner Owner) (due []Progress, omitted int) {
-	if t.opt.NoProgress || t.runner == nil || !t.runner.progress.Moves() {
+	if t.opt.DisableRunProgress || t.runner == nil || !t.runner.progress.Moves() {
 		return nil, 0
 	}
 	for _, r := range t.runs {
@@ -210,7 +222,7 @@
 	for _, r := range t.runs {
 		c.AllocatedByPriorityMilli[work.PriorityClass(r.priority)] += r.need.CPUMilli
 	}
-	if releases := amounts[work.PriorityClasses:]; !t.opt.NoProgress && t.addReleases(now, releases) {
+	if releases := amounts[work.PriorityClasses:]; !t.opt.DisableRunProgress && t.addReleases(now, releases) {
 		c.ReleasesMilli = releases
 	}
 	return c
--- a/guard/runs/progress_test.go
+++ b/guard/runs/progress_test.go
@@ -178,7 +178,7 @@
 	}
 	assert.Equal(t, len(p.due(100*ms)), 1, "answers out of order")
 	off := newProgressTable(t, "long")
-	off.opt.NoProgress = true
+	off.opt.DisableRunProgress = true
 	off.list(20*ms, map[string]int{"long": 2})
 	off.list(60*ms, map[string]int{"long": 6})
 	assert.Equal(t, len(off.due(100*ms)), 0)
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -21,8 +21,8 @@
 	LeaseExtension time.Duration
 	// MaxOrderAge is the age above which an order is rejected.
 	MaxOrderAge time.Duration
-	// NoProgress turns off progress reports and the estimate of what runs will release.
-	NoProgress bool
+	// DisableRunProgress turns off progress reports and the estimate of what runs will release.
+	DisableRunProgress bool
 	// DisableEndpointSpeeds turns off the estimate of the runner's speed.
 	DisableEndpointSpeeds bool
 }
@@ -80,6 +80,8 @@
 	// priority that of the job's contract.
 	expected time.Duration
 	priority int
+	// reattached is true for a run that began at an earlier process than the current one.
+	reattached bool
 	// progress are the readings of the run's progress, reported is the last report on it, and stalled
 	// is true if it was stalled when the last run listing was applied.
 	progress progress.Run
--- a/guard/side/side.go
+++ b/guard/side/side.go
@@ -63,10 +63,10 @@
 	resubmitDelay := s.Bounds.ResubmitDelay.Std()
 	g.host = host.New(host.Options{
 		Runs: runs.Options{
-			EntryTimeout:   fraction(resubmitDelay, entryTimeoutShare),
-			EndTimeout:     fraction(resubmitDelay, endBoundShare),
-			LeaseExtension: fraction(s.Bounds.MaxLease.Std(), leaseShare),
-			NoProgress:     !s.Scheduling.RunProgress,
+			EntryTimeout:       fraction(resubmitDelay, entryTimeoutShare),
+			EndTimeout:         fraction(resubmitDelay, endBoundShare),
+			LeaseExtension:     fraction(s.Bounds.MaxLease.Std(), leaseShare),
+			DisableRunProgress: !s.Scheduling.RunProgress,
 
 			DisableEndpointSpeeds: !s.Scheduling.EndpointSpeeds,
 		},
