--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -57,7 +57,7 @@
 		ran = now - t.running
 	}
 	stopping := t.stopping
-	overran := c == Stopped && t.overranBefore() && ran > t.job.expected[t.step]
+	overran := c == Stopped && t.overranBefore() && e.normalRunTime(ran) > t.job.expected[t.step]
 	p.closeRun(t)
 	switch c {
 	case Done:
