backlog: new jobs of a contract go behind its returning ones

Cause: a returning job was moved forward only up to the last older job of its contract, so that a new job with an earlier latest start stayed ahead of both.

Change: Reorder moves the new jobs behind the returning one instead. Older jobs and those of other contracts keep their places.

Result: the property that no new job stays ahead of a returning one holds; it failed before in the planner's test of the order.

--- a/dispatch/backlog/order.go
+++ b/dispatch/backlog/order.go
@@ -11,26 +11,40 @@
 	Returning bool
 }
 
-// Reorder moves each returning job before the jobs of its contract and priority that arrived after
-// it and are not returning themselves, but not before one that arrived earlier. Jobs of other
-// contracts and priorities keep their positions. describe returns what counts of an item.
+// Reorder moves the new jobs that precede a returning job of their contract and priority, but arrived
+// after it, to the places behind it. A returning job thus goes before the new jobs of its contract, but
+// not before one that has waited longer. Jobs of other contracts and priorities keep their positions.
+// describe returns what counts of an item.
 func Reorder[T any](items []T, describe func(T) Queued) {
+	var positions []int
+	var delayed []T
 	for i, item := range items {
 		r := describe(item)
 		if !r.Returning {
 			continue
 		}
-		at := i
-		for k := i - 1; k >= 0; k-- {
+		positions, delayed = positions[:0], delayed[:0]
+		next := 0
+		for k := range i {
 			q := describe(items[k])
 			if q.Contract != r.Contract || q.Priority != r.Priority {
 				continue
 			}
-			if q.Returning || q.Arrived <= r.Arrived {
-				break
+			positions = append(positions, k)
+			if !q.Returning && q.Arrived > r.Arrived {
+				delayed = append(delayed, items[k])
+				continue
 			}
-			items[at], items[k] = items[k], items[at]
-			at = k
+			items[positions[next]] = items[k]
+			next++
+		}
+		if len(delayed) == 0 {
+			continue
+		}
+		positions = append(positions, i)
+		items[positions[next]] = item
+		for n, d := range delayed {
+			items[positions[next+1+n]] = d
 		}
 	}
 }
