planner: forecast of when waiting work has been started

Cause: an entry forecasts when capacity becomes free from its own runs only.

Change: drainTime sums the CPU that is free and that the guards expect their runs to release, interpolated between the horizons and shifted by the age of the report, over the endpoints that accept starts, at most every 10 ms. It is unknown if less than half of the capacity has fresh reports, and while more than 23 % of the capacity was lost within 3 s, since that capacity may come back.

--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -70,6 +70,11 @@
 	keepsID bool
 	// contactAt is the time up to which the guard's late starts are known from its own messages.
 	contactAt time.Duration
+	releases  releases
+	// acceptedAt is when the endpoint last reported that it accepts starts, and acceptedMilli its
+	// capacity then.
+	acceptedAt    time.Duration
+	acceptedMilli int64
 }
 
 // cold reports whether the endpoint's runner is still slow after its start.
@@ -192,6 +197,10 @@
 	e.maxTotal = e.maxTotal.Max(r.Total)
 	e.used = r.Used
 	e.labels = r.Labels
+	e.releases.update(now, r.ReleasesMilli)
+	if r.AcceptsStarts {
+		e.acceptedAt, e.acceptedMilli = now, r.Total.CPUMilli
+	}
 	e.coldUntil = 0
 	if r.ColdLeft > 0 {
 		e.coldUntil = now + r.ColdLeft
--- a/dispatch/planner/foresight.go
+++ b/dispatch/planner/foresight.go
@@ -2,7 +2,10 @@
 
 import (
 	"math"
+	"slices"
 	"time"
+
+	"almondstand.dev/dispatch/work"
 )
 
 const (
@@ -83,8 +86,156 @@
 	return p.spareRate > 0 && coreSeconds/p.spareRate <= in.Seconds()
 }
 
-// drainTime returns the time until the given waiting work, in core-seconds, has been started; known
-// is false if the guards do not estimate when their runs end.
-func (s *service) drainTime(_ time.Duration, _ float64) (in time.Duration, known bool) {
-	return 0, false
+const (
+	// predictionFactor is the factor by which a predicted wait must exceed the time left for a
+	// rejection: run times and the work ahead are known to within a third.
+	predictionFactor = 1.3
+	// maxReleaseAge is the age up to which a guard's estimate of releases is used: it then covers
+	// hardly any time to come.
+	maxReleaseAge = 1500 * time.Millisecond
+	// minReportedShare is the least share of a service's capacity of which the releases must be
+	// known.
+	minReportedShare = 0.5
+	// outlookInterval is the interval at which the endpoints are summed: there can be 990 of
+	// them, and hosts with 0.14 of a core.
+	outlookInterval = 10 * time.Millisecond
+	// returnTime is how long capacity that was lost may come back: a runner that was restarted
+	// is adopted with its next report, which come 1.5 s apart, or within 3 s after a crash.
+	returnTime = 3 * time.Second
+	// maxLostShare is the share of the capacity that may be lost within returnTime for a
+	// forecast. With less, forecasts are wrong by no more than predictionFactor if it comes back.
+	maxLostShare = 1 - 1/predictionFactor
+)
+
+// releases is a guard's estimate of the CPU that the runs at its endpoint release.
+type releases struct {
+	// milli is the cumulative CPU by work.ReleaseHorizons; nil if unknown.
+	milli []int64
+	at    time.Duration
 }
+
+// update sets a new estimate. One that has the wrong length, is negative or decreases is unknown.
+func (r *releases) update(now time.Duration, milli []int64) {
+	*r = releases{at: now}
+	if len(milli) != len(work.ReleaseHorizons) || milli[0] < 0 || !slices.IsSorted(milli) {
+		return
+	}
+	r.milli = slices.Clone(milli)
+}
+
+func (r *releases) known(now time.Duration) bool { return r.milli != nil && now-r.at <= maxReleaseAge }
+
+// within returns the CPU released between the report and the given time after it, interpolated
+// between the horizons. Past the last one all that was used is released.
+func (r *releases) within(d time.Duration, used float64) float64 {
+	from, released := time.Duration(0), 0.0
+	for i, h := range work.ReleaseHorizons {
+		next := min(float64(r.milli[i]), used)
+		if d <= h {
+			return released + (next-released)*float64(d-from)/float64(h-from)
+		}
+		from, released = h, next
+	}
+	return used
+}
+
+// outlook is the capacity that becomes free, summed over the endpoints of a service.
+type outlook struct {
+	at    time.Duration
+	known bool
+	// free is the capacity that is free now or is released within each of work.ReleaseHorizons,
+	// total all capacity, in cores of a normal endpoint; the first element of free is now.
+	free  [len(work.ReleaseHorizons) + 1]float64
+	total float64
+}
+
+// outlookAt returns the outlook, computed at most every outlookInterval.
+func (s *service) outlookAt(now time.Duration) *outlook {
+	if s.outlook.at == 0 || now-s.outlook.at >= outlookInterval {
+		s.outlook = s.sumReleases(now)
+	}
+	return &s.outlook
+}
+
+func (s *service) sumReleases(now time.Duration) outlook {
+	o := outlook{at: now}
+	// Sums over the endpoints with reports, and over the others.
+	var reported, unreported, reportedUsed, unreportedUsed, lost float64
+	for _, e := range s.endpoints {
+		if !e.acceptsStarts() {
+			if !e.cordoned && now-e.acceptedAt < returnTime {
+				lost += float64(e.acceptedMilli) / milli
+			}
+			continue
+		}
+		factor := milli * e.runTimeFactor()
+		cores := float64(e.total.CPUMilli) / factor
+		free := float64(max(e.free().CPUMilli, 0)) / factor
+		o.total += cores
+		for i := range o.free {
+			o.free[i] += free
+		}
+		if !e.releases.known(now) {
+			unreported += cores
+			unreportedUsed += cores - free
+			continue
+		}
+		reported += cores
+		reportedUsed += cores - free
+		used := float64(max(e.total.CPUMilli-max(e.free().CPUMilli, 0), 0))
+		age := now - e.releases.at
+		before := e.releases.within(age, used)
+		// What was released since the report is in use again, and is released like the rest was:
+		// without it a report that is 0.1 s old would predict half the capacity for runs of 0.2 s.
+		again := 0.0
+		if used > 0 {
+			again = before / used
+		}
+		for i, h := range work.ReleaseHorizons {
+			o.free[i+1] += (e.releases.within(age+h, used) - before + again*e.releases.within(h, used)) / factor
+		}
+	}
+	o.known = reported > 0 && reported >= minReportedShare*(o.total+lost) && lost <= maxLostShare*(o.total+lost)
+	if o.known && reportedUsed > 0 {
+		// The other endpoints are assumed to release as much of what they use.
+		for i := 1; i < len(o.free); i++ {
+			o.free[i] += unreportedUsed * (o.free[i] - o.free[0]) / reportedUsed
+		}
+	}
+	return o
+}
+
+// drainTime returns the time until the given waiting work, in core-seconds of a normal endpoint, has
+// been started so that the next task can start; known is false if the guards do not estimate when
+// their runs end. The capacity that becomes free works on waiting work from then on.
+func (s *service) drainTime(now time.Duration, coreSeconds float64) (in time.Duration, known bool) {
+	o := s.outlookAt(now)
+	if !o.known || o.total <= 0 {
+		return 0, false
+	}
+	return o.drain(coreSeconds), true
+}
+
+func (o *outlook) drain(coreSeconds float64) time.Duration {
+	from := time.Duration(0)
+	for i, h := range work.ReleaseHorizons {
+		length := (h - from).Seconds()
+		a, b := o.free[i], o.free[i+1]
+		if done := (a + b) / 2 * length; done < coreSeconds {
+			coreSeconds -= done
+			from = h
+			continue
+		}
+		if coreSeconds <= 0 {
+			return from
+		}
+		// The capacity grows linearly from a to b: solves a*t + (b-a)/length*t*t/2 = coreSeconds.
+		slope := (b - a) / length
+		t := 2 * coreSeconds / (a + math.Sqrt(a*a+2*slope*coreSeconds))
+		return from + seconds(t)
+	}
+	return from + seconds(min(coreSeconds/o.total, maxDrainSeconds))
+}
+
+// maxDrainSeconds bounds forecasts, which would overflow a time.Duration for tiny capacities.
+const maxDrainSeconds = 3600
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -142,6 +142,7 @@
 	failureRate float64
 	// runTimes is the level of the service's run times.
 	runTimes level
+	outlook  outlook
 }
 
 // New returns a planner without endpoints.
