planner: reject early by the predicted wait and the backlog limit, book retries

Cause: jobs that cannot start in time wait until their time is over, the waiting work of a contract has no limit, and callers that are rejected together return together.

Change: a job whose start is predicted at least 1.3 times and 50 ms past its time left is rejected, also on arrival, once capacity has been short for 0.7 s and none that fits is free. Where the work ahead or the releases are unknown, the earlier rule decides. A contract may have as much waiting work as drains at its share of the capacity in the time in which its callers can use the answer. Rejected work is booked on a schedule of retries in whole seconds, as callers are told them, and a job that returns in its time goes before the new jobs of its contract and is not limited again. Each of the two parts can be turned off.

--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -39,6 +39,7 @@
 	// meanRunTime is the mean run time of the finished tasks.
 	meanRunTime time.Duration
 	doneTasks   int
+	admission   jobAdmission
 }
 
 // task is one task of a job.
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"almondstand.dev/dispatch/backlog"
 	"almondstand.dev/dispatch/work"
 )
 
@@ -61,6 +62,7 @@
 	if s.startedJobs%latestStartInterval != latestStartInterval-1 {
 		slices.SortStableFunc(inTime, func(a, b *job) int { return a.terms.Priority - b.terms.Priority })
 	}
+	backlog.Reorder(inTime, describeQueued)
 	return slices.Concat(s.started, inTime, s.unstarted[:late])
 }
 
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -20,6 +20,7 @@
 	"sort"
 	"time"
 
+	"almondstand.dev/dispatch/backlog"
 	"almondstand.dev/dispatch/work"
 )
 
@@ -119,6 +120,8 @@
 	hearing hearing
 	// silent holds the data centres whose endpoints get nothing until one of them is heard.
 	silent map[string]bool
+	// returns are the rejected jobs that are expected to return.
+	returns *backlog.Returns
 }
 
 // service holds the endpoints of one service and the jobs waiting for them.
@@ -143,6 +146,7 @@
 	// runTimes is the level of the service's run times.
 	runTimes level
 	outlook  outlook
+	entry    entryState
 }
 
 // New returns a planner without endpoints.
@@ -160,6 +164,7 @@
 		contact:    newContact(),
 		hearing:    newHearing(),
 		silent:     map[string]bool{},
+		returns:    backlog.NewReturns(),
 	}
 }
 
@@ -230,6 +235,7 @@
 	}
 	p.jobs[w.ID] = j
 	j.service.arrivals.add(now, j.coreTime()/milli)
+	p.recordArrival(now, j)
 	switch fit := j.service.fits(j); {
 	case fit == fitsCordoned && !p.inStartupGrace(now):
 		p.refuse(now, j, ReasonCordoned)
@@ -241,7 +247,9 @@
 	case fit == tooLarge:
 		p.end(now, j, Failed, ReasonTooLarge)
 	default:
-		j.service.addUnstarted(j)
+		if !p.rejectOnArrival(now, j) {
+			j.service.addUnstarted(j)
+		}
 	}
 	return Accepted
 }
@@ -296,9 +304,9 @@
 	if j.started {
 		waited = j.firstStart - j.arrived
 	}
-	ended := Ended{Job: j.work.ID, Outcome: o, Reason: reason, Waited: waited}
+	ended := Ended{Job: j.work.ID, Outcome: o, Reason: reason, Waited: waited, Started: j.started, Prediction: j.admission.prediction, Returned: j.admission.returning}
 	if o == Refused {
-		ended.RetryAfter = p.retryAfter(j.service)
+		ended.RetryAfter = p.bookRetry(now, j, reason)
 	}
 	p.out.Ended = append(p.out.Ended, ended)
 	for _, t := range j.tasks {
@@ -351,19 +359,14 @@
 
 // Bounds of RetryAfter for refused jobs.
 const (
-	minRetryAfter = time.Second
-	maxRetryAfter = 8 * time.Second
+	minRetryAfter = backlog.MinRetry
+	maxRetryAfter = backlog.MaxRetry
 )
 
 // retryAfter is the time in which the waiting work will have drained, with random jitter so
 // that callers refused together do not retry all at once.
 func (p *Planner) retryAfter(s *service) time.Duration {
-	queued, capacity := s.waitingWork(), 0.0
-	for _, e := range s.endpoints {
-		if !e.cordoned {
-			capacity += float64(e.total.CPUMilli) / milli
-		}
-	}
+	queued, capacity := s.waitingWork(), s.capacity()
 	drain := minRetryAfter
 	if capacity > 0 {
 		drain += time.Duration(queued / capacity * float64(time.Second))
@@ -420,8 +423,14 @@
 			p.refuse(now, j, ReasonTooLittleTime)
 		case now >= j.keepUntil:
 			p.refuse(now, j, p.shortage(now, j))
-		case now > j.startBy && !waitingForecast.drainsWithin(waiting, j.keepUntil-now):
-			p.refuse(now, j, p.shortage(now, j))
+		default:
+			late, known := p.startsTooLate(now, j)
+			switch {
+			case late:
+				p.rejectEarly(now, j, false)
+			case !known && now > j.startBy && !waitingForecast.drainsWithin(waiting, j.keepUntil-now):
+				p.refuse(now, j, p.shortage(now, j))
+			}
 		}
 	}
 	for _, j := range append([]*job(nil), s.started...) {
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -80,6 +80,13 @@
 	RetryAfter time.Duration
 	// Waited is the time from submission to the first start, or to the outcome.
 	Waited time.Duration
+	// Started is true if a start order was sent.
+	Started bool
+	// Prediction is the wait predicted on arrival, or that for which the job was rejected; nil if there
+	// was none.
+	Prediction *Prediction
+	// Returned is true for a job that was rejected by this entry and returned in its time to retry.
+	Returned bool
 }
 
 // Answer is the outcome of a job as its callers get it.
