bench/replay: bursts of the least urgent kind with callers that leave or retry

Cause: no load has callers that leave before their answer, or that come back after their Retry-After.

Change: loads backlog and backlog-retries: the least urgent kind 2.5 times for 7 s, the most urgent kind 1.9 times in the middle 3 s, a quarter of the callers leaving early. Retry-After is rounded up to whole seconds, as platform/ingress does.

--- a/bench/replay/arrivals.go
+++ b/bench/replay/arrivals.go
@@ -16,6 +16,8 @@
 	// addressStream doesn't depend on the seed, so that every address always uses the
 	// same entry.
 	addressStream = 3
+	// leaveStream draws which callers leave, so that arrivals don't depend on it.
+	leaveStream = 4
 )
 
 // arrival is one job that a caller submits.
@@ -34,11 +36,14 @@
 	// crashAfter is the time after its start at which the job's first task crashes its
 	// runner; zero for a job that crashes none.
 	crashAfter time.Duration
+	// leaveAfter is the time after which the caller cancels the job; zero for one that stays.
+	leaveAfter time.Duration
 }
 
 // arrivals draws the jobs of a load, ordered by time.
 func arrivals(l Load, seed uint64) []arrival {
 	random := rand.New(rand.NewPCG(seed, callerStream))
+	leaving := rand.New(rand.NewPCG(seed, leaveStream))
 	next := make([]time.Duration, len(l.Kinds))
 	for k := range l.Kinds {
 		next[k] = simStart + l.interarrival(random, k, 0)
@@ -49,7 +54,9 @@
 		if next[k] > simStart+l.For {
 			return l.addCrashingJobs(random, all)
 		}
-		all = append(all, l.draw(random, k, next[k]))
+		a := l.draw(random, k, next[k])
+		a.leaveAfter = l.leaveTime(leaving, a)
+		all = append(all, a)
 		next[k] += l.interarrival(random, k, next[k]-simStart)
 	}
 }
--- a/bench/replay/load.go
+++ b/bench/replay/load.go
@@ -7,6 +7,8 @@
 import (
 	"slices"
 	"time"
+
+	"almondstand.dev/dispatch/planner"
 )
 
 // Kind describes one kind of jobs.
@@ -119,6 +121,12 @@
 	EntrySlowdowns []EntrySlowdown
 	CrashingJobs   []CrashingJobs
 	Swing          Swing
+	// LeaveShare is the share of callers that cancel their jobs before their target response time.
+	LeaveShare float64
+	// Retries is true if the callers of rejected jobs submit them once more, at the same entry.
+	Retries bool
+	// Disabled turns off parts of the planners.
+	Disabled planner.Features
 }
 
 // runnerCPU returns the capacity of the n-th runner, in thousandths of a core.
@@ -191,5 +199,5 @@
 	hanging.RunnerFaults = []RunnerFault{{At: 4 * time.Second, For: 5 * time.Second, Kind: Hanging, Runners: 1}}
 	gone := base("gone")
 	gone.RunnerFaults = []RunnerFault{{At: 4 * time.Second, For: 3 * time.Second, Kind: Gone, Runners: 3}}
-	return append([]Load{calm, burst, narrowBurst, slow, failing, hanging, gone}, slices.Concat(smallLoads(), largeLoads(), thinEntryLoads(), crashLoads(), shiftedLoads())...)
+	return append([]Load{calm, burst, narrowBurst, slow, failing, hanging, gone}, slices.Concat(smallLoads(), largeLoads(), thinEntryLoads(), crashLoads(), shiftedLoads(), backlogLoads())...)
 }
--- a/bench/replay/result.go
+++ b/bench/replay/result.go
@@ -58,14 +58,22 @@
 	FailedByCrashes int
 	// RunsLost is the number of runs that flapping runners lost.
 	RunsLost int
-	kinds    []Kind
+	// RejectedByRule counts the jobs that were rejected before their time was over, by rule.
+	RejectedByRule map[planner.Rule]int
+	// Left is the number of jobs whose callers left before the answer. They don't count.
+	Left int
+	// Returned counts the jobs that were submitted again after their rejection, which aren't counted
+	// elsewhere. ReturnedAt holds the times of these submissions.
+	Returned   Count
+	ReturnedAt []time.Duration
+	kinds      []Kind
 }
 
 func newResult(l Load, policy string) *Result {
 	return &Result{
 		Load: l.Name, Policy: policy, kinds: l.Kinds,
 		Kinds: map[string]*Count{}, Sizes: map[string]*Count{}, DataCentres: map[string]*Count{}, Windows: map[string]*Count{}, DataCentreWindows: map[string]*Count{},
-		RefusedOrders: map[string]int{}, Crashes: map[*pendingJob]int{},
+		RefusedOrders: map[string]int{}, RejectedByRule: map[planner.Rule]int{}, Crashes: map[*pendingJob]int{},
 	}
 }
 
@@ -93,6 +101,17 @@
 	if d.Outcome == planner.Failed {
 		r.FailedByCrashes++
 	}
+	if d.Outcome == planner.Cancelled {
+		r.Left++
+		return
+	}
+	if d.Outcome == planner.Refused && d.Prediction != nil && d.Prediction.Rule != "" {
+		r.RejectedByRule[d.Prediction.Rule]++
+	}
+	if j.returning {
+		r.Returned.add(d.Outcome, s.now-j.at, r.kinds[j.kind].target(j.size))
+		return
+	}
 	r.count(j.arrival, s.now, d.Outcome)
 	if d.Outcome == planner.Refused {
 		r.jobRejected(s, j)
@@ -113,17 +132,22 @@
 		count(r.DataCentreWindows, a.dataCentre+arrivedIn),
 	}
 	for _, c := range sets {
-		c.Submitted++
-		switch {
-		case o == planner.Completed && took <= k.target(a.size):
-			c.OnTime++
-		case o == planner.Completed:
-			c.Late++
-		case o == planner.Refused:
-			c.Rejected++
-		default:
-			c.Failed++
-		}
+		c.add(o, took, k.target(a.size))
+	}
+}
+
+// add counts a job by its outcome, the time it took and its target response time.
+func (c *Count) add(o planner.Outcome, took, target time.Duration) {
+	c.Submitted++
+	switch {
+	case o == planner.Completed && took <= target:
+		c.OnTime++
+	case o == planner.Completed:
+		c.Late++
+	case o == planner.Refused:
+		c.Rejected++
+	default:
+		c.Failed++
 	}
 }
 
@@ -174,6 +198,12 @@
 			mean, most := r.CrashesEach()
 			_, _ = fmt.Fprintf(t, "runners crashed by each crashing job: %.2f, %d at most; other jobs failed: %d\t\t\t\t\t\t\n", mean, most, r.FailedByCrashes)
 		}
+		if len(r.RejectedByRule) > 0 {
+			_, _ = fmt.Fprintf(t, "rejected early: %v\t\t\t\t\t\t\n", r.RejectedByRule)
+		}
+		if r.Left+r.Returned.Submitted > 0 {
+			_, _ = fmt.Fprintf(t, "callers left: %d; submitted again: %d, answered %.3f, in a busiest 100 ms %.1f times the mean\t\t\t\t\t\t\n", r.Left, r.Returned.Submitted, r.Returned.AnsweredShare(), r.MaxReturnsTimes())
+		}
 		_, _ = fmt.Fprintf(t, "start orders refused by guards: %s; messages to entries: %d\t\t\t\t\t\t\n", reasons(r.RefusedOrders), r.Messages)
 	}
 	return t.Flush()
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -123,7 +123,7 @@
 				sim:        s,
 				number:     n,
 				dataCentre: z.Name,
-				plan:       planner.New(planner.Options{DataCentre: z.Name, Seed: seed*entrySeeds + uint64(n)}),
+				plan:       planner.New(planner.Options{DataCentre: z.Name, Seed: seed*entrySeeds + uint64(n), Disabled: s.load.Disabled}),
 				jobs:       map[string]*pendingJob{},
 				clocks:     map[string]clockReading{},
 				confirmed:  map[string]time.Duration{},
@@ -187,6 +187,8 @@
 	arrival
 	// startedRuns is the number of its runs that have started.
 	startedRuns int
+	// returning is true for a job that was rejected before.
+	returning bool
 }
 
 // clockReading is the value of a guard's clock and the time at which it was received.
@@ -226,10 +228,16 @@
 }
 
 func (e *entry) submit(a arrival) {
-	k := e.sim.load.Kinds[a.kind]
 	e.jobCount++
 	id := fmt.Sprintf("%d-%d", e.number, e.jobCount)
-	e.jobs[id] = &pendingJob{arrival: a}
+	e.scheduleLeave(id, a)
+	e.submitAs(id, a, false)
+}
+
+// submitAs passes a job to the planner under an id.
+func (e *entry) submitAs(id string, a arrival, returning bool) {
+	k := e.sim.load.Kinds[a.kind]
+	e.jobs[id] = &pendingJob{arrival: a, returning: returning}
 	j := work.Job{ID: id, Steps: []work.Step{{
 		Count:    k.Tasks,
 		Need:     work.Amounts{CPUMilli: k.CPUMilli},
@@ -271,6 +279,7 @@
 	}
 	for _, ended := range out.Ended {
 		s.result.jobEnded(s, e, ended)
+		e.scheduleRetry(ended)
 	}
 	e.timerID++
 	current := e.timerID
