jobs, explain: early rejections, returns and predicted waits

Cause: an operator could not see why a job was rejected on arrival, nor whether callers return as they were told to.

Change: events 1270 job.rejected_early and 1271 job.returned, counters of both, a histogram of the wait less the predicted one, and a clause of explain with the work ahead, the predicted wait and the time left.

--- a/entry/explain/cause.go
+++ b/entry/explain/cause.go
@@ -18,6 +18,7 @@
 	runStopped      = "job.run_stopped"
 	requestInvalid  = "front.bad_request"
 	requestRejected = "front.turned_away"
+	rejectedEarly   = "job.rejected_early"
 )
 
 // cause returns a sentence that explains the outcome of a request.
@@ -65,13 +66,40 @@
 	if text == "" {
 		text = l.Fields["why"]
 	}
-	text = fmt.Sprintf("%s at %s after %s ms: %s", l.Fields["outcome"], l.Process, l.Fields["took_ms"], text)
+	text = fmt.Sprintf("%s at %s after %s ms: %s", l.Fields["outcome"], l.Process, l.Fields["took_ms"], text) + earlyRejection(l, lines)
 	if unfinished := unfinishedRuns(lines); unfinished != "" {
 		text += "; not over then: " + unfinished
 	}
 	return text
 }
 
+// earlyRejection says why a job was rejected before its time was over; empty if it was not. A job that
+// returned may have been rejected several times: the line of this rejection is the last before it.
+func earlyRejection(rejection LogEvent, lines []LogEvent) string {
+	var text string
+	for _, l := range lines {
+		if !l.AboutRequest || l.Process != rejection.Process || l.Time.After(rejection.Time) {
+			continue
+		}
+		switch l.Name {
+		case jobAccepted:
+			text = ""
+		case rejectedEarly:
+			when := "while it waited"
+			if l.Fields["on_arrival"] == "true" {
+				when = "on arrival"
+			}
+			whose := "work ahead of it"
+			if l.Fields["rule"] == "backlog_limit" {
+				whose = "waiting work of its contract, more than its share of the capacity allows"
+			}
+			text = fmt.Sprintf("; rejected %s: %s core-seconds of %s, predicted wait %s ms, time left %s ms",
+				when, l.Fields["work_ahead"], whose, l.Fields["predicted_wait_ms"], l.Fields["time_left_ms"])
+		}
+	}
+	return text
+}
+
 // unfinishedRuns counts, by guard, the runs that were ordered and for which no
 // end was logged before the end of the job.
 func unfinishedRuns(lines []LogEvent) string {
--- a/entry/explain/explain_test.go
+++ b/entry/explain/explain_test.go
@@ -44,3 +44,19 @@
 	_, err := FromLogs("zzz", strings.NewReader(entryLog))
 	assert.Assert(t, errors.Is(err, ErrUnknownRequest))
 }
+
+// Guards against a rejection on arrival that explain does not justify: the work ahead, the predicted wait
+// and the time left must be told, those of the last rejection if the job returned.
+func TestRejectionOnArrival(t *testing.T) {
+	const log = `{"time":"2026-01-01T00:00:01.000Z","msg":"job.taken","entry":"e1","event":1251,"job":"a"}
+{"time":"2026-01-01T00:00:01.000Z","msg":"job.rejected_early","entry":"e1","event":1270,"job":"a","rule":"predicted_wait","on_arrival":true,"work_ahead":31.5,"predicted_wait_ms":2100,"time_left_ms":800}
+{"time":"2026-01-01T00:00:01.000Z","msg":"job.not_completed","entry":"e1","event":1257,"job":"a","outcome":"refused","why":"no_room_in_time","took_ms":0}
+{"time":"2026-01-01T00:00:03.000Z","msg":"job.taken","entry":"e1","event":1251,"job":"a"}
+{"time":"2026-01-01T00:00:03.000Z","msg":"job.not_completed","entry":"e1","event":1257,"job":"a","outcome":"refused","why":"no_room_in_time","took_ms":0}
+`
+	s, err := FromLogs("a", strings.NewReader(log))
+	assert.NilError(t, err)
+	first, second, _ := strings.Cut(s.Cause, "; then ")
+	assert.Assert(t, strings.HasSuffix(first, "; rejected on arrival: 31.5 core-seconds of work ahead of it, predicted wait 2100 ms, time left 800 ms"), s.Cause)
+	assert.Assert(t, !strings.Contains(second, "rejected on arrival"), s.Cause)
+}
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -38,6 +38,13 @@
 		"The entry may have missed late starts: it has just started, or has not heard from a guard for a second, or a guard was replaced. It asked other entries for theirs; "+
 			"tasks is the number of late starts that they reported, and jobs lists the jobs of some. Logged only if there were any, or if unanswered entries did not answer in time.",
 		"If unanswered is not zero for long, check the network between the entries.")
+	rejectedEarly = eventlog.Define(1270, "job.rejected_early", slog.LevelInfo,
+		"A job was rejected before its time was over; on_arrival is true if it was at its submission. rule is predicted_wait: its start was predicted too late to be of use, "+
+			"or backlog_limit: its contract has as much waiting work as drains at its share of the capacity while its callers can use the answer. work_ahead is the waiting work that goes before it, "+
+			"for backlog_limit that of its contract, in core-seconds; predicted_wait_ms the time in which that drains, and time_left_ms that within which a start was of use.",
+		"Many of these: the load exceeds the runners' capacity, or that of one contract its share.")
+	jobReturned = eventlog.Define(1271, "job.returned", slog.LevelInfo,
+		"A job that this entry had rejected returned in its time to retry, and ended with the outcome given. It went before new jobs of its contract.", "None.")
 	processPaused = eventlog.Define(1258, "entry.stood_still", slog.LevelWarn,
 		"The process was paused for for_ms; it sends no orders for a moment, until it has read the messages that arrived meanwhile.",
 		"If it repeats, check the host: CPU contention, memory, suspension.")
--- a/entry/jobs/log.go
+++ b/entry/jobs/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"slices"
 	"time"
 
@@ -81,6 +82,14 @@
 }
 
 func logEnded(l *slog.Logger, d planner.Ended, t planner.Terms, took time.Duration) {
+	if x := d.Prediction; x != nil && x.Rule != "" {
+		rejectedEarly.Log(context.Background(), l, slog.String("job", d.Job), slog.String("contract", t.Contract), slog.String("rule", string(x.Rule)),
+			slog.Bool("on_arrival", x.OnArrival), slog.Float64("work_ahead", math.Round(x.WorkAhead*100)/100),
+			millis("predicted_wait_ms", x.Wait), millis("time_left_ms", x.TimeLeft))
+	}
+	if d.Returned {
+		jobReturned.Log(context.Background(), l, slog.String("job", d.Job), slog.String("contract", t.Contract), slog.String("outcome", d.Outcome.String()))
+	}
 	event := jobFailed
 	if d.Outcome == planner.Completed {
 		event = jobCompleted
--- a/entry/jobs/metrics.go
+++ b/entry/jobs/metrics.go
@@ -11,6 +11,8 @@
 	scope    tally.Scope
 	changes  map[planner.RunEvent]tally.Counter
 	outcomes map[outcomeKey]*outcomeMetrics
+	// waitError is the wait of jobs less that predicted on their arrival, in seconds.
+	waitError tally.Histogram
 }
 
 type outcomeKey struct {
@@ -38,6 +40,7 @@
 
 func newMetrics(scope tally.Scope) *metrics {
 	m := &metrics{scope: scope, changes: map[planner.RunEvent]tally.Counter{}, outcomes: map[outcomeKey]*outcomeMetrics{}}
+	m.waitError = scope.Histogram("job_wait_less_predicted_seconds", tally.ValueBuckets{-2, -1, -0.5, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.5, 1, 2})
 	for c, name := range changeNames {
 		m.changes[c] = scope.Tagged(map[string]string{"change": name}).Counter("run_changes_total")
 	}
@@ -56,4 +59,19 @@
 	}
 	e.count.Inc(1)
 	e.waited.Record(d.Waited)
+	m.countPrediction(contract, d)
+}
+
+// countPrediction counts a job by what was predicted of its wait.
+func (m *metrics) countPrediction(contract string, d planner.Ended) {
+	if d.Returned {
+		m.scope.Tagged(map[string]string{"contract": contract, "outcome": d.Outcome.String()}).Counter("jobs_returned_total").Inc(1)
+	}
+	switch x := d.Prediction; {
+	case x == nil:
+	case x.Rule != "":
+		m.scope.Tagged(map[string]string{"contract": contract, "rule": string(x.Rule)}).Counter("jobs_rejected_early_total").Inc(1)
+	case d.Started:
+		m.waitError.RecordValue((d.Waited - x.Wait).Seconds())
+	}
 }
