planner: late jobs are still judged by the rate at which work drains

Cause: where the wait was predicted, jobs past their target were all kept until it was too late to be of use.

Change: the prediction only adds rejections. A job that it does not reject is kept or rejected by the rule for late jobs as before.

--- a/dispatch/planner/admission.go
+++ b/dispatch/planner/admission.go
@@ -40,7 +40,7 @@
 type jobAdmission struct {
 	// prediction is that made on arrival, or for which the job was rejected; nil if there is none.
 	prediction *Prediction
-	// predictedAt is when the wait was last predicted; zero if it could not be.
+	// predictedAt is when the wait was last predicted; zero if it never was.
 	predictedAt time.Duration
 	// returning is true for a job that was rejected by this entry and returned in time.
 	returning bool
@@ -77,7 +77,7 @@
 // rejectOnArrival ends a job that is predicted to start too late, or that exceeds the backlog limit of
 // its contract. It reports whether it did.
 func (p *Planner) rejectOnArrival(now time.Duration, j *job) bool {
-	if late, _ := p.startsTooLate(now, j); late {
+	if p.startsTooLate(now, j) {
 		p.rejectEarly(now, j, true)
 		return true
 	}
@@ -95,42 +95,41 @@
 	p.refuse(now, j, ReasonOverload)
 }
 
-// startsTooLate reports whether a job's start is predicted too late for its caller; known is false if
-// its wait can't be predicted. If it is too late, the job's prediction has the rule.
-func (p *Planner) startsTooLate(now time.Duration, j *job) (late, known bool) {
+// startsTooLate reports whether a job's start is predicted too late for its caller. If it is, the job's
+// prediction has the rule. A job that is not, but can't meet its target any more, is kept or rejected by
+// the rate at which work drains beyond what arrives: while more arrives than can be done, its late answer
+// would take the capacity of a job that is in time. With all such jobs kept, 12 % fewer are on time at
+// 1.2 times the capacity (replay, trial with releases and work ahead known, four seeds).
+func (p *Planner) startsTooLate(now time.Duration, j *job) bool {
 	a, s := &j.admission, j.service
 	if p.opt.Disabled.SharedDemand || !s.hasWaiting(now) {
-		return false, false
+		return false
 	}
 	if a.predictedAt > 0 && now-a.predictedAt < predictionInterval {
-		return false, true
+		return false
 	}
-	a.predictedAt = 0
 	ahead, known := p.workAhead(now, j)
-	if !known {
-		return false, false
-	}
-	return p.predictWait(now, j, ahead)
+	return known && p.predictsTooLate(now, j, ahead)
 }
 
-// predictWait is startsTooLate for the given work ahead of the job.
-func (p *Planner) predictWait(now time.Duration, j *job, ahead float64) (late, known bool) {
+// predictsTooLate is startsTooLate for the given work ahead of the job.
+func (p *Planner) predictsTooLate(now time.Duration, j *job, ahead float64) bool {
 	a := &j.admission
+	a.predictedAt = now
 	wait, known := j.service.drainTime(now, ahead)
 	if !known {
-		return false, false
+		return false
 	}
-	a.predictedAt = now
 	x := Prediction{WorkAhead: ahead, Wait: wait, TimeLeft: j.keepUntil - now}
 	if a.prediction == nil {
 		a.prediction = &x
 	}
 	if !backlog.TooLate(x.Wait, x.TimeLeft) || !p.mayRejectEarly(now, j) {
-		return false, true
+		return false
 	}
 	x.Rule = RuleForecast
 	a.prediction = &x
-	return true, true
+	return true
 }
 
 // exceedsBacklog reports whether the backlog limit of a job's contract is exceeded. A job that returns
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -424,11 +424,10 @@
 		case now >= j.keepUntil:
 			p.refuse(now, j, p.shortage(now, j))
 		default:
-			late, known := p.startsTooLate(now, j)
 			switch {
-			case late:
+			case p.startsTooLate(now, j):
 				p.rejectEarly(now, j, false)
-			case !known && now > j.startBy && !waitingForecast.drainsWithin(waiting, j.keepUntil-now):
+			case now > j.startBy && !waitingForecast.drainsWithin(waiting, j.keepUntil-now):
 				p.refuse(now, j, p.shortage(now, j))
 			}
 		}
