planner: cheaper sums of releases

Cause: a sum over 990 endpoints took 0.48 ms on the loaded machine, and the wait of each waiting job was predicted every 20 ms.

Change: each horizon is looked up from its own segment instead of from the first, and waits are predicted every 100 ms, less than half of the 250 ms within which callers are to be told.

--- a/dispatch/planner/admission.go
+++ b/dispatch/planner/admission.go
@@ -8,8 +8,8 @@
 )
 
 // predictionInterval is the interval at which the wait of a waiting job is predicted again: the work
-// ahead of a job is a sum over all that waits.
-const predictionInterval = 20 * time.Millisecond
+// ahead of a job is a sum over all that waits, and a rejection is still of use after twice that.
+const predictionInterval = 100 * time.Millisecond
 
 // Rule is a rule by which a job is rejected before its time is over.
 type Rule string
--- a/dispatch/planner/foresight.go
+++ b/dispatch/planner/foresight.go
@@ -124,15 +124,19 @@
 func (r *releases) known(now time.Duration) bool { return r.milli != nil && now-r.at <= maxReleaseAge }
 
 // within returns the CPU released between the report and the given time after it, interpolated
-// between the horizons. Past the last one all that was used is released.
-func (r *releases) within(d time.Duration, used float64) float64 {
-	from, released := time.Duration(0), 0.0
-	for i, h := range work.ReleaseHorizons {
-		next := min(float64(r.milli[i]), used)
-		if d <= h {
-			return released + (next-released)*float64(d-from)/float64(h-from)
+// between the horizons. Past the last one all that was used is released. The time must not be
+// before the horizon that precedes the given first one.
+func (r *releases) within(d time.Duration, used float64, first int) float64 {
+	for i := first; i < len(work.ReleaseHorizons); i++ {
+		h := work.ReleaseHorizons[i]
+		if d > h {
+			continue
+		}
+		from, released := time.Duration(0), 0.0
+		if i > 0 {
+			from, released = work.ReleaseHorizons[i-1], min(float64(r.milli[i-1]), used)
 		}
-		from, released = h, next
+		return released + (min(float64(r.milli[i]), used)-released)*float64(d-from)/float64(h-from)
 	}
 	return used
 }
@@ -182,7 +186,7 @@
 		reportedUsed += cores - free
 		used := float64(max(e.total.CPUMilli-max(e.free().CPUMilli, 0), 0))
 		age := now - e.releases.at
-		before := e.releases.within(age, used)
+		before := e.releases.within(age, used, 0)
 		// What was released since the report is in use again, and is released like the rest was:
 		// without it a report that is 0.1 s old would predict half the capacity for runs of 0.2 s.
 		again := 0.0
@@ -190,7 +194,7 @@
 			again = before / used
 		}
 		for i, h := range work.ReleaseHorizons {
-			o.free[i+1] += (e.releases.within(age+h, used) - before + again*e.releases.within(h, used)) / factor
+			o.free[i+1] += (e.releases.within(age+h, used, i) - before + again*min(float64(e.releases.milli[i]), used)) / factor
 		}
 	}
 	o.known = reported > 0 && reported >= minReportedShare*(o.total+lost) && lost <= maxLostShare*(o.total+lost)
