--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -45,6 +45,7 @@
 	// meanRunTime is the mean run time of the finished tasks, in units of a normal endpoint.
 	meanRunTime time.Duration
 	doneTasks   int
+	admission   jobAdmission
 }
 
 // task is one task of a job.
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -46,6 +46,13 @@
 		"An endpoint became fast, normal or slow in relation to the median of its service's endpoints. run_time_factor is the ratio of its run times to theirs over a long window, and samples the number of jobs that it covers, "+
 			"256 at most; none if its guard or its runner's process is new.",
 		"None if its host is of another kind than the others; otherwise compare the host with them: processors, frequency, memory, other programs.")
+	rejectedEarly = eventlog.Define(1280, "job.rejected_early", slog.LevelInfo,
+		"A job was rejected before its time was over; on_arrival is true if it was at its submission. rule is predicted_wait: its start was predicted too late to be of use, "+
+			"or backlog_limit: its contract has as much waiting work as drains at its share of the capacity within their response-time target. work_ahead is the waiting work that goes before it, "+
+			"for backlog_limit that of its contract, in core-seconds; predicted_wait_ms the time in which that drains, and time_left_ms that within which a start was of use.",
+		"Many of these: the load exceeds the runners' capacity, or that of one contract its share.")
+	jobReturned = eventlog.Define(1281, "job.returned", slog.LevelInfo,
+		"A job that this entry had rejected returned in its time to retry, and ended with the outcome given. It went before new jobs of its contract.", "None.")
 	processPaused = eventlog.Define(1258, "entry.stood_still", slog.LevelWarn,
 		"The process was paused for for_ms; it sends no orders for a moment, until it has read the messages that arrived meanwhile.",
 		"If it repeats, check the host: CPU contention, memory, suspension.")
