guard/progress: a runner's clock set forward or a suspended runner is not a slow pace

A clock set forward by 10 s made all runs of a runner seem to last for minutes, so that their entries would have stopped them as unable to end before the deadline.

--- a/guard/progress/progress.go
+++ b/guard/progress/progress.go
@@ -116,7 +116,15 @@
 		return
 	}
 	gap := n.Clock - r.lastClock
+	if jump := gap - (n.ReadAt - r.lastReadAt); jump > maxReadingAge {
+		r.shift(jump)
+		gap -= jump
+	}
 	r.lastClock, r.lastReadAt = n.Clock, n.ReadAt
+	if gap > maxReadingAge {
+		// The run may have been suspended in between, which would count as a slow pace.
+		r.older, r.newer = at, at
+	}
 	switch {
 	case n.Percent == r.reached.percent:
 		r.held += min(gap, maxReadingGap)
@@ -130,6 +138,13 @@
 	}
 }
 
+// shift moves the points by the time by which the runner's clock was set forward.
+func (r *Run) shift(jump time.Duration) {
+	for _, p := range []*point{&r.start, &r.reached, &r.older, &r.newer} {
+		p.clock += jump
+	}
+}
+
 // rise records that the run has reached a higher percentage.
 func (r *Run) rise(at point) {
 	r.reached, r.held, r.repeated, r.rose = at, 0, false, true
--- a/guard/progress/progress_test.go
+++ b/guard/progress/progress_test.go
@@ -103,6 +103,44 @@
 	assert.Equal(t, p.Estimate(&r, time.Hour+901*ms, 0), Estimate{})
 }
 
+// Guards against runs that are predicted to last for minutes, and would be stopped for that, or whose
+// stall is not found, because the clock of their runner was set forward or the runner was suspended.
+func TestClockThatJumps(t *testing.T) {
+	for _, c := range []struct{ jump, suspended time.Duration }{
+		{jump: 400 * ms}, {jump: time.Hour}, {suspended: 400 * ms}, {suspended: 3 * time.Second}, {3 * time.Second, 3 * time.Second},
+	} {
+		p, r := Process{moves: true}, Run{}
+		known := false
+		var now time.Duration
+		record := func(at time.Duration, percent int) Estimate {
+			n := Reading{ReadAt: time.Hour + at, Clock: at, Percent: percent, Age: at}
+			if at >= 500*ms {
+				n.ReadAt += c.suspended
+				n.Clock += c.suspended + c.jump
+			}
+			now = n.ReadAt
+			p.Record(&r, n)
+			return p.Estimate(&r, now, time.Second)
+		}
+		for at := 20 * ms; at <= 800*ms; at += 20 * ms {
+			e := record(at, int(at/(10*ms)))
+			assert.Assert(t, e.State != Stalled)
+			if want := time.Second - at; e.LeftKnown {
+				assert.Assert(t, e.Left > want-50*ms && e.Left < want+50*ms, "%+v: %v left, want %v", c, e.Left, want)
+			}
+			known = e.LeftKnown
+		}
+		assert.Assert(t, known, "%+v: the pace afterwards", c)
+		if c.suspended > 0 {
+			continue
+		}
+		for at := 820 * ms; at <= 1020*ms; at += 20 * ms {
+			record(at, 80)
+		}
+		assert.Equal(t, p.Estimate(&r, now, time.Second).State, Stalled, "%+v", c)
+	}
+}
+
 // Guards against remaining times that follow the whole run instead of its recent pace.
 func TestRemainingTimeFollowsRecentPace(t *testing.T) {
 	var p Process
