guard/runs: no progress from a listing of unknown age, none on runs being stopped

After a suspension the guard took an old listing for a new one and reported a remaining time for runs that may be over. A stalled run that was being stopped was reported as not stalled any more.

--- a/guard/runs/progress.go
+++ b/guard/runs/progress.go
@@ -25,6 +25,10 @@
 	progressChange = 0.25
 	// stopDuration is how long an acknowledged stop takes: the platform specifies 50 ms.
 	stopDuration = 50 * time.Millisecond
+	// maxAnswerTime is the time from the request of a run listing until it was read above which its
+	// progress doesn't count. Polls time out before; a guard that was suspended in between reads an
+	// answer of unknown age.
+	maxAnswerTime = 300 * time.Millisecond
 )
 
 // Progress is a report on the progress of a run to its owner.
@@ -52,9 +56,10 @@
 	stalled     bool
 }
 
-// recordProgress records the progress of the runs in a run listing that was read at the uptime now.
-func (t *Table) recordProgress(now time.Duration, v work.Listing) {
-	if t.opt.DisableRunProgress {
+// recordProgress records the progress of the runs in a run listing that was requested at the uptime
+// asked and read at the uptime now.
+func (t *Table) recordProgress(now, asked time.Duration, v work.Listing) {
+	if t.opt.DisableRunProgress || now-asked > maxAnswerTime {
 		return
 	}
 	p := &t.runner.progress
@@ -129,7 +134,7 @@
 		return nil, 0
 	}
 	for _, r := range t.runs {
-		if r.owner != owner {
+		if r.owner != owner || r.stoppingSince > 0 || r.endReported {
 			continue
 		}
 		if e := t.estimate(now, r); t.isDue(now, r, e) {
--- a/guard/runs/progress_test.go
+++ b/guard/runs/progress_test.go
@@ -185,6 +185,30 @@
 	assert.Assert(t, off.CapacityAt(testStart+100*ms).ReleasesMilli == nil)
 }
 
+// Guards against a run that is predicted to last for minutes, and would be stopped for that, because
+// the guard was suspended after its poll was answered.
+func TestListingReadAfterSuspension(t *testing.T) {
+	p := newProgressTable(t, "long")
+	p.list(20*ms, map[string]int{"long": 2})
+	p.list(40*ms, map[string]int{"long": 4})
+	name := p.starts["long"].Name
+	p.ApplyListing(testStart+3*time.Second, testStart+50*ms, work.Listing{Clock: time.Hour + 80*ms, Running: []work.RunnerRunID{name},
+		Progress: map[work.RunnerRunID]work.Progress{name: {Percent: 8}}})
+	assert.Equal(t, len(p.due(3*time.Second)), 0)
+}
+
+// Guards against a report that a run is not stalled any more, made because the run was stopped.
+func TestStoppedRunStaysStalled(t *testing.T) {
+	p := newProgressTable(t, "stalled", "moving")
+	for at := 20 * ms; at <= 260*ms; at += 20 * ms {
+		p.list(at, map[string]int{"stalled": 5, "moving": int(at / (10 * ms))})
+	}
+	assert.Assert(t, p.due(260 * ms)["stalled"].Stalled)
+	p.Cancel(testStart+300*ms, entryA, p.starts["stalled"].Run)
+	_, reported := p.due(400 * ms)["stalled"]
+	assert.Assert(t, !reported)
+}
+
 // Guards against capacity that is expected to be released too early or not at all, and against an
 // estimate that leaves out a run of which nothing is known.
 func TestReleases(t *testing.T) {
--- a/guard/runs/sweep.go
+++ b/guard/runs/sweep.go
@@ -34,7 +34,7 @@
 			reports = append(reports, report)
 		}
 	}
-	t.recordProgress(now, v)
+	t.recordProgress(now, asked, v)
 	if v.More {
 		return reports
 	}
