guard/progress: runs at a runner whose percentages rise in large steps are not stalled

With steps of a quarter, a run of 2 s is listed with the same percentage for 500 ms, and every such run was reported as stalled and stopped.

--- a/guard/progress/progress.go
+++ b/guard/progress/progress.go
@@ -21,9 +21,12 @@
 	stallFactor = 6
 	minStall    = 200 * time.Millisecond
 	// A run at percentage 0 is stalled after minStallAtZero and 1/stallShareAtZero of its expected
-	// run time: what one percent takes is not known then.
+	// run time, times the step of the percentages: what one percent takes is not known then.
 	minStallAtZero   = 250 * time.Millisecond
 	stallShareAtZero = 10
+	// stepStallFactor is how many times as long as one step of the percentage a run must have been
+	// listed with it, at a runner that lists only multiples of a larger step.
+	stepStallFactor = 2
 	// maxReadingGap bounds how much of the time between two readings counts as listed with the same
 	// percentage. A poll waits 60 ms at the runner; longer gaps mean that the runner, the guard or
 	// the connection was held up, and then nothing is known of the time in between.
@@ -53,6 +56,9 @@
 	// moves is true once a percentage has risen to less than 100. A runner that lists the same
 	// percentage until a run ends does not report progress, and its runs are not stalled.
 	moves bool
+	// step is the greatest common divisor of the percentages below 100 that were listed, 0 if there
+	// was none above 0.
+	step int
 }
 
 // Moves reports whether the process is known to report progress.
@@ -103,6 +109,9 @@
 		r.Forget(n.Clock)
 		return
 	}
+	if n.Percent < done {
+		p.step = gcd(p.step, n.Percent)
+	}
 	at := point{n.Clock, n.Percent}
 	if !r.read {
 		*r = Run{read: true, lastClock: n.Clock, lastReadAt: n.ReadAt, highest: n.Percent, start: at, reached: at}
@@ -138,6 +147,14 @@
 	}
 }
 
+// gcd returns the greatest common divisor of two numbers that are not negative.
+func gcd(a, b int) int {
+	for b > 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
 // shift moves the points by the time by which the runner's clock was set forward.
 func (r *Run) shift(jump time.Duration) {
 	for _, p := range []*point{&r.start, &r.reached, &r.older, &r.newer} {
@@ -177,7 +194,7 @@
 	switch {
 	case r.reached.percent == done && r.repeated:
 		return e
-	case r.stalled(expected):
+	case r.stalled(p.step, expected):
 		e.State = Stalled
 		return e
 	case !r.rose:
@@ -188,16 +205,18 @@
 	return e
 }
 
-// stalled reports whether the current percentage has been listed for too long.
-func (r *Run) stalled(expected time.Duration) bool {
+// stalled reports whether the current percentage has been listed for too long at a runner that lists
+// multiples of step.
+func (r *Run) stalled(step int, expected time.Duration) bool {
 	if r.reached.percent == 0 {
-		return r.held >= max(minStallAtZero, expected/stallShareAtZero)
+		return r.held >= max(minStallAtZero, time.Duration(max(step, 1))*expected/stallShareAtZero)
 	}
 	rise := r.reached.percent - r.start.percent
 	if rise <= 0 || r.held < minStall {
 		return false
 	}
-	return r.held > stallFactor*(r.reached.clock-r.start.clock)/time.Duration(rise)
+	factor := time.Duration(max(stallFactor, stepStallFactor*step))
+	return r.held > factor*(r.reached.clock-r.start.clock)/time.Duration(rise)
 }
 
 // left returns the time left at the recent pace.
--- a/guard/progress/progress_test.go
+++ b/guard/progress/progress_test.go
@@ -86,6 +86,34 @@
 	assert.Equal(t, p.Estimate(&r, time.Hour+800*ms, 0).State, Stalled)
 }
 
+// Guards against runs that are taken as stalled, and would be stopped, at a runner whose percentages
+// rise in large steps; a run that hangs there is found within two steps and a margin.
+func TestPercentagesInLargeSteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p Process
+		step := rapid.SampledFrom([]int{5, 10, 20, 25, 50}).Draw(t, "step")
+		var length time.Duration
+		run := func(hangsAt, last time.Duration) State {
+			var r Run
+			var e Estimate
+			for at := 20 * ms; at <= last; at += 20 * ms {
+				percent := int(min(at, hangsAt)*100/length) / step * step
+				p.Record(&r, Reading{ReadAt: time.Hour + at, Clock: at, Percent: percent, Age: at})
+				e = p.Estimate(&r, time.Hour+at, length)
+				assert.Assert(t, e.State != Stalled || at > hangsAt, "at %v of %v", at, length)
+			}
+			return e.State
+		}
+		for range 5 {
+			length = time.Duration(rapid.IntRange(50, 6000).Draw(t, "length")) * ms
+			run(length, length-ms)
+		}
+		length = time.Duration(rapid.IntRange(400, 6000).Draw(t, "length")) * ms
+		hangsAt := length * 51 / 100
+		assert.Equal(t, run(hangsAt, hangsAt+time.Duration(2*step+6)*length/100+300*ms), Stalled)
+	})
+}
+
 // Guards against a run that is taken as stalled after a time in which no listing was read, and
 // against readings that outlive a listing without progress.
 func TestGapsBetweenReadings(t *testing.T) {
