guard/speed: an estimate of few samples is learnt anew after as many wrong ones

The first 16 samples of a runner that starts while it is faulty, or before the entries have learnt their run times, fixed its speed until 257 samples in a row contradicted them, which are minutes at low load.

--- a/guard/speed/speed.go
+++ b/guard/speed/speed.go
@@ -26,9 +26,12 @@
 	// that is wrong by a fifth. maxBias is the sum of the signs, less allowedBias each, above which
 	// the estimate is learnt anew: 257 samples in a row on one side of it. A runner that is five
 	// times as slow completes as many in some 30 s at full load; one whose first estimate is wrong
-	// completes them in some 6 s.
-	allowedBias = 0.3
-	maxBias     = 180
+	// completes them in some 6 s. An estimate of fewer samples is learnt anew above biasPerSample for
+	// each of them, after as many more in a row: at low load, 257 samples take minutes, and the first
+	// ones may be wrong because the runner was faulty or an entry had not learnt its run times yet.
+	allowedBias   = 0.3
+	maxBias       = 180
+	biasPerSample = 0.7
 	// jobs is the number of the latest jobs of which no further run is a sample.
 	jobs = 64
 )
@@ -65,7 +68,7 @@
 	sign := math.Copysign(1, d)
 	e.above = max(e.above+sign-allowedBias, 0)
 	e.below = max(e.below-sign-allowedBias, 0)
-	if max(e.above, e.below) > maxBias {
+	if max(e.above, e.below) > min(maxBias, biasPerSample*float64(e.samples)) {
 		*e = Estimate{recent: e.recent, next: e.next}
 		return
 	}
--- a/guard/speed/speed_test.go
+++ b/guard/speed/speed_test.go
@@ -66,6 +66,24 @@
 	})
 }
 
+// TestFewWrongSamples guards against a first estimate that stays wrong for minutes at low load, because
+// the runner was faulty, or an entry had not learnt its run times yet, during the first few runs.
+func TestFewWrongSamples(t *testing.T) {
+	for _, wrong := range []float64{0.25, 5} {
+		learnt := 0
+		for seed := range uint64(200) {
+			r := &runner{random: rand.New(rand.NewPCG(seed, 1))}
+			var e speed.Estimate
+			r.add(&e, wrong, 16)
+			r.add(&e, 1, 100)
+			if math.Abs(math.Log(ratio(&e))) < 0.4 {
+				learnt++
+			}
+		}
+		assert.Assert(t, learnt >= 190, "%d of 200 estimates after runs of %.2f", learnt, wrong)
+	}
+}
+
 // TestSamples: runs without an expectation don't count, and runs of one job count once.
 func TestSamples(t *testing.T) {
 	var e speed.Estimate
