guard/runs: a run about to end is not reported with an unknown time left

Zero means unknown on the wire. A long run at 99 or 100 percent was reported with zero, and its entry then stopped it by the run time limit.

--- a/guard/runs/progress.go
+++ b/guard/runs/progress.go
@@ -23,6 +23,9 @@
 	// progressChange is the change of a run's predicted run time since its last report, relative to
 	// that report, from which it is reported again.
 	progressChange = 0.25
+	// minLeft is the least time left that is reported, because zero tells the entry that it is unknown:
+	// the entry would then stop a long run that is about to end.
+	minLeft = time.Millisecond
 	// stopDuration is how long an acknowledged stop takes: the platform specifies 50 ms.
 	stopDuration = 50 * time.Millisecond
 	// maxAnswerTime is the time from the request of a run listing until it was read above which its
@@ -137,9 +140,14 @@
 		if r.owner != owner || r.stoppingSince > 0 || r.endReported {
 			continue
 		}
-		if e := t.estimate(now, r); t.isDue(now, r, e) {
-			due = append(due, Progress{Run: r.id, Percent: e.Percent, Left: e.Left, Stalled: e.State == progress.Stalled})
+		e := t.estimate(now, r)
+		if !t.isDue(now, r, e) {
+			continue
+		}
+		if e.LeftKnown {
+			e.Left = max(e.Left, minLeft)
 		}
+		due = append(due, Progress{Run: r.id, Percent: e.Percent, Left: e.Left, Stalled: e.State == progress.Stalled})
 	}
 	slices.SortFunc(due, func(a, b Progress) int {
 		x, y := a.Run.Task, b.Run.Task
--- a/guard/runs/progress_test.go
+++ b/guard/runs/progress_test.go
@@ -197,6 +197,23 @@
 	assert.Equal(t, len(p.due(3*time.Second)), 0)
 }
 
+// Guards against a long run that is stopped when it is about to end, because no time left is reported
+// as an unknown one.
+func TestTimeLeftOfRunAboutToEnd(t *testing.T) {
+	for name, last := range map[string]int{"at 99, slower than before": 99, "at 100": 100} {
+		p := newProgressTable(t, "long")
+		for at := 20 * ms; at < 990*ms; at += 20 * ms {
+			p.list(at, map[string]int{"long": int(at / (10 * ms))})
+		}
+		p.list(990*ms, map[string]int{"long": last})
+		if last == 99 {
+			p.list(1030*ms, map[string]int{"long": last})
+		}
+		due := p.due(1035 * ms)
+		assert.Assert(t, due["long"].Left > 0, "%s: %v", name, due)
+	}
+}
+
 // Guards against a report that a run is not stalled any more, made because the run was stopped.
 func TestStoppedRunStaysStalled(t *testing.T) {
 	p := newProgressTable(t, "stalled", "moving")
