guard/runs: a listing read late has the age at which it was made

A guard short of processor time reads answers up to 160 ms late. That time counted as run time before the first reading, so that a run of normal length seemed to take twice as long as expected.

--- a/guard/progress/progress.go
+++ b/guard/progress/progress.go
@@ -88,7 +88,8 @@
 
 // Reading is the progress of a run in one listing.
 type Reading struct {
-	// ReadAt is the uptime at which the listing was read, and Clock the runner's clock in it.
+	// ReadAt is the uptime at which the listing was read, or the latest one at which it was made if it
+	// was read later, and Clock the runner's clock in it.
 	ReadAt, Clock time.Duration
 	Percent       int
 	// Age is how long the run has lasted at ReadAt, zero if that is not known.
--- a/guard/runs/progress.go
+++ b/guard/runs/progress.go
@@ -28,10 +28,9 @@
 	minLeft = time.Millisecond
 	// stopDuration is how long an acknowledged stop takes: the platform specifies 50 ms.
 	stopDuration = 50 * time.Millisecond
-	// maxAnswerTime is the time from the request of a run listing until it was read above which its
-	// progress doesn't count. Polls time out before; a guard that was suspended in between reads an
-	// answer of unknown age.
-	maxAnswerTime = 300 * time.Millisecond
+	// maxListingTime is the time from the request of a run listing within which the runner makes it: a
+	// poll waits up to 60 ms. A guard short of processor time or suspended reads the answer later.
+	maxListingTime = 80 * time.Millisecond
 )
 
 // Progress is a report on the progress of a run to its owner.
@@ -62,10 +61,11 @@
 // recordProgress records the progress of the runs in a run listing that was requested at the uptime
 // asked and read at the uptime now.
 func (t *Table) recordProgress(now, asked time.Duration, v work.Listing) {
-	if t.opt.DisableRunProgress || now-asked > maxAnswerTime {
+	if t.opt.DisableRunProgress {
 		return
 	}
 	p := &t.runner.progress
+	made := min(now, asked+maxListingTime)
 	for _, name := range v.Running {
 		r := t.find(name)
 		if r == nil {
@@ -76,9 +76,9 @@
 			r.progress.Forget(v.Clock)
 			continue
 		}
-		reading := progress.Reading{ReadAt: now, Clock: v.Clock, Percent: listed.Percent}
+		reading := progress.Reading{ReadAt: made, Clock: v.Clock, Percent: listed.Percent}
 		if r.started {
-			reading.Age = now - r.startedAt
+			reading.Age = max(made-r.startedAt, 0)
 		}
 		p.Record(&r.progress, reading)
 		e := t.estimate(now, r)
--- a/guard/runs/progress_test.go
+++ b/guard/runs/progress_test.go
@@ -197,6 +197,21 @@
 	assert.Equal(t, len(p.due(3*time.Second)), 0)
 }
 
+// Guards against a run that is predicted to take far longer than it does because its first listing was
+// read 200 ms late by a guard that is short of processor time.
+func TestListingReadLate(t *testing.T) {
+	p := newProgressTable(t, "a")
+	run := p.starts["a"]
+	p.runs[run.Run.Task].expected = 400 * ms
+	list := func(now, asked, clock time.Duration) {
+		p.ApplyListing(testStart+now, testStart+asked, work.Listing{Clock: time.Hour + clock, Running: []work.RunnerRunID{run.Name},
+			Progress: map[work.RunnerRunID]work.Progress{run.Name: {Percent: int(clock / (4 * ms))}}})
+	}
+	list(220*ms, 10*ms, 20*ms)
+	list(240*ms, 120*ms, 160*ms)
+	assert.Equal(t, len(p.due(240*ms)), 0)
+}
+
 // Guards against a long run that is stopped when it is about to end, because no time left is reported
 // as an unknown one.
 func TestTimeLeftOfRunAboutToEnd(t *testing.T) {
