--- a/guard/progress/progress_test.go
+++ b/guard/progress/progress_test.go
@@ -169,6 +169,18 @@
 	}
 }
 
+// Guards against remaining times that follow one or two percent, read up to 60 ms after they changed.
+func TestSmallRiseGivesNoPace(t *testing.T) {
+	var p Process
+	var r Run
+	for i, percent := range []int{0, 1, 2, 3} {
+		at := time.Duration(i+1) * 20 * ms
+		p.Record(&r, Reading{ReadAt: time.Hour + at, Clock: at, Percent: percent, Age: at})
+		e := p.Estimate(&r, time.Hour+at, 0)
+		assert.Equal(t, e.LeftKnown, percent >= 3, "at %d percent", percent)
+	}
+}
+
 // Guards against remaining times that follow the whole run instead of its recent pace.
 func TestRemainingTimeFollowsRecentPace(t *testing.T) {
 	var p Process
--- a/guard/runs/progress_test.go
+++ b/guard/runs/progress_test.go
@@ -212,6 +212,31 @@
 	assert.Equal(t, len(p.due(240*ms)), 0)
 }
 
+// Guards against reports on all runs at a runner that is lastingly slow, against none on long runs at a
+// fast one, and against a speed that is used from few samples.
+func TestExpectationFollowsLastingSpeed(t *testing.T) {
+	for _, c := range []struct {
+		samples  int
+		ran      time.Duration
+		percent  time.Duration
+		reported bool
+	}{
+		{minSpeedSamples, 200 * ms, 4 * ms, false},
+		{minSpeedSamples - 1, 200 * ms, 4 * ms, true},
+		{minSpeedSamples, 50 * ms, 2 * ms, true},
+		{minSpeedSamples - 1, 50 * ms, 2 * ms, false},
+	} {
+		p := newProgressTable(t, "a")
+		for i := range c.samples {
+			p.runner.speed.Add(fmt.Sprint("other", i), c.ran, 100*ms)
+		}
+		for at := 20 * ms; at <= 100*ms; at += 20 * ms {
+			p.list(at, map[string]int{"a": int(at / c.percent)})
+		}
+		assert.Equal(t, len(p.due(100*ms)) == 1, c.reported, "%+v", c)
+	}
+}
+
 // Guards against a long run that is stopped when it is about to end, because no time left is reported
 // as an unknown one.
 func TestTimeLeftOfRunAboutToEnd(t *testing.T) {
