--- a/bench/replay/tail.go
+++ b/bench/replay/tail.go
@@ -3,8 +3,8 @@
 import "time"
 
 // Loads with a heavy tail: three jobs in a hundred run seven times as long, and their declarations
-// say so. Alone, with runners that hang,
-// and runners that hang without the tail.
+// say so. There is one with the tail alone, one with runners that hang as well, and one with such
+// runners only.
 
 // Rates that use about 72 % of 12 runners of 32 cores with the tail, of three entries.
 const (
--- a/guard/host/host_test.go
+++ b/guard/host/host_test.go
@@ -136,10 +136,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	a := work.Listing{Clock: f.clock(), Ends: f.endsAfter(seen)}
+	if f.percent != nil {
+		a.Progress = map[work.RunnerRunID]work.Progress{}
+	}
 	for n := range f.running {
 		a.Running = append(a.Running, n)
 		if f.percent != nil {
-			a.Progress = map[work.RunnerRunID]work.Progress{n: {Percent: f.percent()}}
+			a.Progress[n] = work.Progress{Percent: f.percent()}
 		}
 	}
 	return a, nil
