--- a/guard/progress/progress_test.go
+++ b/guard/progress/progress_test.go
@@ -86,6 +86,34 @@
 	assert.Equal(t, p.Estimate(&r, time.Hour+800*ms, 0).State, Stalled)
 }
 
+// Guards against runs that are taken as stalled, and would be stopped, at a runner whose percentages
+// rise in large steps; a run that hangs there is found within two steps and a margin.
+func TestPercentagesInLargeSteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p Process
+		step := rapid.SampledFrom([]int{5, 10, 20, 25, 50}).Draw(t, "step")
+		var length time.Duration
+		run := func(hangsAt, last time.Duration) State {
+			var r Run
+			var e Estimate
+			for at := 20 * ms; at <= last; at += 20 * ms {
+				percent := int(min(at, hangsAt)*100/length) / step * step
+				p.Record(&r, Reading{ReadAt: time.Hour + at, Clock: at, Percent: percent, Age: at})
+				e = p.Estimate(&r, time.Hour+at, length)
+				assert.Assert(t, e.State != Stalled || at > hangsAt, "at %v of %v", at, length)
+			}
+			return e.State
+		}
+		for range 5 {
+			length = time.Duration(rapid.IntRange(50, 6000).Draw(t, "length")) * ms
+			run(length, length-ms)
+		}
+		length = time.Duration(rapid.IntRange(400, 6000).Draw(t, "length")) * ms
+		hangsAt := length * 51 / 100
+		assert.Equal(t, run(hangsAt, hangsAt+time.Duration(2*step+6)*length/100+300*ms), Stalled)
+	})
+}
+
 // Guards against a run that is taken as stalled after a time in which no listing was read, and
 // against readings that outlive a listing without progress.
 func TestGapsBetweenReadings(t *testing.T) {
@@ -103,6 +131,56 @@
 	assert.Equal(t, p.Estimate(&r, time.Hour+901*ms, 0), Estimate{})
 }
 
+// Guards against runs that are predicted to last for minutes, and would be stopped for that, or whose
+// stall is not found, because the clock of their runner was set forward or the runner was suspended.
+func TestClockThatJumps(t *testing.T) {
+	for _, c := range []struct{ jump, suspended time.Duration }{
+		{jump: 400 * ms}, {jump: time.Hour}, {suspended: 400 * ms}, {suspended: 3 * time.Second}, {3 * time.Second, 3 * time.Second},
+	} {
+		p, r := Process{moves: true}, Run{}
+		known := false
+		var now time.Duration
+		record := func(at time.Duration, percent int) Estimate {
+			n := Reading{ReadAt: time.Hour + at, Clock: at, Percent: percent, Age: at}
+			if at >= 500*ms {
+				n.ReadAt += c.suspended
+				n.Clock += c.suspended + c.jump
+			}
+			now = n.ReadAt
+			p.Record(&r, n)
+			return p.Estimate(&r, now, time.Second)
+		}
+		for at := 20 * ms; at <= 800*ms; at += 20 * ms {
+			e := record(at, int(at/(10*ms)))
+			assert.Assert(t, e.State != Stalled)
+			if want := time.Second - at; e.LeftKnown {
+				assert.Assert(t, e.Left > want-50*ms && e.Left < want+50*ms, "%+v: %v left, want %v", c, e.Left, want)
+			}
+			known = e.LeftKnown
+		}
+		assert.Assert(t, known, "%+v: the pace afterwards", c)
+		if c.suspended > 0 {
+			continue
+		}
+		for at := 820 * ms; at <= 1020*ms; at += 20 * ms {
+			record(at, 80)
+		}
+		assert.Equal(t, p.Estimate(&r, now, time.Second).State, Stalled, "%+v", c)
+	}
+}
+
+// Guards against remaining times that follow one or two percent, read up to 60 ms after they changed.
+func TestSmallRiseGivesNoPace(t *testing.T) {
+	var p Process
+	var r Run
+	for i, percent := range []int{0, 1, 2, 3} {
+		at := time.Duration(i+1) * 20 * ms
+		p.Record(&r, Reading{ReadAt: time.Hour + at, Clock: at, Percent: percent, Age: at})
+		e := p.Estimate(&r, time.Hour+at, 0)
+		assert.Equal(t, e.LeftKnown, percent >= 3, "at %d percent", percent)
+	}
+}
+
 // Guards against remaining times that follow the whole run instead of its recent pace.
 func TestRemainingTimeFollowsRecentPace(t *testing.T) {
 	var p Process
--- a/guard/runs/progress.go
+++ b/guard/runs/progress.go
@@ -23,8 +23,14 @@
 	// progressChange is the change of a run's predicted run time since its last report, relative to
 	// that report, from which it is reported again.
 	progressChange = 0.25
+	// minLeft is the least time left that is reported, because zero tells the entry that it is unknown:
+	// the entry would then stop a long run that is about to end.
+	minLeft = time.Millisecond
 	// stopDuration is how long an acknowledged stop takes: the platform specifies 50 ms.
 	stopDuration = 50 * time.Millisecond
+	// maxListingTime is the time from the request of a run listing within which the runner makes it: a
+	// poll waits up to 60 ms. A guard short of processor time or suspended reads the answer later.
+	maxListingTime = 80 * time.Millisecond
 )
 
 // Progress is a report on the progress of a run to its owner.
@@ -52,12 +58,14 @@
 	stalled     bool
 }
 
-// recordProgress records the progress of the runs in a run listing that was read at the uptime now.
-func (t *Table) recordProgress(now time.Duration, v work.Listing) {
+// recordProgress records the progress of the runs in a run listing that was requested at the uptime
+// asked and read at the uptime now.
+func (t *Table) recordProgress(now, asked time.Duration, v work.Listing) {
 	if t.opt.DisableRunProgress {
 		return
 	}
 	p := &t.runner.progress
+	made := min(now, asked+maxListingTime)
 	for _, name := range v.Running {
 		r := t.find(name)
 		if r == nil {
@@ -68,9 +76,9 @@
 			r.progress.Forget(v.Clock)
 			continue
 		}
-		reading := progress.Reading{ReadAt: now, Clock: v.Clock, Percent: listed.Percent}
+		reading := progress.Reading{ReadAt: made, Clock: v.Clock, Percent: listed.Percent}
 		if r.started {
-			reading.Age = now - r.startedAt
+			reading.Age = max(made-r.startedAt, 0)
 		}
 		p.Record(&r.progress, reading)
 		e := t.estimate(now, r)
@@ -129,12 +137,17 @@
 		return nil, 0
 	}
 	for _, r := range t.runs {
-		if r.owner != owner {
+		if r.owner != owner || r.stoppingSince > 0 || r.endReported {
 			continue
 		}
-		if e := t.estimate(now, r); t.isDue(now, r, e) {
-			due = append(due, Progress{Run: r.id, Percent: e.Percent, Left: e.Left, Stalled: e.State == progress.Stalled})
+		e := t.estimate(now, r)
+		if !t.isDue(now, r, e) {
+			continue
+		}
+		if e.LeftKnown {
+			e.Left = max(e.Left, minLeft)
 		}
+		due = append(due, Progress{Run: r.id, Percent: e.Percent, Left: e.Left, Stalled: e.State == progress.Stalled})
 	}
 	slices.SortFunc(due, func(a, b Progress) int {
 		x, y := a.Run.Task, b.Run.Task
--- a/guard/runs/progress_test.go
+++ b/guard/runs/progress_test.go
@@ -185,6 +185,87 @@
 	assert.Assert(t, off.CapacityAt(testStart+100*ms).ReleasesMilli == nil)
 }
 
+// Guards against a run that is predicted to last for minutes, and would be stopped for that, because
+// the guard was suspended after its poll was answered.
+func TestListingReadAfterSuspension(t *testing.T) {
+	p := newProgressTable(t, "long")
+	p.list(20*ms, map[string]int{"long": 2})
+	p.list(40*ms, map[string]int{"long": 4})
+	name := p.starts["long"].Name
+	p.ApplyListing(testStart+3*time.Second, testStart+50*ms, work.Listing{Clock: time.Hour + 80*ms, Running: []work.RunnerRunID{name},
+		Progress: map[work.RunnerRunID]work.Progress{name: {Percent: 8}}})
+	assert.Equal(t, len(p.due(3*time.Second)), 0)
+}
+
+// Guards against a run that is predicted to take far longer than it does because its first listing was
+// read 200 ms late by a guard that is short of processor time.
+func TestListingReadLate(t *testing.T) {
+	p := newProgressTable(t, "a")
+	run := p.starts["a"]
+	p.runs[run.Run.Task].expected = 400 * ms
+	list := func(now, asked, clock time.Duration) {
+		p.ApplyListing(testStart+now, testStart+asked, work.Listing{Clock: time.Hour + clock, Running: []work.RunnerRunID{run.Name},
+			Progress: map[work.RunnerRunID]work.Progress{run.Name: {Percent: int(clock / (4 * ms))}}})
+	}
+	list(220*ms, 10*ms, 20*ms)
+	list(240*ms, 120*ms, 160*ms)
+	assert.Equal(t, len(p.due(240*ms)), 0)
+}
+
+// Guards against reports on all runs at a runner that is lastingly slow, against none on long runs at a
+// fast one, and against a speed that is used from few samples.
+func TestExpectationFollowsLastingSpeed(t *testing.T) {
+	for _, c := range []struct {
+		samples  int
+		ran      time.Duration
+		percent  time.Duration
+		reported bool
+	}{
+		{minSpeedSamples, 200 * ms, 4 * ms, false},
+		{minSpeedSamples - 1, 200 * ms, 4 * ms, true},
+		{minSpeedSamples, 50 * ms, 2 * ms, true},
+		{minSpeedSamples - 1, 50 * ms, 2 * ms, false},
+	} {
+		p := newProgressTable(t, "a")
+		for i := range c.samples {
+			p.runner.speed.Add(fmt.Sprint("other", i), c.ran, 100*ms)
+		}
+		for at := 20 * ms; at <= 100*ms; at += 20 * ms {
+			p.list(at, map[string]int{"a": int(at / c.percent)})
+		}
+		assert.Equal(t, len(p.due(100*ms)) == 1, c.reported, "%+v", c)
+	}
+}
+
+// Guards against a long run that is stopped when it is about to end, because no time left is reported
+// as an unknown one.
+func TestTimeLeftOfRunAboutToEnd(t *testing.T) {
+	for name, last := range map[string]int{"at 99, slower than before": 99, "at 100": 100} {
+		p := newProgressTable(t, "long")
+		for at := 20 * ms; at < 990*ms; at += 20 * ms {
+			p.list(at, map[string]int{"long": int(at / (10 * ms))})
+		}
+		p.list(990*ms, map[string]int{"long": last})
+		if last == 99 {
+			p.list(1030*ms, map[string]int{"long": last})
+		}
+		due := p.due(1035 * ms)
+		assert.Assert(t, due["long"].Left > 0, "%s: %v", name, due)
+	}
+}
+
+// Guards against a report that a run is not stalled any more, made because the run was stopped.
+func TestStoppedRunStaysStalled(t *testing.T) {
+	p := newProgressTable(t, "stalled", "moving")
+	for at := 20 * ms; at <= 260*ms; at += 20 * ms {
+		p.list(at, map[string]int{"stalled": 5, "moving": int(at / (10 * ms))})
+	}
+	assert.Assert(t, p.due(260 * ms)["stalled"].Stalled)
+	p.Cancel(testStart+300*ms, entryA, p.starts["stalled"].Run)
+	_, reported := p.due(400 * ms)["stalled"]
+	assert.Assert(t, !reported)
+}
+
 // Guards against capacity that is expected to be released too early or not at all, and against an
 // estimate that leaves out a run of which nothing is known.
 func TestReleases(t *testing.T) {
