guard/runs: report the allocated CPU by priority

Capacity reserved for urgent work is computed from the CPU that less urgent runs hold at all runners. The run table now keeps the priority of each order and reports the CPU by class.

--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -42,7 +42,9 @@
 	owner Owner
 	name  work.RunnerRunID
 	need  work.Amounts
-	spec  string
+	// priority is that of the job's contract.
+	priority int
+	spec     string
 	// deadline is the uptime at which the caller stops waiting.
 	deadline time.Duration
 	// orderedAt is the uptime at which the order arrived.
@@ -167,7 +169,8 @@
 	if t.runner == nil {
 		return Capacity{}
 	}
-	return Capacity{Process: t.runner.Process, AcceptsStarts: t.AcceptsStarts(), Reconciled: t.runner.listingRead && len(t.runner.orphans) == 0, Used: t.used, ColdUntil: t.runner.coldUntil}
+	return Capacity{Process: t.runner.Process, AcceptsStarts: t.AcceptsStarts(), Reconciled: t.runner.listingRead && len(t.runner.orphans) == 0, Used: t.used, ColdUntil: t.runner.coldUntil,
+		AllocatedByPriorityMilli: t.allocatedByPriority()}
 }
 
 // HasCapacity reports whether another run of the size that was requested last fits.
@@ -230,6 +233,7 @@
 		owner:     owner,
 		name:      work.RunnerRunID{Task: o.Run.Task, Number: n},
 		need:      o.Need,
+		priority:  o.Priority,
 		spec:      o.Spec,
 		deadline:  sent + o.TimeLeft,
 		orderedAt: now,
