planner: share the demand of all entries

Each entry decided by its own waiting jobs alone. Long, least urgent work that arrived first held the cores while the most urgent jobs of all entries became late.

Planner.Demand reports the waiting and arriving work by contract, computed at most once per Act. The guards' reports on the other entries are combined at most every 10 ms, and only while tasks wait somewhere. From them follow workAhead, the max-min shares of contracts of one priority, and the capacity reserved for arriving, more urgent work.

--- a/dispatch/planner/demand.go
+++ b/dispatch/planner/demand.go
@@ -1,17 +1,354 @@
 package planner
 
 import (
+	"math"
+	"slices"
+	"sort"
 	"time"
 
 	"almondstand.dev/dispatch/work"
 )
 
+const (
+	// maxReportAge is the age from which a guard's report on other entries no longer counts: guards
+	// send capacity at least every second, and to entries with waiting tasks far more often.
+	maxReportAge = 300 * time.Millisecond
+	// shareInterval is the least time between two combinations of the reports. Entries on small hosts
+	// read hundreds of messages a second.
+	shareInterval = 10 * time.Millisecond
+	// negligibleArrivalMilli is the rate of arriving work, in thousandths of a core, below which a
+	// contract without waiting tasks is not reported.
+	negligibleArrivalMilli = 100
+	// ownElsewhereShare is the share of a contract's work at other entries that counts as more urgent
+	// than a job of the same contract: only the least slack there is known.
+	ownElsewhereShare = 0.5
+)
+
+// contractArrivals is the rate at which work of one contract arrives.
+type contractArrivals struct {
+	rate     arrivalRate
+	priority int
+	// slack is the mean time from arrival to the latest start in time, in seconds.
+	slack float64
+}
+
+// othersReport is a guard's last report on the demand of other entries.
+type othersReport struct {
+	at      time.Duration
+	demand  []work.Demand
+	entries int
+	// allocated is the CPU held by runs, by work.PriorityClass; nil if it is unknown.
+	allocated []int64
+}
+
+// sharedDemand is what an entry knows of the demand for a service.
+type sharedDemand struct {
+	arrivals map[uint32]*contractArrivals
+	// own is the demand of this entry; ownStale is true if it must be computed again.
+	own      []work.Demand
+	ownStale bool
+
+	// The fields below are combined at combinedAt; zero for never.
+	combinedAt time.Duration
+	// others is the estimated demand of all other entries, with the most urgent first; known is false
+	// if no guard has reported it lately.
+	others []work.Demand
+	known  bool
+	// visible is the share of the service's guards with which this entry has sessions: with subsets,
+	// the others serve part of the other entries' demand.
+	visible float64
+	// rows is the demand of all entries, including this one.
+	rows []work.Demand
+	// overShare holds the contracts that exceed their share.
+	overShare map[uint32]bool
+	// queue sums the waiting work of this entry.
+	queue ownQueue
+	// held is the CPU held by priority class, own starts since the combination included, and heldKnown
+	// is true if a guard reports it.
+	held      [work.PriorityClasses]int64
+	heldKnown bool
+	// scarceAt is when the waiting tasks of all entries last needed at least scarceShare of the capacity;
+	// zero for never.
+	scarceAt time.Duration
+	// reserved is the CPU that was last reserved for more urgent work, at reservedAt, for metrics.
+	reserved   int64
+	reservedAt time.Duration
+
+	// shortAt is when another entry was last reported to have waiting tasks; zero for never. short is
+	// true while tasks are waiting anywhere, or were within shortageMemory.
+	shortAt time.Duration
+	short   bool
+}
+
+func newSharedDemand() *sharedDemand {
+	return &sharedDemand{arrivals: map[uint32]*contractArrivals{}, ownStale: true}
+}
+
+// SetEntries sets the number of known entries, including this one.
+func (p *Planner) SetEntries(n int) { p.entries = n }
+
+// sharesDemand reports whether demand is exchanged with other entries.
+func (p *Planner) sharesDemand() bool { return !p.opt.Disabled.SharedDemand }
+
+// countArrival counts a job that has arrived.
+func (s *service) countArrival(now time.Duration, j *job) {
+	s.arrivals.add(now, j.coreTime()/milli)
+	j.contract = work.ContractHash(j.terms.Contract)
+	a := s.shared.arrivals[j.contract]
+	if a == nil {
+		a = &contractArrivals{}
+		s.shared.arrivals[j.contract] = a
+	}
+	a.rate.add(now, j.coreTime()/milli)
+	a.priority = j.terms.Priority
+	a.slack = movingAverage(a.slack, (j.startBy - now).Seconds())
+}
+
 // Demand returns the demand of the tasks that wait for capacity of the endpoint's service, by
-// contract, the most urgent first, at most work.MaxDemands of them.
-func (p *Planner) Demand(_ time.Duration, _ string) []work.Demand { return nil }
+// contract, the most urgent first, at most work.MaxDemands of them. A contract without waiting tasks
+// is listed while its work arrives, with the slack that its jobs have on arrival. The result is shared
+// and must not be changed.
+func (p *Planner) Demand(now time.Duration, endpoint string) []work.Demand {
+	e := p.endpoints[endpoint]
+	if !p.sharesDemand() || e == nil || e.cordoned || e.service == nil {
+		return nil
+	}
+	return e.service.ownDemand(now)
+}
+
+// ownDemand returns the demand at this entry. It is computed at most once per Act.
+func (s *service) ownDemand(now time.Duration) []work.Demand {
+	if !s.shared.ownStale {
+		return s.shared.own
+	}
+	s.shared.ownStale = false
+	rows := map[uint32]*work.Demand{}
+	for c, a := range s.shared.arrivals {
+		arriving := int64(a.rate.value(now) * milli)
+		if arriving < negligibleArrivalMilli {
+			delete(s.shared.arrivals, c)
+			continue
+		}
+		rows[c] = &work.Demand{Contract: c, Priority: a.priority, ArrivingMilli: arriving}
+	}
+	for _, list := range [][]*job{s.started, s.unstarted} {
+		for _, j := range list {
+			d := rows[j.contract]
+			if d == nil {
+				d = &work.Demand{Contract: j.contract, Priority: j.terms.Priority}
+				rows[j.contract] = d
+			}
+			j.addDemand(now, d)
+		}
+	}
+	all := make([]work.Demand, 0, len(rows))
+	for c, d := range rows {
+		if a := s.shared.arrivals[c]; a != nil && d.Jobs == 0 {
+			d.Slack = max(seconds(a.slack), 0)
+		}
+		all = append(all, *d)
+	}
+	s.shared.own = work.MergeDemands(all)
+	return s.shared.own
+}
+
+// addDemand adds the waiting tasks of the job to its contract's demand.
+func (j *job) addDemand(now time.Duration, d *work.Demand) {
+	waiting := int64(0)
+	for _, t := range j.tasks {
+		if t.startable() {
+			waiting += j.work.Steps[t.step].Need.CPUMilli
+		}
+	}
+	d.WaitingMilli += waiting
+	d.Work += j.coreTime() / milli
+	d.Jobs++
+	// A job that is late is served after those in time, so it does not determine the slack.
+	if slack := j.startBy - now; slack > 0 && (d.Slack == 0 || slack < d.Slack) {
+		d.Slack = slack
+	}
+}
+
+// recordOthers records a guard's report on other entries.
+func (e *endpoint) recordOthers(now time.Duration, r EndpointStatus) {
+	waits := slices.ContainsFunc(r.OthersDemand, func(o work.Demand) bool { return o.WaitingMilli > 0 })
+	if waits && e.service != nil {
+		e.service.shared.shortAt = now
+	}
+	e.others = othersReport{at: now, demand: r.OthersDemand, entries: max(r.OthersEntries, 0), allocated: r.AllocatedByPriorityMilli}
+}
+
+// combine updates what is known of the demand for a service, at most once per shareInterval.
+func (p *Planner) combine(now time.Duration, s *service) *sharedDemand {
+	d := s.shared
+	if d.combinedAt > 0 && now-d.combinedAt < shareInterval {
+		return d
+	}
+	d.combinedAt = now
+	d.others, d.visible, d.known = p.othersDemand(now, s)
+	d.queue = s.sumQueue(now)
+	d.held, d.heldKnown = s.heldByClass()
+	d.rows = work.MergeDemands(slices.Concat(s.ownDemand(now), d.others))
+	capacity := float64(s.capacityMilli()) / d.visible
+	d.overShare = overShares(d.rows, capacity)
+	waiting := int64(0)
+	for _, row := range d.rows {
+		waiting += row.WaitingMilli
+	}
+	if waiting > 0 && float64(waiting) >= scarceShare*capacity {
+		d.scarceAt = now
+	}
+	return d
+}
+
+// updateShortage updates whether tasks are waiting anywhere, and only then what is known of the demand:
+// without a shortage no decision depends on it.
+func (p *Planner) updateShortage(now time.Duration, s *service) {
+	last := max(s.lastWaiting, s.shared.shortAt)
+	s.shared.short = p.sharesDemand() && last > 0 && now-last < shortageMemory
+	if s.shared.short {
+		p.combine(now, s)
+	}
+}
+
+// othersDemand estimates the demand of all other entries: the mean per covered entry over the recent
+// reports of the guards, times the number of other entries. Guards that serve a subset of the entries
+// cover only some of them. visible is the estimated share of the guards that have sessions with this
+// entry.
+func (p *Planner) othersDemand(now time.Duration, s *service) (rows []work.Demand, visible float64, known bool) {
+	covered, reports, most := 0, 0, p.entries-1
+	var all []work.Demand
+	for _, e := range s.endpoints {
+		if e.others.entries == 0 || now-e.others.at >= maxReportAge {
+			continue
+		}
+		covered += e.others.entries
+		reports++
+		most = max(most, e.others.entries)
+		all = append(all, e.others.demand...)
+	}
+	if covered == 0 {
+		return nil, 1, false
+	}
+	visible = (float64(covered)/float64(reports) + 1) / float64(most+1)
+	scale := float64(most) / float64(covered)
+	rows = work.MergeDemands(all)
+	for i := range rows {
+		d := &rows[i]
+		d.WaitingMilli = int64(float64(d.WaitingMilli) * scale)
+		d.ArrivingMilli = int64(float64(d.ArrivingMilli) * scale)
+		d.Work *= scale
+		d.Jobs = int(math.Ceil(float64(d.Jobs) * scale))
+	}
+	return rows, visible, true
+}
+
+// capacityMilli is the CPU of the service's endpoints that are not cordoned.
+func (s *service) capacityMilli() int64 {
+	var sum int64
+	for _, e := range s.endpoints {
+		if !e.cordoned {
+			sum += e.total.CPUMilli
+		}
+	}
+	return sum
+}
+
+// ownQueue holds sums of the waiting work of this entry, in core-seconds.
+type ownQueue struct {
+	// started is the work of jobs that have started, which go before all others.
+	started float64
+	// inTime holds the jobs that can still start in time by priority, late those that can't.
+	inTime map[int]lane
+	late   lane
+}
+
+// lane is a list of jobs by their latest start, with the sums of their work.
+type lane struct {
+	startBy []time.Duration
+	// upTo is the work of the jobs up to and including each one.
+	upTo []float64
+}
+
+func (l lane) add(j *job) lane {
+	return lane{append(l.startBy, j.startBy), append(l.upTo, l.total()+j.coreTime()/milli)}
+}
+
+func (l lane) total() float64 { return l.before(math.MaxInt64) }
+
+// before returns the work of the jobs that must start before the given time.
+func (l lane) before(startBy time.Duration) float64 {
+	n := sort.Search(len(l.startBy), func(i int) bool { return l.startBy[i] >= startBy })
+	if n == 0 {
+		return 0
+	}
+	return l.upTo[n-1]
+}
+
+func (s *service) sumQueue(now time.Duration) ownQueue {
+	q := ownQueue{inTime: map[int]lane{}}
+	for _, j := range s.started {
+		q.started += j.coreTime() / milli
+	}
+	for _, j := range s.unstarted {
+		if j.startBy < now {
+			q.late = q.late.add(j)
+			continue
+		}
+		q.inTime[j.terms.Priority] = q.inTime[j.terms.Priority].add(j)
+	}
+	return q
+}
+
+// ahead returns the work of this entry that goes before a job.
+func (q ownQueue) ahead(now time.Duration, j *job) float64 {
+	sum := q.started
+	late := j.startBy < now
+	for priority, l := range q.inTime {
+		switch {
+		case late || priority < j.terms.Priority:
+			sum += l.total()
+		case priority == j.terms.Priority:
+			sum += l.before(j.startBy)
+		}
+	}
+	if late {
+		sum += q.late.before(j.startBy)
+	}
+	return sum
+}
+
+// workAhead returns the waiting work of all entries that goes before a job at the endpoints of this
+// entry, in core-seconds; known is false if the demand of the other entries is not known, or nothing
+// waits there.
+func (p *Planner) workAhead(now time.Duration, j *job) (coreSeconds float64, known bool) {
+	d := j.service.shared
+	if !p.sharesDemand() || d.shortAt == 0 || now-d.shortAt >= maxReportAge {
+		return 0, false
+	}
+	p.combine(now, j.service)
+	waiting := slices.ContainsFunc(d.others, func(o work.Demand) bool { return o.WaitingMilli > 0 })
+	if !d.known || !waiting {
+		return 0, false
+	}
+	sum := d.queue.ahead(now, j)
+	for _, o := range d.others {
+		sum += o.Work * j.shareAhead(now, o) * d.visible
+	}
+	return sum, true
+}
 
-// workAhead returns the waiting work of all entries that goes before a job, in core-seconds; known
-// is false if the demand of the other entries is not known.
-func (p *Planner) workAhead(_ time.Duration, _ *job) (coreSeconds float64, known bool) {
-	return 0, false
+// shareAhead returns the share of a contract's work at other entries that goes before the job.
+func (j *job) shareAhead(now time.Duration, o work.Demand) float64 {
+	slack := j.startBy - now
+	switch {
+	case o.Priority < j.terms.Priority:
+		return 1
+	case o.Priority > j.terms.Priority || o.Slack <= 0 || slack > 0 && o.Slack >= slack:
+		return 0
+	case o.Contract == j.contract:
+		return ownElsewhereShare
+	default:
+		return 1
+	}
 }
--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -70,6 +70,8 @@
 	keepsID bool
 	// contactAt is the time up to which the guard's late starts are known from its own messages.
 	contactAt time.Duration
+	// others is the guard's last report on other entries.
+	others othersReport
 }
 
 // cold reports whether the endpoint's runner is still slow after its start.
@@ -182,6 +184,7 @@
 		e.maxTotal = work.Amounts{}
 	}
 	e.reportedAt = now
+	e.recordOthers(now, r)
 	e.runner = r.Runner
 	if r.Runner.StartedMilli > 0 && !e.keepsID {
 		e.keepsID = true
--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -12,7 +12,11 @@
 	work    work.Job
 	terms   Terms
 	service *service
-	tasks   []*task
+	// contract is the hash of the contract's name.
+	contract uint32
+	// heldBack is true once the job has waited for capacity reserved for more urgent work.
+	heldBack bool
+	tasks    []*task
 	// arrived is the time of submission, deadline the end of the caller's wait.
 	arrived, deadline time.Duration
 	// startBy is the latest start that meets the response-time target, keepUntil the latest
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -32,6 +33,7 @@
 	s.updateSlow(now)
 	p.updateSilent(now, s)
 	var missed []work.Step
+	p.updateShortage(now, s)
 	for _, j := range s.order(now) {
 		if len(missed) >= maxMissedNeeds {
 			return
@@ -40,6 +42,13 @@
 			p.contact.blocked = true
 			continue
 		}
+		if p.heldBack(now, j) {
+			if !j.heldBack {
+				j.heldBack = true
+				p.out.HeldBack = append(p.out.HeldBack, j.work.ID)
+			}
+			continue
+		}
 		unstarted := !j.started
 		missed = p.placeJob(now, j, missed)
 		if unstarted && j.started {
@@ -54,12 +63,15 @@
 const latestStartInterval = 4
 
 // order returns the waiting jobs in the order in which they are tried: started ones, then
-// those that can still meet their response-time target, by priority, then those that cannot.
+// those that can still meet their response-time target, by priority, with those of contracts over
+// their share last, then those that cannot.
 func (s *service) order(now time.Duration) []*job {
 	late := sortIndex(s.unstarted, func(j *job) bool { return j.startBy >= now })
 	inTime := slices.Clone(s.unstarted[late:])
 	if s.startedJobs%latestStartInterval != latestStartInterval-1 {
-		slices.SortStableFunc(inTime, func(a, b *job) int { return a.terms.Priority - b.terms.Priority })
+		slices.SortStableFunc(inTime, func(a, b *job) int {
+			return cmp.Or(a.terms.Priority-b.terms.Priority, s.shareRank(a)-s.shareRank(b))
+		})
 	}
 	return slices.Concat(s.started, inTime, s.unstarted[:late])
 }
@@ -282,6 +294,7 @@
 	need := j.work.Steps[t.step].Need
 	free := e.free().CPUMilli
 	e.ordered = e.ordered.Add(need)
+	j.service.shared.addHeld(j, need)
 	e.runs[t.id()] = t
 	if t.crashes > 0 {
 		t.suspect = true
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -119,6 +119,8 @@
 	hearing hearing
 	// silent holds the data centres whose endpoints get nothing until one of them is heard.
 	silent map[string]bool
+	// entries is the number of known entries; zero if it is unknown.
+	entries int
 }
 
 // service holds the endpoints of one service and the jobs waiting for them.
@@ -142,6 +144,8 @@
 	failureRate float64
 	// runTimes is the level of the service's run times.
 	runTimes level
+	// shared is what is known of the demand of all entries.
+	shared *sharedDemand
 }
 
 // New returns a planner without endpoints.
@@ -165,7 +169,7 @@
 func (p *Planner) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
-		s = &service{name: name, runTimes: newLevel()}
+		s = &service{name: name, runTimes: newLevel(), shared: newSharedDemand()}
 		p.services[name] = s
 	}
 	return s
@@ -228,7 +232,7 @@
 		j.retestRunTimes()
 	}
 	p.jobs[w.ID] = j
-	j.service.arrivals.add(now, j.coreTime()/milli)
+	j.service.countArrival(now, j)
 	switch fit := j.service.fits(j); {
 	case fit == fitsCordoned && !p.inStartupGrace(now):
 		p.refuse(now, j, ReasonCordoned)
@@ -390,6 +394,7 @@
 			next = min(next, p.pausedUntil)
 		}
 		p.updateWaiting(now, s)
+		s.shared.ownStale = true
 		next = min(next, s.nextDue(now))
 	}
 	if now >= p.nextCheck {
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -125,4 +125,7 @@
 	// NotifyWaiting lists endpoints whose guards must be notified that tasks are waiting for
 	// capacity.
 	NotifyWaiting []string
+	// HeldBack lists jobs that wait for the first time because the free capacity is reserved for more
+	// urgent work.
+	HeldBack []string
 }
