guard: offer capacity to the most urgent demand first

Free capacity was offered by the time since an entry was told and its amount of waiting work, whatever its priority. Guards now send each entry the demand of the others, and offer capacity by priority and slack first; one offer in four goes to the entry told the longest time ago. The setting shared_demand turns both off. The replay carries the demand in its messages.

--- /dev/null
+++ b/bench/replay/competing_test.go
@@ -0,0 +1,42 @@
+package replay_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"almondstand.dev/bench/replay"
+)
+
+// TestUrgentWorkCompetesWithLongWork: a burst of long, least urgent jobs has taken the cores when twice
+// as many of the most urgent jobs arrive. Without shared demand these are late or rejected at some
+// entries while others start least urgent work. The least urgent kind must not starve.
+func TestUrgentWorkCompetesWithLongWork(t *testing.T) {
+	t.Parallel()
+	ours := simulate(t, "competing")
+	assert.Assert(t, ours.Kinds["hold"].OnTimeShare() >= 0.95, "%.3f", ours.Kinds["hold"].OnTimeShare())
+	assert.Assert(t, ours.Kinds["quote"].AnsweredShare() > 0.6, "%.3f", ours.Kinds["quote"].AnsweredShare())
+}
+
+// TestRejectionsAreShared: demand moves between the data centres, whose entries use the same runners.
+// The callers of one data centre must not be rejected far more often than those of another.
+func TestRejectionsAreShared(t *testing.T) {
+	t.Parallel()
+	ours := simulate(t, "uneven")
+	worst, best := 0.0, 1.0
+	for _, c := range ours.DataCentres {
+		rejected := float64(c.Rejected) / float64(c.Submitted)
+		worst, best = max(worst, rejected), min(best, rejected)
+	}
+	assert.Assert(t, worst <= 2*best, "rejected: %.3f in the worst data centre, %.3f in the best", worst, best)
+	assert.Assert(t, ours.Kinds["quote"].AnsweredShare() > 0.6, "%.3f", ours.Kinds["quote"].AnsweredShare())
+}
+
+// TestSharedDemandCanBeTurnedOff: a day without competition is served alike with the part and without.
+func TestSharedDemandCanBeTurnedOff(t *testing.T) {
+	t.Parallel()
+	off := replay.Policies()[0]
+	off.Disabled.SharedDemand = true
+	without := replay.Simulate(load(t, "calm"), off, 1)
+	assert.Assert(t, simulate(t, "calm").All.OnTimeShare() >= without.All.OnTimeShare()-0.002)
+}
--- a/bench/replay/guard.go
+++ b/bench/replay/guard.go
@@ -10,6 +10,7 @@
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/guard/advertise"
+	"almondstand.dev/guard/demand"
 	"almondstand.dev/guard/runs"
 )
 
@@ -37,6 +38,9 @@
 	cpu int64
 	// runTimeFactor is the lasting factor of the run times at its runner.
 	runTimeFactor float64
+	// demand is what entries have reported, offers the state of the offers of capacity.
+	demand demand.Table
+	offers advertise.Offers
 }
 
 func newGuard(s *sim, n int, dataCentre string) *guard {
@@ -85,12 +89,13 @@
 }
 
 // receive handles a message of an entry.
-func (g *guard) receive(e *entry, sent, read time.Duration, pending bool, demand int64, o orders) {
-	l := g.session(e)
-	defer l.confirmRead(read)
+func (g *guard) receive(e *entry, m entryMessage) {
+	l, o, sent := g.session(e), m.orders, m.sent
+	defer l.confirmRead(m.read)
 	owner := l.owner
 	g.table.EntryAlive(owner, sent)
-	l.setPending(pending, demand)
+	l.recordDemand(m.rows)
+	l.setPending(m.pending, m.demand)
 	var reports []runs.Report
 	for _, id := range o.stops {
 		if r, ended := g.table.Cancel(g.sim.now, owner, id); ended {
@@ -248,7 +253,7 @@
 // deliver sends reports to the entries that own the runs and advertises a changed
 // capacity.
 func (g *guard) deliver(reports []runs.Report) {
-	advertise.Schedule(toTime(g.sim.now), g.table.Capacity(), g.table.HasCapacity(), g.sessions)
+	advertise.Schedule(toTime(g.sim.now), g.table.Capacity(), g.table.HasCapacity(), g.sessions, &g.offers)
 	for _, r := range reports {
 		for _, l := range g.sessions {
 			if l.owner == r.Owner {
--- a/bench/replay/link.go
+++ b/bench/replay/link.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"almondstand.dev/dispatch/planner"
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/guard/demand"
 	"almondstand.dev/guard/runs"
 )
 
@@ -23,6 +25,8 @@
 	owner   runs.Owner
 	pending bool
 	demand  int64
+	// urgent is the most urgent demand; nil if it is not known.
+	urgent *work.Demand
 
 	reports []runs.Report
 	// capacityDue is the time at which capacity is to be sent, reportsDue that of the
@@ -70,6 +74,26 @@
 	}
 }
 
+// recordDemand records the entry's demand by contract; see guard/uplink.
+func (l *session) recordDemand(rows []work.Demand) {
+	if l.guard.sim.policy.Disabled.SharedDemand {
+		return
+	}
+	l.guard.demand.Record(l.guard.sim.now, l.owner.Entry, rows)
+	l.urgent = nil
+	if d, found := demand.MostUrgent(rows); found {
+		l.urgent = &d
+	}
+}
+
+// MostUrgent implements advertise.Session.
+func (l *session) MostUrgent() (d work.Demand, known bool) {
+	if l.urgent == nil {
+		return work.Demand{}, false
+	}
+	return *l.urgent, true
+}
+
 // PendingDemand implements advertise.Session.
 func (l *session) PendingDemand() int64 { return l.demand }
 
@@ -159,6 +183,7 @@
 	if due {
 		r := l.guard.table.Capacity()
 		l.sentCapacity, l.capacitySent, l.capacityDue, l.withReports = r, now, never, false
+		others, entries := l.guard.demand.Others(now, l.owner.Entry)
 		capacity = &planner.EndpointStatus{
 			Service:       service,
 			Runner:        r.Incarnation,
@@ -171,6 +196,8 @@
 			RunTimePermille:          r.RunTimePermille,
 			RunTimeSamples:           r.RunTimeSamples,
 			AllocatedByPriorityMilli: r.AllocatedByPriorityMilli,
+			OthersDemand:             others,
+			OthersEntries:            entries,
 		}
 	}
 	l.guard.sim.result.Messages++
--- a/bench/replay/load.go
+++ b/bench/replay/load.go
@@ -39,10 +39,20 @@
 	// CPUShare is the share of a core that each entry host has; zero disables the
 	// simulation of processor time.
 	CPUShare float64
+	// CPUShares are those of the entries in turn, in place of CPUShare.
+	CPUShares []float64
 	// Phase shifts the Swing of the callers, in periods.
 	Phase float64
 }
 
+// cpuShare returns the share of a core of the n-th entry host.
+func (z DataCentre) cpuShare(n int) float64 {
+	if len(z.CPUShares) == 0 {
+		return z.CPUShare
+	}
+	return z.CPUShares[n%len(z.CPUShares)]
+}
+
 // Swing is a periodic change of the rate of all callers of a data centre by the factor
 // 1 ± Depth; a Depth of zero means none.
 type Swing struct {
@@ -191,5 +201,5 @@
 	hanging.RunnerFaults = []RunnerFault{{At: 4 * time.Second, For: 5 * time.Second, Kind: Hanging, Runners: 1}}
 	gone := base("gone")
 	gone.RunnerFaults = []RunnerFault{{At: 4 * time.Second, For: 3 * time.Second, Kind: Gone, Runners: 3}}
-	return append([]Load{calm, burst, narrowBurst, slow, failing, hanging, gone}, slices.Concat(smallLoads(), largeLoads(), thinEntryLoads(), crashLoads(), shiftedLoads())...)
+	return append([]Load{calm, burst, narrowBurst, slow, failing, hanging, gone}, slices.Concat(smallLoads(), largeLoads(), thinEntryLoads(), crashLoads(), shiftedLoads(), competingLoads())...)
 }
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -33,6 +33,8 @@
 	Name string
 	// Terms converts the contract's terms into those passed to the planner.
 	Terms func(planner.Terms) planner.Terms
+	// Disabled turns off parts of the planner and of the guards.
+	Disabled planner.Features
 }
 
 // Policies returns the production policy and a simple one for comparison.
@@ -117,20 +119,23 @@
 		}
 	}
 	for _, z := range s.load.DataCentres {
-		for range z.Entries {
+		for i := range z.Entries {
 			n := len(s.entries)
 			s.entries = append(s.entries, &entry{
 				sim:        s,
 				number:     n,
 				dataCentre: z.Name,
-				plan:       planner.New(planner.Options{DataCentre: z.Name, Seed: seed*entrySeeds + uint64(n)}),
+				plan:       planner.New(planner.Options{DataCentre: z.Name, Seed: seed*entrySeeds + uint64(n), Disabled: s.policy.Disabled}),
 				jobs:       map[string]*pendingJob{},
 				clocks:     map[string]clockReading{},
 				confirmed:  map[string]time.Duration{},
-				cpu:        processor{sim: s, share: z.CPUShare},
+				cpu:        processor{sim: s, share: z.cpuShare(i)},
 			})
 		}
 	}
+	for _, e := range s.entries {
+		e.plan.SetEntries(len(s.entries))
+	}
 	for _, g := range s.guards {
 		for _, e := range s.subset(g) {
 			e.plan.AttachEndpoint(g.id, g.dataCentre, true)
@@ -287,13 +292,23 @@
 	stops  []work.RunID
 }
 
+// entryMessage is a message from an entry to a guard.
+type entryMessage struct {
+	sent, read time.Duration
+	pending    bool
+	demand     int64
+	rows       []work.Demand
+	orders     orders
+}
+
 // send sends a message to a guard.
 func (e *entry) send(g *guard, o orders) {
 	e.cpu.addCost(sendCost)
 	sent, read := e.guardClock(g.id), e.clocks[g.id].clock
 	e.confirmed[g.id] = read
-	pending, demand := e.plan.PendingDemand(e.sim.now, g.id)
-	e.sim.after(messageDelay, func() { g.receive(e, sent, read, pending, demand, o) })
+	m := entryMessage{sent: sent, read: read, orders: o, rows: e.plan.Demand(e.sim.now, g.id)}
+	m.pending, m.demand = e.plan.PendingDemand(e.sim.now, g.id)
+	e.sim.after(messageDelay, func() { g.receive(e, m) })
 }
 
 // guardClock returns the guard's current clock as the entry estimates it: the last
--- a/guard/advertise/advertise.go
+++ b/guard/advertise/advertise.go
@@ -3,10 +3,10 @@
 package advertise
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"almondstand.dev/dispatch/work"
 	"almondstand.dev/guard/runs"
 )
 
@@ -31,6 +31,9 @@
 	// PendingDemand returns the CPU request of these tasks, in thousandths of a core, as last
 	// reported by the entry.
 	PendingDemand() int64
+	// MostUrgent returns the most urgent of the entry's demand that waits for capacity; known is
+	// false if the entry does not report demand by contract.
+	MostUrgent() (d work.Demand, known bool)
 	// Changed reports whether anything other than the allocated amount has changed since
 	// capacity was last sent: such a change is sent without delay.
 	Changed(runs.Capacity) bool
@@ -52,8 +55,8 @@
 
 // Schedule schedules the messages about a change of capacity: entries with pending tasks are
 // sent free capacity in turn, the others at idleInterval. free is true if another run of the
-// size that was requested last fits.
-func Schedule[S Session](now time.Time, c runs.Capacity, free bool, all []S) {
+// size that was requested last fits. offers is the state kept between the calls.
+func Schedule[S Session](now time.Time, c runs.Capacity, free bool, all []S, offers *Offers) {
 	var pending []S
 	for _, s := range all {
 		if s.HasPending() {
@@ -86,7 +89,7 @@
 		}
 		return
 	}
-	slices.SortStableFunc(pending, func(a, b S) int { return cmp.Compare(sendPriority(now, b), sendPriority(now, a)) })
+	sortPending(now, pending, offers)
 	for i, s := range pending {
 		s.SendAt(now.Add(time.Duration(i) * turnInterval))
 	}
--- a/guard/advertise/advertise_test.go
+++ b/guard/advertise/advertise_test.go
@@ -20,9 +20,16 @@
 	contended                            bool
 	withheld                             bool
 	unacknowledged, sendOnceAcknowledged bool
+	urgent                               *work.Demand
 }
 
-func (l *session) PendingDemand() int64              { return l.demand }
+func (l *session) PendingDemand() int64 { return l.demand }
+func (l *session) MostUrgent() (work.Demand, bool) {
+	if l.urgent == nil {
+		return work.Demand{}, false
+	}
+	return *l.urgent, true
+}
 func (l *session) HasPending() bool                  { return l.pending }
 func (l *session) Changed(runs.Capacity) bool        { return l.changed }
 func (l *session) LastSent() time.Time               { return l.sent }
@@ -49,7 +56,7 @@
 	first := &session{pending: true, sent: now.Add(-time.Second)}
 	second := &session{pending: true, sent: now.Add(-time.Millisecond)}
 	other := &session{}
-	Schedule(now, capacityUsed(29_000), true, []*session{second, other, first})
+	Schedule(now, capacityUsed(29_000), true, []*session{second, other, first}, &Offers{})
 	assert.Equal(t, first.at, now)
 	assert.Equal(t, second.at, now.Add(turnInterval))
 	assert.Assert(t, other.at.IsZero() && other.contended, "an entry without pending tasks is sent capacity at its interval, not along with reports")
@@ -61,11 +68,11 @@
 func TestCapacityFollowsPendingDemand(t *testing.T) {
 	large := &session{pending: true, demand: 8000, sent: now.Add(-10 * time.Millisecond)}
 	small := &session{pending: true, demand: 2000, sent: now.Add(-20 * time.Millisecond)}
-	Schedule(now, capacityUsed(29_000), true, []*session{small, large})
+	Schedule(now, capacityUsed(29_000), true, []*session{small, large}, &Offers{})
 	assert.Equal(t, large.at, now)
 	assert.Equal(t, small.at, now.Add(turnInterval))
 	small.sent = now.Add(-50 * time.Millisecond)
-	Schedule(now, capacityUsed(29_000), true, []*session{small, large})
+	Schedule(now, capacityUsed(29_000), true, []*session{small, large}, &Offers{})
 	assert.Equal(t, small.at, now, "the smaller demand gets its turn too")
 }
 
@@ -77,11 +84,11 @@
 func TestSlowEntryIsSentNoMoreThanItReads(t *testing.T) {
 	slow := &session{pending: true, demand: 90_000, sent: now.Add(-time.Second), unacknowledged: true}
 	prompt := &session{pending: true, demand: 1000, sent: now.Add(-time.Millisecond)}
-	Schedule(now, capacityUsed(29_000), true, []*session{slow, prompt})
+	Schedule(now, capacityUsed(29_000), true, []*session{slow, prompt}, &Offers{})
 	assert.Assert(t, slow.sendOnceAcknowledged && slow.at.IsZero())
 	assert.Equal(t, prompt.at, now)
 	slow.changed = true
-	Schedule(now, capacityUsed(29_000), true, []*session{slow, prompt})
+	Schedule(now, capacityUsed(29_000), true, []*session{slow, prompt}, &Offers{})
 	assert.Equal(t, slow.at, now, "a runner that stops accepting starts is reported without waiting for the entry")
 }
 
@@ -89,7 +96,7 @@
 // and cost them CPU time.
 func TestNoCapacityIsNotSent(t *testing.T) {
 	l := &session{pending: true}
-	Schedule(now, capacityUsed(32_000), false, []*session{l})
+	Schedule(now, capacityUsed(32_000), false, []*session{l}, &Offers{})
 	assert.Assert(t, l.withheld && l.at.IsZero())
 }
 
@@ -97,7 +104,7 @@
 // notified at once, including those with pending tasks.
 func TestRunnerStateIsSentAtOnce(t *testing.T) {
 	pending, idle := &session{pending: true, changed: true}, &session{changed: true}
-	Schedule(now, capacityUsed(0), false, []*session{pending, idle})
+	Schedule(now, capacityUsed(0), false, []*session{pending, idle}, &Offers{})
 	assert.Equal(t, pending.at, now)
 	assert.Equal(t, idle.at, now)
 	assert.Assert(t, !pending.withheld)
@@ -109,7 +116,7 @@
 func TestEntryWithoutPendingTasksIsSentAtItsInterval(t *testing.T) {
 	for _, used := range []int64{0, 30_000} {
 		l := &session{}
-		Schedule(now, capacityUsed(used), true, []*session{l})
+		Schedule(now, capacityUsed(used), true, []*session{l}, &Offers{})
 		assert.Equal(t, l.interval, idleInterval)
 	}
 }
--- a/guard/side/side.go
+++ b/guard/side/side.go
@@ -78,7 +78,9 @@
 		DataCentre:  s.DataCentre,
 		Seeds:       func() []string { return g.settings.Load().entries() },
 		Entries:     storeEntries(s, o),
-		Logger:      o.Logger,
+
+		SharedDemand: s.Scheduling.SharedDemand,
+		Logger:       o.Logger,
 	}, g.host)
 	return g
 }
--- a/guard/uplink/outbox.go
+++ b/guard/uplink/outbox.go
@@ -220,11 +220,16 @@
 // sent.
 func (s *session) capacity(clock time.Duration) *wirev1.Capacity {
 	r := s.up.host.Capacity()
+	others, entries := s.up.othersDemand(s.owner.Entry)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sentCapacity, s.sentRetiring = r, s.retiring
 	s.capacityClock = clock.Truncate(time.Microsecond)
 	m := wireCapacity(clock, r)
+	m.OthersDemand, m.OthersEntries = others, uint32(entries)
+	if !s.up.opt.SharedDemand {
+		m.AllocatedByPriorityMilli = nil
+	}
 	m.Open = m.Open && !s.retiring
 	m.Retiring = s.retiring
 	return m
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -52,6 +52,8 @@
 	pending bool
 	// demand is the CPU request of these tasks, in thousandths of a core.
 	demand int64
+	// urgent is the most urgent of the demand by contract; nil if the entry has not sent any.
+	urgent *work.Demand
 	// capacityDue is when capacity is to be sent; zero if it is not scheduled.
 	capacityDue time.Time
 	// capacitySent is when capacity was last sent, and sentCapacity its value.
@@ -238,6 +240,7 @@
 		s.up.host.EntryAlive(s.owner, sent)
 	}
 	s.recordCordon(m)
+	s.recordDemand(m)
 	s.setPending(m.GetHasPending(), m.GetPendingMilli())
 	s.recordFleetState(m)
 	if s.takeDeferred() {
--- a/guard/uplink/uplink.go
+++ b/guard/uplink/uplink.go
@@ -11,6 +11,7 @@
 
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/guard/advertise"
+	"almondstand.dev/guard/demand"
 	"almondstand.dev/guard/runs"
 	"almondstand.dev/guard/subset"
 	"almondstand.dev/wire/fleetwire"
@@ -82,7 +83,10 @@
 	// Entries reads the list of registered entries; nil if there is no such list. It is called
 	// once, when the guard starts.
 	Entries func(ctx context.Context) ([]string, error)
-	Logger  *slog.Logger
+	// SharedDemand: the demand of the other entries is sent to each entry, and the most urgent demand
+	// is offered free capacity first.
+	SharedDemand bool
+	Logger       *slog.Logger
 }
 
 // Uplink manages the guard's sessions with entries.
@@ -107,6 +111,12 @@
 	receiving sync.Mutex
 	attach    sync.WaitGroup
 	ctx       context.Context
+	// offers is the state of the offers of free capacity; guarded by mu.
+	offers advertise.Offers
+
+	// demandMu guards demand. No other lock is taken while it is held.
+	demandMu sync.Mutex
+	demand   demand.Table
 }
 
 // New returns an uplink without sessions.
@@ -202,6 +212,7 @@
 	defer u.mu.Unlock()
 	if u.current[s.owner.Entry] == s {
 		delete(u.current, s.owner.Entry)
+		u.removeDemand(s.owner.Entry)
 	}
 }
 
@@ -237,5 +248,5 @@
 	capacity := u.host.Capacity()
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	advertise.Schedule(time.Now(), capacity, free, slices.Collect(maps.Values(u.current)))
+	advertise.Schedule(time.Now(), capacity, free, slices.Collect(maps.Values(u.current)), &u.offers)
 }
