entry: number of entries, events and metrics of shared demand

The engine passes the number of known entries to the planner, which scales the reported demand with it. A job that waits for reserved capacity is logged once (job.held_back) and named by explain; gauges show the waiting demand of other entries and the reserved capacity.

--- a/entry/edge/gauges.go
+++ b/entry/edge/gauges.go
@@ -31,6 +31,8 @@
 	suspects := scope.Gauge("crash_suspects")
 	taskCrashes := scope.Tagged(map[string]string{"cause": "task"}).Gauge("runner_crashes")
 	commonCauseCrashes := scope.Tagged(map[string]string{"cause": "common"}).Gauge("runner_crashes")
+	othersWaiting := scope.Gauge("others_waiting_cores")
+	reserved := scope.Gauge("reserved_cores")
 	tick := time.NewTicker(gaugeInterval)
 	defer tick.Stop()
 	for {
@@ -56,6 +58,9 @@
 		suspects.Update(float64(crashes.Suspects))
 		taskCrashes.Update(float64(crashes.Attributed))
 		commonCauseCrashes.Update(float64(crashes.CommonCause))
+		shared := e.jobs.SharedDemand()
+		othersWaiting.Update(float64(shared.WaitingMilli) / 1000)
+		reserved.Update(float64(shared.ReservedMilli) / 1000)
 		droppedLines.Update(float64(e.opts.Metrics.LinesDropped()))
 	}
 }
--- a/entry/explain/cause.go
+++ b/entry/explain/cause.go
@@ -16,6 +16,7 @@
 	jobCompleted    = "job.completed"
 	jobFailed       = "job.not_completed"
 	runStopped      = "job.run_stopped"
+	jobHeldBack     = "job.held_back"
 	requestInvalid  = "front.bad_request"
 	requestRejected = "front.turned_away"
 )
@@ -117,6 +118,8 @@
 			count[l.Fields["change"]+" at "+l.Fields["guard"]]++
 		case l.AboutRequest && l.Name == runStopped && l.Fields["why"] == "runs_too_long":
 			count["ran too long at "+l.Fields["guard"]]++
+		case l.AboutRequest && l.Name == jobHeldBack:
+			count["waited for capacity reserved for more urgent work"]++
 		case !l.AboutRequest && (l.Name == "session.guard_lost" || l.Name == "guard.look_failed"):
 			count[l.Name+" "+l.Fields["guard"]]++
 		}
--- a/entry/explain/explain_test.go
+++ b/entry/explain/explain_test.go
@@ -44,3 +44,14 @@
 	_, err := FromLogs("zzz", strings.NewReader(entryLog))
 	assert.Assert(t, errors.Is(err, ErrUnknownRequest))
 }
+
+// An operator must be told that a job waited for reserved capacity: no other line says why it was not
+// started while runners had free capacity.
+func TestHeldBackJob(t *testing.T) {
+	log := `{"time":"2026-01-01T00:00:01.000Z","level":"INFO","msg":"job.held_back","entry":"e1","event":1270,"job":"a"}
+{"time":"2026-01-01T00:00:02.000Z","level":"INFO","msg":"job.completed","entry":"e1","event":1256,"job":"a","waited_ms":2,"took_ms":1000}
+`
+	s, err := FromLogs("a", strings.NewReader(log))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Cause, "completed at e1 after 1000 ms, of which 2 ms waiting for the first start. On the way: 1 times waited for capacity reserved for more urgent work")
+}
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -38,6 +38,9 @@
 		"The entry may have missed late starts: it has just started, or has not heard from a guard for a second, or a guard was replaced. It asked other entries for theirs; "+
 			"tasks is the number of late starts that they reported, and jobs lists the jobs of some. Logged only if there were any, or if unanswered entries did not answer in time.",
 		"If unanswered is not zero for long, check the network between the entries.")
+	jobHeldBack = eventlog.Define(1270, "job.held_back", slog.LevelInfo,
+		"A job is not started although a runner may have free capacity: that is reserved for more urgent work, which arrives at this or other entries and can't wait as long as a run of the job takes. Logged once for a job.",
+		"If it is frequent, the capacity is too small for the load.")
 	processPaused = eventlog.Define(1258, "entry.stood_still", slog.LevelWarn,
 		"The process was paused for for_ms; it sends no orders for a moment, until it has read the messages that arrived meanwhile.",
 		"If it repeats, check the host: CPU contention, memory, suspension.")
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -274,6 +274,20 @@
 	return e.plan.Demand(uptime.Now(), id)
 }
 
+// SetEntries sets the number of known entries, including this one.
+func (e *Engine) SetEntries(n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.plan.SetEntries(n)
+}
+
+// SharedDemand returns what is known of the demand at other entries.
+func (e *Engine) SharedDemand() planner.SharedDemand {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.plan.SharedDemand(uptime.Now())
+}
+
 // applyActions carries out the planner's decisions and sets the timer for the next ones. The
 // caller holds the lock.
 func (e *Engine) applyActions(now time.Duration) {
@@ -307,6 +321,9 @@
 			g.Wake()
 		}
 	}
+	for _, id := range actions.HeldBack {
+		logHeldBack(e.logger, id)
+	}
 	for _, ended := range actions.Ended {
 		e.finish(now, ended)
 	}
--- a/entry/jobs/log.go
+++ b/entry/jobs/log.go
@@ -61,6 +61,10 @@
 	lateStartsReceived.Log(context.Background(), l, slog.String("guard", guard), slog.Int("tasks", len(late)), slog.Any("jobs", jobs), millis("left_ms", left))
 }
 
+func logHeldBack(l *slog.Logger, job string) {
+	jobHeldBack.Log(context.Background(), l, slog.String("job", job))
+}
+
 func logChange(l *slog.Logger, guard string, r Report, ran time.Duration) {
 	event := runEnded
 	switch r.Change {
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -120,6 +120,7 @@
 // serve runs the session until either side ends it.
 func (s *session) serve(ctx context.Context, open []work.RunID) error {
 	entries, version := s.server.members.Addresses()
+	s.server.jobs.SetEntries(len(entries))
 	s.mu.Lock()
 	s.membersVersion = version
 	for _, r := range open {
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -107,6 +107,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
+			entries, _ := s.members.Addresses()
+			s.jobs.SetEntries(len(entries))
 			s.removeLost()
 		}
 	}
