planner: tests of shared demand; ignore invalid and outdated reports

Each failure that concerns the entry has a test: stale reports, a new guard, guards with subsets, older guards without the fields, malformed values. A new guard's predecessor no longer counts, and a report that covers an impossible number of entries is ignored.

--- a/dispatch/planner/demand.go
+++ b/dispatch/planner/demand.go
@@ -22,6 +22,9 @@
 	// ownElsewhereShare is the share of a contract's work at other entries that counts as more urgent
 	// than a job of the same contract: only the least slack there is known.
 	ownElsewhereShare = 0.5
+	// maxOtherEntries is the largest number of entries that a report may cover; a larger one is not
+	// valid, and the report is ignored.
+	maxOtherEntries = 1000
 )
 
 // contractArrivals is the rate at which work of one contract arrives.
@@ -171,11 +174,14 @@
 
 // recordOthers records a guard's report on other entries.
 func (e *endpoint) recordOthers(now time.Duration, r EndpointStatus) {
+	if r.OthersEntries < 0 || r.OthersEntries > maxOtherEntries {
+		r.OthersEntries, r.OthersDemand = 0, nil
+	}
 	waits := slices.ContainsFunc(r.OthersDemand, func(o work.Demand) bool { return o.WaitingMilli > 0 })
 	if waits && e.service != nil {
 		e.service.shared.shortAt = now
 	}
-	e.others = othersReport{at: now, demand: r.OthersDemand, entries: max(r.OthersEntries, 0), allocated: r.AllocatedByPriorityMilli}
+	e.others = othersReport{at: now, demand: r.OthersDemand, entries: r.OthersEntries, allocated: r.AllocatedByPriorityMilli}
 }
 
 // combine updates what is known of the demand for a service, at most once per shareInterval.
--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -106,6 +106,7 @@
 		}
 	}
 	if newGuard {
+		e.others = othersReport{}
 		e.open = false
 	}
 	return open
--- /dev/null
+++ b/dispatch/planner/shareddemand_test.go
@@ -0,0 +1,234 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"almondstand.dev/dispatch/work"
+)
+
+// submitFor submits a job of a contract with a priority, of which each task runs for the given time.
+func (f *fleet) submitFor(contract string, priority, tasks int, run time.Duration) Actions {
+	t := terms
+	t.Contract, t.Priority = contract, priority
+	w := work.Job{ID: fmt.Sprint(contract, "-", len(f.jobs)), Steps: []work.Step{{Count: tasks, Need: core, Declared: run}}}
+	assert.Equal(f.t, f.Submit(f.now, f.now+3*time.Second, w, t), Accepted)
+	return f.act()
+}
+
+// reportOthers delivers a guard's report on other entries; allocated is by priority class.
+func (f *fleet) reportOthers(endpoint, total, used, entries int, allocated []int64, rows ...work.Demand) {
+	f.UpdateEndpoint(f.now, f.id(endpoint), EndpointStatus{
+		Service: "teardown", Runner: work.Incarnation{ID: "r"}, AcceptsStarts: true,
+		Total: work.Amounts{CPUMilli: int64(total) * 1000, MemoryMB: 1 << 20}, Used: work.Amounts{CPUMilli: int64(used) * 1000},
+		OthersDemand: rows, OthersEntries: entries, AllocatedByPriorityMilli: allocated,
+	})
+}
+
+// TestMaxMinShares: nobody gets more than it demands, nothing is left over while somebody lacks, and
+// who lacks gets no less than anybody else.
+func TestMaxMinShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := rapid.SliceOfN(rapid.Float64Range(0, 100), 1, 8).Draw(t, "demands")
+		capacity := rapid.Float64Range(0, 400).Draw(t, "capacity")
+		shares := maxMinShares(demands, capacity)
+		sum, lacks := 0.0, false
+		for i, s := range shares {
+			sum += s
+			assert.Assert(t, s >= 0 && s <= demands[i])
+			if s < demands[i] {
+				lacks = true
+				for _, o := range shares {
+					assert.Assert(t, o <= s+1e-9)
+				}
+			}
+		}
+		assert.Assert(t, sum <= capacity+1e-9 && (!lacks || sum >= capacity-1e-9))
+	})
+}
+
+// A contract over its share of what more urgent work leaves goes behind the others of its priority.
+func TestContractOverItsShareGoesLast(t *testing.T) {
+	rows := []work.Demand{
+		{Contract: 1, Priority: 0, ArrivingMilli: 40_000}, {Contract: 2, Priority: 1, ArrivingMilli: 10_000},
+		{Contract: 3, Priority: 1, ArrivingMilli: 200_000}, {Contract: 4, Priority: 2, ArrivingMilli: 900_000},
+	}
+	assert.DeepEqual(t, overShares(rows, 100_000), map[uint32]bool{3: true})
+	assert.Equal(t, len(overShares(rows, 2_000_000)), 0)
+	f := newFleet(t, 1)
+	f.setCapacity(0, 1, 1)
+	f.submitFor("greedy", 1, 1, 200*ms)
+	f.submitFor("modest", 1, 1, 250*ms)
+	s := f.service("teardown")
+	assert.Equal(t, s.order(f.now)[0].terms.Contract, "greedy")
+	s.shared.short, s.shared.overShare = true, map[uint32]bool{work.ContractHash("greedy"): true}
+	assert.Equal(t, s.order(f.now)[0].terms.Contract, "modest")
+}
+
+// TestDemandOfWaitingTasks: the most urgent contract first, with the least slack of jobs that can still
+// be in time; contracts with arrivals only while nothing waits, then nothing. Work that ended must not
+// be reported on, or other entries reject jobs because of it.
+func TestDemandOfWaitingTasks(t *testing.T) {
+	f := newFleet(t, 1)
+	f.setCapacity(0, 1, 1)
+	f.submitFor("card", 1, 2, 200*ms)
+	f.after(50 * ms)
+	f.submitFor("card", 1, 1, 200*ms)
+	f.submitFor("lookup", 0, 3, 60*ms)
+	rows := f.Demand(f.now, "g0")
+	assert.Equal(t, len(rows), 2)
+	assert.Equal(t, rows[0].Contract, work.ContractHash("lookup"))
+	assert.Equal(t, rows[0].WaitingMilli, int64(3000))
+	assert.Equal(t, rows[1].Jobs, 2)
+	assert.Equal(t, rows[1].WaitingMilli, int64(3000))
+	first := f.jobs["card-0"]
+	assert.Equal(t, rows[1].Slack, first.startBy-f.now)
+	assert.Assert(t, rows[1].Work > 0.59 && rows[1].Work < 0.61, "%f", rows[1].Work)
+	assert.Equal(t, &rows[0], &f.Demand(f.now, "g0")[0], "it is computed once per Act")
+
+	f.now = first.startBy + ms
+	f.act()
+	if rows = f.Demand(f.now, "g0"); rows[len(rows)-1].Jobs == 2 {
+		assert.Equal(t, rows[len(rows)-1].Slack, f.jobs["card-1"].startBy-f.now, "a late job does not determine the slack")
+	}
+	for id := range f.jobs {
+		f.Cancel(f.now, id)
+	}
+	f.act()
+	rows = f.Demand(f.now, "g0")
+	assert.Assert(t, rows[0].WaitingMilli == 0 && rows[0].ArrivingMilli > 0 && rows[0].Slack > 0)
+	f.after(10 * time.Second)
+	assert.Equal(t, len(f.Demand(f.now, "g0")), 0)
+}
+
+// Contracts beyond the 16th are summed, so that no waiting work is lost.
+func TestDemandIsBounded(t *testing.T) {
+	f := newFleet(t, 1)
+	f.setCapacity(0, 1, 1)
+	for i := range work.MaxDemands + 4 {
+		f.submitFor(fmt.Sprint("c", i), i, 1, 200*ms)
+	}
+	rows := f.Demand(f.now, "g0")
+	assert.Equal(t, len(rows), work.MaxDemands)
+	last := rows[work.MaxDemands-1]
+	assert.Assert(t, last.Contract == 0 && last.Jobs == 5 && last.Priority == work.MaxDemands+3)
+}
+
+// TestOthersDemandIsScaled: guards with subsets cover some of the other entries, and reports older than
+// 300 ms, of a new guard or with an impossible number of entries do not count.
+func TestOthersDemandIsScaled(t *testing.T) {
+	f := newFleet(t, 10, 10, 10)
+	f.SetEntries(11)
+	row := work.Demand{Contract: 1, WaitingMilli: 1000, Work: 4, Jobs: 1}
+	sum := func() (float64, bool) {
+		rows, _, known := f.othersDemand(f.now, f.service("teardown"))
+		total := 0.0
+		for _, d := range rows {
+			total += d.Work
+		}
+		return total, known
+	}
+	_, known := sum()
+	assert.Assert(t, !known, "older guards report nothing")
+	f.reportOthers(0, 10, 10, 4, nil, row)
+	f.reportOthers(1, 10, 10, 4, nil)
+	total, _ := sum()
+	assert.Equal(t, total, 5.0, "4 core-seconds at 8 entries, ten other entries")
+	f.reportOthers(2, 10, 10, 1<<30, nil, row)
+	total, _ = sum()
+	assert.Equal(t, total, 5.0, "the number of entries is not valid")
+	f.AttachEndpoint("g1", "a", true)
+	total, _ = sum()
+	assert.Equal(t, total, 10.0, "the new guard has told nothing")
+	f.now += maxReportAge
+	_, known = sum()
+	assert.Assert(t, !known, "the report is stale")
+}
+
+// TestWorkAhead: more urgent work of other entries goes first, work as urgent by its slack.
+func TestWorkAhead(t *testing.T) {
+	own := work.ContractHash("card")
+	for name, c := range map[string]struct {
+		row  work.Demand
+		want float64
+	}{
+		"more urgent":                    {work.Demand{Contract: 1, Priority: 0, Slack: time.Second}, 8},
+		"more urgent and late":           {work.Demand{Contract: 1, Priority: 0}, 8},
+		"less urgent":                    {work.Demand{Contract: 1, Priority: 2, Slack: ms}, 0},
+		"as urgent, less slack":          {work.Demand{Contract: 1, Priority: 1, Slack: ms}, 8},
+		"as urgent, more slack":          {work.Demand{Contract: 1, Priority: 1, Slack: time.Second}, 0},
+		"its own contract":               {work.Demand{Contract: own, Priority: 1, Slack: ms}, 4},
+		"its own contract, nothing late": {work.Demand{Contract: own, Priority: 1, Slack: time.Second}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 10)
+			f.setCapacity(0, 10, 10)
+			f.submitFor("card", 1, 1, 200*ms)
+			c.row.Work, c.row.WaitingMilli = 8, 1000
+			f.reportOthers(0, 10, 10, 1, nil, c.row)
+			got, known := f.workAhead(f.now, f.jobs["card-0"])
+			assert.Assert(t, known)
+			assert.Equal(t, got, c.want)
+			f.opt.Disabled.SharedDemand = true
+			_, known = f.workAhead(f.now, f.jobs["card-0"])
+			assert.Assert(t, !known)
+		})
+	}
+}
+
+// TestCapacityIsReserved: long, less urgent jobs leave capacity to urgent work that arrives at other
+// entries, but not without a shortage, for work that can wait for them, or when their guard does not
+// tell who holds the capacity. At least a quarter stays open to them.
+func TestCapacityIsReserved(t *testing.T) {
+	urgent := work.Demand{Contract: 1, Priority: 0, Slack: 50 * ms, WaitingMilli: 2000, Jobs: 1, ArrivingMilli: 50_000}
+	held := []int64{0, 0, 35_000, 0}
+	for name, c := range map[string]struct {
+		change    func(d *work.Demand)
+		allocated []int64
+		starts    int
+	}{
+		"reserved":                 {nil, held, 0},
+		"capacity left":            {nil, []int64{30_000, 0, 20_000, 0}, 4},
+		"no shortage":              {func(d *work.Demand) { d.WaitingMilli = 0 }, held, 4},
+		"no arrivals":              {func(d *work.Demand) { d.ArrivingMilli = 0 }, held, 4},
+		"it can wait":              {func(d *work.Demand) { d.Slack = 2 * time.Second }, held, 4},
+		"not more urgent":          {func(d *work.Demand) { d.Priority = 2 }, held, 4},
+		"an older guard":           {nil, nil, 4},
+		"a malformed report":       {nil, []int64{1}, 4},
+		"a quarter stays open":     {func(d *work.Demand) { d.ArrivingMilli = 900_000 }, []int64{70_000, 0, 15_000, 0}, 4},
+		"no more than the quarter": {func(d *work.Demand) { d.ArrivingMilli = 900_000 }, []int64{50_000, 0, 24_000, 0}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 100)
+			row := urgent
+			if c.change != nil {
+				c.change(&row)
+			}
+			f.reportOthers(0, 100, 85, 1, c.allocated, row)
+			a := f.submitFor("check", 2, 8, 900*ms)
+			if c.starts == 0 {
+				assert.Equal(t, len(a.Starts), 0)
+				assert.Equal(t, len(a.HeldBack), 1)
+				assert.Assert(t, f.SharedDemand(f.now).ReservedMilli > 0)
+				return
+			}
+			assert.Assert(t, len(a.Starts) >= c.starts, "%d", len(a.Starts))
+		})
+	}
+}
+
+// Starts of this entry that the guard has not reported yet count as held, so that one entry does not
+// fill the reserved capacity within the time of a message.
+func TestOwnStartsCountAsHeld(t *testing.T) {
+	f := newFleet(t, 100)
+	f.reportOthers(0, 100, 0, 1, make([]int64, work.PriorityClasses), work.Demand{Contract: 1, Slack: 50 * ms, WaitingMilli: 2000, ArrivingMilli: 50_000})
+	started := 0
+	for range 12 {
+		started += len(f.submitFor("check", 2, 8, 900*ms).Starts)
+	}
+	assert.Equal(t, started, 40)
+}
