--- a/guard/advertise/urgency.go
+++ b/guard/advertise/urgency.go
@@ -32,6 +32,10 @@
 		return
 	}
 	offers.ranked++
+	if offers.ranked%offersByAge == 0 {
+		slices.SortStableFunc(pending, func(a, b S) int { return a.LastSent().Compare(b.LastSent()) })
+		return
+	}
 	byRank := make([]int, len(pending))
 	for i := range byRank {
 		byRank[i] = i
@@ -42,24 +46,6 @@
 		sorted[i] = pending[from]
 	}
 	copy(pending, sorted)
-	if offers.ranked%offersByAge == 0 {
-		moveOldestFirst(pending)
-	}
-}
-
-// moveOldestFirst moves the entry that was sent capacity the longest time ago to the front. The others
-// keep their order: with all sorted by time alone, a data centre with one large entry was rejected more,
-// and 0.846 of all jobs were on time in place of 0.884 (replay, poison-5, seed 1).
-func moveOldestFirst[S Session](pending []S) {
-	oldest := 0
-	for i, s := range pending {
-		if s.LastSent().Before(pending[oldest].LastSent()) {
-			oldest = i
-		}
-	}
-	first := pending[oldest]
-	copy(pending[1:oldest+1], pending[:oldest])
-	pending[0] = first
 }
 
 // urgency is the rank of an entry's demand; entries with the same rank are offered capacity by
