--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -117,7 +117,7 @@
 		}
 	}
 	for _, z := range s.load.DataCentres {
-		for range z.Entries {
+		for i := range z.Entries {
 			n := len(s.entries)
 			s.entries = append(s.entries, &entry{
 				sim:        s,
@@ -127,10 +127,13 @@
 				jobs:       map[string]*pendingJob{},
 				clocks:     map[string]clockReading{},
 				confirmed:  map[string]time.Duration{},
-				cpu:        processor{sim: s, share: z.CPUShare},
+				cpu:        processor{sim: s, share: z.cpuShare(i)},
 			})
 		}
 	}
+	for _, e := range s.entries {
+		e.plan.SetEntries(len(s.entries))
+	}
 	for _, g := range s.guards {
 		for _, e := range s.subset(g) {
 			e.plan.AttachEndpoint(g.id, g.dataCentre, true)
@@ -297,13 +300,23 @@
 	stops  []work.RunID
 }
 
+// entryMessage is a message from an entry to a guard.
+type entryMessage struct {
+	sent, read time.Duration
+	pending    bool
+	demand     int64
+	rows       []work.Demand
+	orders     orders
+}
+
 // send sends a message to a guard.
 func (e *entry) send(g *guard, o orders) {
 	e.cpu.addCost(sendCost)
 	sent, read := e.guardClock(g.id), e.clocks[g.id].clock
 	e.confirmed[g.id] = read
-	pending, demand := e.plan.PendingDemand(e.sim.now, g.id)
-	e.sim.after(messageDelay, func() { g.receive(e, sent, read, pending, demand, o) })
+	m := entryMessage{sent: sent, read: read, orders: o, rows: e.plan.Demand(e.sim.now, g.id)}
+	m.pending, m.demand = e.plan.PendingDemand(e.sim.now, g.id)
+	e.sim.after(messageDelay, func() { g.receive(e, m) })
 }
 
 // guardClock returns the guard's current clock as the entry estimates it: the last
--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -76,6 +76,8 @@
 	// capacity then.
 	acceptedAt    time.Duration
 	acceptedMilli int64
+	// others is the guard's last report on other entries.
+	others othersReport
 }
 
 // cold reports whether the endpoint's runner is still slow after its start.
@@ -111,6 +113,7 @@
 		}
 	}
 	if newGuard {
+		e.others = othersReport{}
 		e.open = false
 	}
 	return open
@@ -189,6 +192,7 @@
 		e.maxTotal = work.Amounts{}
 	}
 	e.reportedAt = now
+	e.recordOthers(now, r)
 	e.runner = r.Runner
 	if r.Runner.StartedMilli > 0 && !e.keepsID {
 		e.keepsID = true
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -123,6 +123,8 @@
 	silent map[string]bool
 	// returns are the rejected jobs that are expected to return.
 	returns *backlog.Returns
+	// entries is the number of known entries; zero if it is unknown.
+	entries int
 }
 
 // service holds the endpoints of one service and the jobs waiting for them.
@@ -149,6 +151,8 @@
 	speeds   serviceSpeeds
 	outlook  outlook
 	entry    entryState
+	// shared is what is known of the demand of all entries.
+	shared *sharedDemand
 }
 
 // New returns a planner without endpoints.
@@ -173,7 +177,7 @@
 func (p *Planner) service(name string) *service {
 	s := p.services[name]
 	if s == nil {
-		s = &service{name: name, runTimes: newLevel()}
+		s = &service{name: name, runTimes: newLevel(), shared: newSharedDemand()}
 		p.services[name] = s
 	}
 	return s
@@ -236,7 +240,7 @@
 		j.retestRunTimes()
 	}
 	p.jobs[w.ID] = j
-	j.service.arrivals.add(now, j.coreTime()/milli)
+	j.service.countArrival(now, j)
 	p.recordArrival(now, j)
 	switch fit := j.service.fits(j); {
 	case fit == fitsCordoned && !p.inStartupGrace(now):
@@ -396,6 +400,7 @@
 			next = min(next, p.pausedUntil)
 		}
 		p.updateWaiting(now, s)
+		s.shared.ownStale = true
 		next = min(next, s.nextDue(now))
 	}
 	if now >= p.nextCheck {
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -147,4 +147,7 @@
 	NotifyWaiting []string
 	// SpeedChanges lists endpoints that became fast, normal or lastingly slow.
 	SpeedChanges []SpeedChange
+	// HeldBack lists jobs that wait for the first time because the free capacity is reserved for more
+	// urgent work.
+	HeldBack []string
 }
--- a/entry/edge/gauges.go
+++ b/entry/edge/gauges.go
@@ -38,6 +38,8 @@
 	var decided planner.ProgressCounts
 	kept := scope.Counter("runs_kept_total")
 	stalled := scope.Counter("runs_stalled_total")
+	othersWaiting := scope.Gauge("others_waiting_cores")
+	reserved := scope.Gauge("reserved_cores")
 	tick := time.NewTicker(gaugeInterval)
 	defer tick.Stop()
 	for {
@@ -70,6 +72,9 @@
 		kept.Inc(int64(byProgress.Kept - decided.Kept))
 		stalled.Inc(int64(byProgress.Stalled - decided.Stalled))
 		decided = byProgress
+		shared := e.jobs.SharedDemand()
+		othersWaiting.Update(float64(shared.WaitingMilli) / 1000)
+		reserved.Update(float64(shared.ReservedMilli) / 1000)
 		droppedLines.Update(float64(e.opts.Metrics.LinesDropped()))
 	}
 }
--- a/entry/explain/cause.go
+++ b/entry/explain/cause.go
@@ -17,6 +17,7 @@
 	jobFailed       = "job.not_completed"
 	runStopped      = "job.run_stopped"
 	runKept         = "job.run_kept"
+	jobHeldBack     = "job.held_back"
 	requestInvalid  = "front.bad_request"
 	requestRejected = "front.turned_away"
 	rejectedEarly   = "job.rejected_early"
@@ -153,6 +154,8 @@
 			count["stopped without progress at "+l.Fields["guard"]]++
 		case l.AboutRequest && l.Name == runKept:
 			count["kept beyond the limit because of progress at "+l.Fields["guard"]]++
+		case l.AboutRequest && l.Name == jobHeldBack:
+			count["waited for capacity reserved for more urgent work"]++
 		case !l.AboutRequest && (l.Name == "session.guard_lost" || l.Name == "guard.look_failed"):
 			count[l.Name+" "+l.Fields["guard"]]++
 		}
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -53,6 +53,9 @@
 		"Many of these: the load exceeds the runners' capacity, or that of one contract its share.")
 	jobReturned = eventlog.Define(1281, "job.returned", slog.LevelInfo,
 		"A job that this entry had rejected returned in its time to retry, and ended with the outcome given. It went before new jobs of its contract.", "None.")
+	jobHeldBack = eventlog.Define(1290, "job.held_back", slog.LevelInfo,
+		"A job is not started although a runner may have free capacity: that is reserved for more urgent work, which arrives at this or other entries and can't wait as long as a run of the job takes. Logged once for a job.",
+		"If it is frequent, the capacity is too small for the load.")
 	processPaused = eventlog.Define(1258, "entry.stood_still", slog.LevelWarn,
 		"The process was paused for for_ms; it sends no orders for a moment, until it has read the messages that arrived meanwhile.",
 		"If it repeats, check the host: CPU contention, memory, suspension.")
--- a/guard/runs/progress.go
+++ b/guard/runs/progress.go
@@ -230,12 +230,11 @@
 	if t.runner == nil || !t.runner.listingRead {
 		return c
 	}
-	amounts := make([]int64, work.PriorityClasses+len(work.ReleaseHorizons))
-	c.AllocatedByPriorityMilli = amounts[:work.PriorityClasses:work.PriorityClasses]
-	for _, r := range t.runs {
-		c.AllocatedByPriorityMilli[work.PriorityClass(r.priority)] += r.need.CPUMilli
+	c.AllocatedByPriorityMilli = t.allocatedByPriority()
+	if t.opt.DisableRunProgress {
+		return c
 	}
-	if releases := amounts[work.PriorityClasses:]; !t.opt.DisableRunProgress && t.addReleases(now, releases) {
+	if releases := make([]int64, len(work.ReleaseHorizons)); t.addReleases(now, releases) {
 		c.ReleasesMilli = releases
 	}
 	return c
