--- a/guard/runs/speed_test.go
+++ b/guard/runs/speed_test.go
@@ -45,6 +45,20 @@
 	assert.Equal(t, c.RunTimeSamples, 20)
 }
 
+// TestSpeedAfterUnresponsiveRunner guards against a sample of a run whose end was read after its runner
+// had been unresponsive until the lease expired: how long it ran is not known.
+func TestSpeedAfterUnresponsiveRunner(t *testing.T) {
+	table := newTable(4)
+	o := order("a", 0)
+	o.Expected = 100 * ms
+	s := mustStart(t, table, testStart, entryA, o)
+	table.Started(testStart, s.Name)
+	assert.Equal(t, len(table.LeaseExpired(testStart+time.Second, false)), 1)
+	now := testStart + 1200*ms
+	table.ApplyListing(now, now, work.Listing{Ends: []work.End{{Seq: 1, Run: s.Name, State: work.Done}}})
+	assert.Equal(t, table.Capacity().RunTimeSamples, 0)
+}
+
 // TestSpeedIsThatOfTheProcess guards against a speed learnt at an earlier process of the runner, or
 // at a runner of another kind under the same address.
 func TestSpeedIsThatOfTheProcess(t *testing.T) {
