--- a/dispatch/planner/estimate.go
+++ b/dispatch/planner/estimate.go
@@ -126,6 +126,15 @@
 	*e = estimate{normalRunAt: e.normalRunAt, runTimes: runTimes}
 }
 
+// forgetTail resets the distribution after a run that was stopped for taking too long, if none has
+// completed for maxNormalRunAge. The distribution has only runs that completed: it would keep its
+// limits, and no run would complete again.
+func (e *estimate) forgetTail(now time.Duration) {
+	if e.runTimes.HasTail() && now-e.normalRunAt >= maxNormalRunAge {
+		e.runTimes = durations.New()
+	}
+}
+
 func (e *estimate) learn(now, ran, declared time.Duration) {
 	e.updatedAt = now
 	e.meanRan = movingAverage(e.meanRan, ran.Seconds())
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -80,6 +80,7 @@
 			// The run time is longer still. Without it, a contract whose tasks now take longer
 			// than the limits by its older run times would never complete a run.
 			p.recordRunTime(now, t.job, e.normalRunTime(ran), t.job.work.Steps[t.step].Declared)
+			p.estimate(t.job.terms.Contract).forgetTail(now)
 		}
 		t.avoid = e
 	case NotStarted:
--- a/dispatch/planner/retest_test.go
+++ b/dispatch/planner/retest_test.go
@@ -92,11 +92,27 @@
 // Guards against a contract whose tasks come to take longer than the limit by their older run times:
 // each run is stopped, none is learnt, and no job completes again.
 func TestContractWhoseTasksOutgrowTheirLimitIsServed(t *testing.T) {
+	t.Run("without a tail", func(t *testing.T) { serveOutgrownLimit(t, false) })
+	t.Run("with a tail", func(t *testing.T) { serveOutgrownLimit(t, true) })
+}
+
+func serveOutgrownLimit(t *testing.T, tail bool) {
 	const step, long = 10 * ms, time.Second
 	f := newFleet(t, 4, 4, 4, 4)
 	for i := range 40 {
 		f.runFor(fmt.Sprint("short", i), 20*ms)
 	}
+	if tail {
+		e := f.estimate(terms.Contract)
+		for i := range 4000 {
+			ran := 20 * ms
+			if i%33 == 0 {
+				ran *= 7
+			}
+			e.runTimes.Add(f.now, f.id(i%4), ran, ran)
+		}
+		assert.Assert(t, e.runTimes.HasTail())
+	}
 	started := map[Start]time.Duration{}
 	submittedLate, completedLate := 0, 0
 	for begin := f.now; f.now < begin+30*time.Second; f.now += step {
