--- a/dispatch/backlog/backlog_test.go
+++ b/dispatch/backlog/backlog_test.go
@@ -152,3 +152,19 @@
 		}
 	})
 }
+
+// Guards against a time that grows with the square of the number of waiting jobs: Reorder is called for
+// each message of a guard.
+func TestReorderDescribesEachJobAFewTimes(t *testing.T) {
+	const jobs = 500
+	var items []backlog.Queued
+	for n := range jobs {
+		items = append(items, backlog.Queued{Contract: fmt.Sprint(n % 3), Arrived: time.Duration(n * 37 % jobs), Returning: n%4 == 0})
+	}
+	described := 0
+	backlog.Reorder(items, func(q backlog.Queued) backlog.Queued {
+		described++
+		return q
+	})
+	assert.Assert(t, described <= 3*jobs, "%d jobs were described %d times", jobs, described)
+}
--- a/dispatch/backlog/order.go
+++ b/dispatch/backlog/order.go
@@ -1,6 +1,10 @@
 package backlog
 
-import "time"
+import (
+	"slices"
+	"sort"
+	"time"
+)
 
 // Queued is a waiting job as Reorder sees it.
 type Queued struct {
@@ -15,36 +19,69 @@
 // after it, to the places behind it. A returning job thus goes before the new jobs of its contract, but
 // not before one that has waited longer. Jobs of other contracts and priorities keep their positions.
 // describe returns what counts of an item.
+//
+// It is called for each message of a guard while jobs wait. Its time must not grow with the square of
+// their number: comparing each returning job with all others took 0.2 ms for 180 jobs.
 func Reorder[T any](items []T, describe func(T) Queued) {
-	var positions []int
-	var delayed []T
+	type group struct {
+		contract string
+		priority int
+	}
+	if !slices.ContainsFunc(items, func(item T) bool { return describe(item).Returning }) {
+		return
+	}
+	queued := make([]Queued, len(items))
+	positions := map[group][]int{}
 	for i, item := range items {
-		r := describe(item)
-		if !r.Returning {
-			continue
+		queued[i] = describe(item)
+		if q := queued[i]; q.Returning {
+			positions[group{q.Contract, q.Priority}] = nil
 		}
-		positions, delayed = positions[:0], delayed[:0]
-		next := 0
-		for k := range i {
-			q := describe(items[k])
-			if q.Contract != r.Contract || q.Priority != r.Priority {
-				continue
-			}
-			positions = append(positions, k)
-			if !q.Returning && q.Arrived > r.Arrived {
-				delayed = append(delayed, items[k])
-				continue
+	}
+	for i, q := range queued {
+		g := group{q.Contract, q.Priority}
+		if at, returns := positions[g]; returns {
+			positions[g] = append(at, i)
+		}
+	}
+	before := slices.Clone(items)
+	for _, at := range positions {
+		for n, i := range groupOrder(queued, at) {
+			items[at[n]] = before[i]
+		}
+	}
+}
+
+// groupOrder returns the new order of the jobs of one contract and priority, which are at the given
+// positions: each new job goes behind the last returning one that arrived before it.
+func groupOrder(queued []Queued, positions []int) []int {
+	// delayed are the new jobs that go behind a returning one, by its position.
+	delayed := map[int][]int{}
+	// earliest are the returning jobs that arrived before all returning ones after them, the last
+	// one first.
+	var earliest, kept []int
+	for _, i := range slices.Backward(positions) {
+		arrived := queued[i].Arrived
+		if queued[i].Returning {
+			if n := len(earliest); n == 0 || arrived < queued[earliest[n-1]].Arrived {
+				earliest = append(earliest, i)
 			}
-			items[positions[next]] = items[k]
-			next++
+			kept = append(kept, i)
+			continue
 		}
-		if len(delayed) == 0 {
+		n := sort.Search(len(earliest), func(n int) bool { return queued[earliest[n]].Arrived < arrived })
+		if n == len(earliest) {
+			kept = append(kept, i)
 			continue
 		}
-		positions = append(positions, i)
-		items[positions[next]] = item
-		for n, d := range delayed {
-			items[positions[next+1+n]] = d
+		delayed[earliest[n]] = append(delayed[earliest[n]], i)
+	}
+	order := make([]int, 0, len(positions))
+	for _, i := range slices.Backward(kept) {
+		order = append(order, i)
+		for _, d := range slices.Backward(delayed[i]) {
+			order = append(order, d)
 		}
 	}
+	return order
 }
