--- a/dispatch/planner/progress_test.go
+++ b/dispatch/planner/progress_test.go
@@ -208,3 +208,23 @@
 	}
 	assert.Assert(t, limits[false] > 7*50*ms && limits[true] < 7*50*ms, "%v", limits)
 }
+
+// Guards against the ejection of an endpoint that is slow by nature: a run there that would end too late
+// at its own pace is stopped, although nothing is wrong with the endpoint.
+func TestStopAtLastinglySlowEndpointIsNoFailure(t *testing.T) {
+	f := newFleet(t, 1, 1, 1, 1)
+	for i := range 4 {
+		f.setSpeed(i, 1, 1000, 300, "r")
+	}
+	s := f.run("j")
+	for i := range 4 {
+		if f.id(i) == s.Endpoint {
+			f.setSpeed(i, 1, 2000, 300, "r")
+		}
+	}
+	f.now += 100 * ms
+	stops := f.progress(s, RunProgress{Percent: 5, Left: 1900 * ms}).Stops
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Reason, ReasonRunTooLong)
+	assert.Equal(t, f.endpoints[s.Endpoint].health.failureStreak, 0)
+}
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -251,7 +251,14 @@
 		case keepsRunning:
 			next = min(next, until)
 			continue
-		case stopSlow, stopStalled:
+		case stopSlow:
+			if t.endpointIsCause() {
+				p.recordOverrun(now, t)
+			}
+			t.overruns++
+			p.stop(t, decision.reason())
+			continue
+		case stopStalled:
 			p.stopLongRun(now, t, decision.reason())
 			continue
 		}
@@ -270,13 +277,17 @@
 
 // stopLongRun stops a run that takes too long or has stalled.
 func (p *Planner) stopLongRun(now time.Duration, t *task, reason Reason) {
+	p.recordOverrun(now, t)
+	t.overruns++
+	p.stop(t, reason)
+}
+
+// recordOverrun records a run that is stopped against its endpoint. If a second run, at another
+// endpoint, takes too long as well, the task is the cause.
+func (p *Planner) recordOverrun(now time.Duration, t *task) {
 	if t.overruns == 0 {
-		// If a second run, at another endpoint, takes too long as well, the task is the
-		// cause.
 		t.endpoint.health.recordFailure(now, t.job.service.failureRate)
 	}
-	t.overruns++
-	p.stop(t, reason)
 }
 
 // overranBefore reports whether an earlier run of the task than the open one was stopped for taking
