planner: the minimum run time counts at the speed of an endpoint

A job was rejected as having too little time although a fast endpoint could do it, and started at slow endpoints where it could not end in time.

--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -23,8 +23,8 @@
 	longest, inTimeEnd time.Duration
 	// expected is the expected run time of a task, by step.
 	expected []time.Duration
-	// minRunTimes is the minimum run time of a task, by step, and minCriticalPath that of the
-	// critical path of steps.
+	// minRunTimes is the minimum run time of a task on a normal endpoint, by step, and
+	// minCriticalPath that of the critical path of steps.
 	minRunTimes     []time.Duration
 	minCriticalPath time.Duration
 	// runTimeLimits are the run times on a normal endpoint from which a run is considered hung, by
@@ -144,10 +144,15 @@
 	j.minCriticalPath = 0
 }
 
-// latestStart is the latest start of work that takes at least the given time and ends before the
-// caller's deadline.
+// latestStart is the latest start, on the fastest endpoint of the service, of work that takes at least
+// the given time on a normal endpoint and ends before the caller's deadline.
 func (j *job) latestStart(least time.Duration) time.Duration {
-	return j.deadline - answerMargin - least
+	return j.latestStartAt(least, j.service.leastFactor())
+}
+
+// latestStartAt is latestStart on an endpoint with the given run time factor.
+func (j *job) latestStartAt(least time.Duration, factor float64) time.Duration {
+	return j.deadline - answerMargin - time.Duration(float64(least)*factor)
 }
 
 // latestUsefulStart is the latest start of the waiting tasks with which the job can still
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -112,8 +112,8 @@
 	allPlaced placeResult = iota
 	noCapacity
 	// taskWaits: a task suspected of crashing its runner waits for a runner without another
-	// suspect, or a task with a late start for the runner that may execute it; tasks that need as
-	// much may still find capacity.
+	// suspect, a task with a late start for the runner that may execute it, or a task with little
+	// time left for a faster endpoint; tasks that need as much may still find capacity.
 	taskWaits
 )
 
@@ -132,7 +132,7 @@
 			waiting = waiting[1:]
 			continue
 		}
-		if e == nil && waiting[0].crashes > 0 {
+		if e == nil && (waiting[0].crashes > 0 || j.service.speeds.differ && now > j.latestStartAt(j.minRunTimes[step], maxFactor)) {
 			return taskWaits
 		}
 		if e == nil {
@@ -241,6 +241,9 @@
 	if st == tierUnusable || p.silent[e.dataCentre] || !e.hasLabel(spec.Label) {
 		return score{}
 	}
+	if j.service.speeds.differ && now > j.latestStartAt(j.minRunTimes[step], e.runTimeFactor()) {
+		return score{}
+	}
 	free := e.free()
 	tasks := (spec.Need.CountFitting(free, capacityShareDivisor*want) + capacityShareDivisor - 1) / capacityShareDivisor
 	if st == tierSlow && !j.canWait(now, step, e) {
--- a/dispatch/planner/runtimefactor.go
+++ b/dispatch/planner/runtimefactor.go
@@ -81,6 +81,14 @@
 	return s.speeds.mean
 }
 
+// leastFactor returns the least run time factor of the service's endpoints, at most 1.
+func (s *service) leastFactor() float64 {
+	if !s.speeds.differ {
+		return 1
+	}
+	return min(s.speeds.least, 1)
+}
+
 // updateSpeed updates an endpoint's lasting speed from its guard's report.
 func (p *Planner) updateSpeed(e *endpoint, r EndpointStatus) {
 	ratio, samples := float64(r.RunTimePermille)/milli, min(r.RunTimeSamples, maxSpeedSamples)
--- a/dispatch/planner/runtimefactor_test.go
+++ b/dispatch/planner/runtimefactor_test.go
@@ -194,3 +194,34 @@
 	f.act()
 	assert.Assert(t, f.factor(5) > 2)
 }
+
+// TestJobThatOnlyAFastEndpointCanDo guards against a job that is rejected as having too little time
+// while a fast endpoint could do it, against one that is started where it cannot end before its
+// caller's deadline, and against other jobs that are not started because of it.
+func TestJobThatOnlyAFastEndpointCanDo(t *testing.T) {
+	for _, fastIsFree := range []bool{true, false} {
+		f := unequalFleet(t, 4, 1)
+		f.learnRunTime(800 * ms)
+		f.now += startupGrace
+		for i := 1; i < 4; i++ {
+			f.setSpeed(i, 1, 1200, 300, "r")
+		}
+		total := 1
+		if !fastIsFree {
+			total = 0
+		}
+		f.setSpeed(0, total, 550, 300, "r")
+		f.act()
+		w := work.Job{ID: "short of time", Steps: []work.Step{{Count: 1, Need: core, Declared: 800 * ms}}}
+		f.Submit(f.now, f.now+300*ms, w, terms)
+		if !fastIsFree {
+			w.ID = "other"
+			f.Submit(f.now, f.now+10*time.Second, w, terms)
+		}
+		a := f.act()
+		assert.Equal(t, len(a.Ended), 0)
+		assert.Equal(t, len(a.Starts), 1)
+		assert.Equal(t, a.Starts[0].Endpoint == f.id(0), fastIsFree)
+		assert.Equal(t, a.Starts[0].Run.Task.Job == "short of time", fastIsFree)
+	}
+}
