--- a/dispatch/planner/admission_test.go
+++ b/dispatch/planner/admission_test.go
@@ -96,6 +96,17 @@
 	f.RecordLateStart(f.now, f.id(0), f.jobs["waiting-1"].tasks[0].id(), time.Second)
 	assert.Assert(t, !f.predict(f.jobs["waiting-1"], 100), "it may have run, so that it would end as expired")
 
+	f = shortFleet(t, 2)
+	f.jobs["waiting-1"].retest = true
+	assert.Assert(t, !f.predict(f.jobs["waiting-1"], 100), "it is to correct the learnt run times")
+
+	f = shortFleet(t, 2)
+	f.opt.AsksPeers = true
+	f.contact.scannedAt, f.contact.oldest = never, 0
+	f.endpoints[f.id(0)].keepsID = true
+	assert.Assert(t, !f.knowsLateStarts(f.now, f.jobs["waiting-1"].arrived))
+	assert.Assert(t, !f.predict(f.jobs["waiting-1"], 100), "it is not known whether it has run")
+
 	f = shortFleet(t, 2)
 	f.DetachEndpoint(f.id(0))
 	assert.Assert(t, !f.predict(f.jobs["waiting-1"], 100), "half of the endpoints were lost just now")
@@ -117,6 +128,14 @@
 	all := f.rejections("bulk", 2, 300)
 	assert.Assert(t, len(all) > 100 && len(all) < 200, "%d rejected", len(all))
 	seen := map[time.Duration]int{}
+	returning := newJob(f.now, f.now+20*time.Second, f.jobs["bulk-1"].work, f.jobs["bulk-1"].terms)
+	returning.service = f.services["teardown"]
+	returning.predict(f.estimate("bulk"), 1)
+	_, exceeded := f.exceedsBacklog(f.now, returning)
+	assert.Assert(t, exceeded)
+	returning.admission.returning = true
+	_, exceeded = f.exceedsBacklog(f.now, returning)
+	assert.Assert(t, !exceeded, "a job that returns in its slot is rejected again")
 	for _, x := range all {
 		assert.Equal(t, x.Reason, ReasonOverload)
 		assert.Equal(t, x.Prediction.Rule, RuleBacklog)
--- a/dispatch/planner/progress_test.go
+++ b/dispatch/planner/progress_test.go
@@ -228,3 +228,44 @@
 	assert.Equal(t, stops[0].Reason, ReasonRunTooLong)
 	assert.Equal(t, f.endpoints[s.Endpoint].health.failureStreak, 0)
 }
+
+// Guards against a run that is kept by an estimate that its guard has withdrawn, and against one that is
+// judged by the progress of the task's earlier run.
+func TestProgressThatIsNotKnownAnyMore(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	s := f.run("j")
+	f.now += 20 * ms
+	f.progress(s, RunProgress{Percent: 30, Left: time.Second})
+	f.progress(s, RunProgress{Percent: 20})
+	stops, first := f.stopsWithin(600 * ms)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, first, usualLimit-20*ms)
+
+	f = newFleet(t, 1, 1)
+	s = f.run("j")
+	f.progress(s, RunProgress{Percent: 30, Left: time.Second})
+	f.report(s, Stopped)
+	second := f.act().Starts[0]
+	f.report(second, Running)
+	stops, first = f.stopsWithin(600 * ms)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, first, usualLimit)
+}
+
+// Guards against a retest that leaves the distribution of the earlier run times in force: jobs would
+// still be rejected by it.
+func TestRetestForgetsTheTail(t *testing.T) {
+	var e estimate
+	f := newFleet(t)
+	e.runTimes = f.estimate("x").runTimes
+	for i := range 4000 {
+		ran := 20 * ms
+		if i%33 == 0 {
+			ran *= 7
+		}
+		e.runTimes.Add(f.now, f.id(i%4), ran, ran)
+	}
+	assert.Assert(t, e.runTimes.HasTail())
+	e.reset()
+	assert.Assert(t, e.runTimes != nil && !e.runTimes.HasTail())
+}
--- a/dispatch/planner/runtimefactor_test.go
+++ b/dispatch/planner/runtimefactor_test.go
@@ -225,3 +225,38 @@
 		assert.Equal(t, a.Starts[0].Run.Task.Job == "short of time", fastIsFree)
 	}
 }
+
+// TestLimitsAtOwnSpeed guards against run time limits, forecasts and run times of stopped runs that
+// mistake a run time at an endpoint for that on a normal one.
+func TestLimitsAtOwnSpeed(t *testing.T) {
+	for name, c := range map[string]struct {
+		permille int
+		factor   float64
+	}{"normal": {1000, 1}, "slow by nature": {2000, 2}, "fast": {500, 0.5}} {
+		f := newFleet(t, 1, 1, 1, 1)
+		s := f.run("j")
+		for i := range 4 {
+			permille := 1000
+			if f.id(i) == s.Endpoint {
+				permille = c.permille
+			}
+			f.setSpeed(i, 1, permille, 300, "r")
+		}
+		task := f.endpoints[s.Endpoint].runs[s.Run.Task]
+		assert.Equal(t, task.runTimeLimit(), time.Duration(c.factor*float64(runTimeLimitFactor*60*ms))+runTimeLimitMargin, name)
+		cores, known := task.job.service.completionRate()
+		assert.Assert(t, known && cores == 1/c.factor, "%s: %v cores", name, cores)
+
+		left := task.job.deadline - answerMargin - f.now
+		task.job.expected[0] = time.Duration(0.9 * float64(left) / c.factor)
+		assert.Assert(t, task.job.canWait(f.now, 0, task.endpoint), name)
+		task.job.expected[0] = time.Duration(1.1 * float64(left) / c.factor)
+		assert.Assert(t, !task.job.canWait(f.now, 0, task.endpoint), name)
+
+		// Twice stopped, after 1.5 times what is expected at this endpoint.
+		task.job.expected[0] = 60 * ms
+		task.overruns = 2
+		f.ReportRun(f.now, s.Endpoint, s.Run, Stopped, time.Duration(1.5*c.factor*60)*ms)
+		assert.Assert(t, math.Abs(f.estimate(terms.Contract).meanRan-0.09) < 1e-9, "%s: %v", name, f.estimate(terms.Contract).meanRan)
+	}
+}
