planner: keep stalled runs while runs stall at most endpoints; bound learnt run times

A stall of something that all runs share, as a store of the tasks, stopped all of them and ejected all endpoints.

--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -60,6 +60,8 @@
 	health     health
 	speed      speed
 	lasting    lastingSpeed
+	// stalledAt is when a run there was first reported stalled within stallWindow; zero for never.
+	stalledAt time.Duration
 	// suspects counts the open runs of tasks that have crashes attributed to them.
 	suspects int
 	// cordoned is true while the endpoint's data centre is cordoned.
--- a/dispatch/planner/estimate.go
+++ b/dispatch/planner/estimate.go
@@ -27,6 +27,11 @@
 	// of a contract that are accepted against its learnt run times.
 	minRetestInterval = time.Second
 	maxRetestInterval = 32 * time.Second
+	// runTimesRetention is the time without runs after which the distribution of a contract's run
+	// times is removed, and runTimesPruneInterval that between two removals. With 990 endpoints a
+	// distribution takes some 0.2 MB, and contracts come and go.
+	runTimesRetention     = 10 * time.Minute
+	runTimesPruneInterval = time.Minute
 )
 
 // estimate learns the run times of one contract's tasks.
@@ -126,6 +131,19 @@
 	*e = estimate{normalRunAt: e.normalRunAt, runTimes: runTimes}
 }
 
+// forgetRunTimes removes the distributions of contracts without runs for runTimesRetention.
+func (p *Planner) forgetRunTimes(now time.Duration) {
+	if now-p.runTimesPruned < runTimesPruneInterval {
+		return
+	}
+	p.runTimesPruned = now
+	for _, e := range p.estimates {
+		if e.runTimes != nil && now-e.updatedAt >= runTimesRetention {
+			e.runTimes = durations.New()
+		}
+	}
+}
+
 // forgetTail resets the distribution after a run that was stopped for taking too long, if none has
 // completed for maxNormalRunAge. The distribution has only runs that completed: it would keep its
 // limits, and no run would complete again.
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -107,6 +107,8 @@
 	// attemptsSince, and olderAttempts those of the span before that, by job id.
 	attempts, olderAttempts map[string]int
 	attemptsSince           time.Duration
+	// runTimesPruned is when the run times of idle contracts were last removed.
+	runTimesPruned time.Duration
 	// lateStarts are the starts that may still be executed, by task. lateStartsPruned is when
 	// those that can't be executed any more were last removed.
 	lateStarts       map[work.TaskID][]lateStart
@@ -146,9 +148,12 @@
 	failureRate float64
 	// runTimes is the level of the service's run times.
 	runTimes level
-	speeds   serviceSpeeds
-	outlook  outlook
-	entry    entryState
+	// stallsUntil is the time until which stalled runs are not stopped at once, as runs have stalled
+	// at more than half of the endpoints.
+	stallsUntil time.Duration
+	speeds      serviceSpeeds
+	outlook     outlook
+	entry       entryState
 }
 
 // New returns a planner without endpoints.
@@ -387,6 +392,7 @@
 	p.inStartupGrace(now)
 	p.forgetAttempts(now)
 	p.forgetLateStarts(now)
+	p.forgetRunTimes(now)
 	p.contact.blocked = false
 	for _, s := range p.services {
 		next = min(next, p.refreshFactors(now, s))
--- a/dispatch/planner/progress.go
+++ b/dispatch/planner/progress.go
@@ -17,6 +17,12 @@
 	// wellBeforeDivisor limits the time until the end of a run elsewhere to the time left to the
 	// open run divided by it: less is not worth the work that is lost.
 	wellBeforeDivisor = 2
+	// stallWindow is the time for which an endpoint counts as stalled after a run there has stalled,
+	// and maxStalledDivisor limits the endpoints at which stalled runs are stopped at once to half of
+	// them. If runs stall at more, something that they share is the cause: restarts would only
+	// lose the work, and all endpoints would be ejected.
+	stallWindow       = time.Second
+	maxStalledDivisor = 2
 	// maxPercent is the progress of a run that has done its work.
 	maxPercent = 100
 )
@@ -75,6 +81,7 @@
 	switch {
 	case r.Stalled:
 		t.progress = progress{at: now, stalled: true}
+		t.job.service.recordStall(now, e)
 		p.nextCheck = min(p.nextCheck, now)
 	case r.Left > 0:
 		t.progress = progress{at: now, endsAt: now + r.Left}
@@ -88,6 +95,28 @@
 	}
 }
 
+// recordStall records that a run has stalled at an endpoint. The endpoints are counted once per
+// endpoint and stallWindow.
+func (s *service) recordStall(now time.Duration, at *endpoint) {
+	if at.stalledAt > 0 && now-at.stalledAt < stallWindow {
+		return
+	}
+	at.stalledAt = now
+	accepting, stalled := 0, 0
+	for _, e := range s.endpoints {
+		if !e.acceptsStarts() {
+			continue
+		}
+		accepting++
+		if e.stalledAt > 0 && now-e.stalledAt < stallWindow {
+			stalled++
+		}
+	}
+	if stalled*maxStalledDivisor > accepting {
+		s.stallsUntil = now + stallWindow
+	}
+}
+
 // progressDecision is what the progress of a run decides.
 type progressDecision int
 
@@ -118,7 +147,7 @@
 	if g.stalled {
 		// If a second run, at another endpoint, stalls as well, the task is the cause: then the
 		// run time limit decides.
-		if t.overruns > 0 || !p.mayMove(now, t, t.runTimeElsewhere()) {
+		if t.overruns > 0 || now < t.job.service.stallsUntil || !p.mayMove(now, t, t.runTimeElsewhere()) {
 			return noProgress, 0
 		}
 		p.progressCounts.Stalled++
--- a/dispatch/planner/progress_test.go
+++ b/dispatch/planner/progress_test.go
@@ -269,3 +269,45 @@
 	e.reset()
 	assert.Assert(t, e.runTimes != nil && !e.runTimes.HasTail())
 }
+
+// Guards against the loss of all work and the ejection of all endpoints while something that all runs
+// share stalls, and against a stall at one endpoint that goes unnoticed afterwards.
+func TestRunsThatStallEverywhereAreKept(t *testing.T) {
+	f := newFleet(t, 3, 3, 3, 3)
+	stopped := 0
+	starts := f.submitLongWait("j", 12).Starts
+	assert.Equal(t, len(starts), 12)
+	for _, s := range starts {
+		f.report(s, Running)
+	}
+	for _, s := range starts {
+		f.now += 5 * ms
+		stopped += len(f.progress(s, RunProgress{Percent: 30, Stalled: true}).Stops)
+	}
+	ejected := f.CountEndpoints(f.now)[Ejected]
+	assert.Assert(t, ejected <= 2 && stopped <= 6, "%d runs stopped, %d endpoints ejected", stopped, ejected)
+	assert.Assert(t, stopped > 0, "half of the endpoints may have a fault")
+	for _, s := range starts {
+		f.report(s, Done)
+	}
+	f.now += stallWindow + 5*time.Second
+	f.act()
+	s := f.submitLongWait("next", 1).Starts[0]
+	f.report(s, Running)
+	f.now += 100 * ms
+	assert.Equal(t, len(f.progress(s, RunProgress{Percent: 30, Stalled: true}).Stops), 1)
+}
+
+// Guards against memory that grows with the number of contracts that there have ever been.
+func TestRunTimesOfIdleContractsAreRemoved(t *testing.T) {
+	f := newFleet(t, 1)
+	f.learnRunTime(20 * ms)
+	e := f.estimate(terms.Contract)
+	learnt := e.runTimes
+	f.now += runTimesRetention - 2*runTimesPruneInterval
+	f.act()
+	assert.Assert(t, e.runTimes == learnt)
+	f.now += 3 * runTimesPruneInterval
+	f.act()
+	assert.Assert(t, e.runTimes != learnt && e.runTimes != nil)
+}
