--- a/dispatch/planner/progress.go
+++ b/dispatch/planner/progress.go
@@ -17,6 +17,10 @@
 	// wellBeforeDivisor limits the time until the end of a run elsewhere to the time left to the
 	// open run divided by it: less is not worth the work that is lost.
 	wellBeforeDivisor = 2
+	// maxSlowStops is the number of stops of a task's runs after which a run whose progress moves is
+	// not stopped any more: if it ends too late at the third endpoint as well, the task is the
+	// cause, and each stop loses the work done.
+	maxSlowStops = 2
 	// stallWindow is the time for which an endpoint counts as stalled after a run there has stalled,
 	// and maxStalledDivisor limits the endpoints at which stalled runs are stopped at once to half of
 	// them. If runs stall at more, something that they share is the cause: restarts would only
@@ -153,7 +157,7 @@
 		p.progressCounts.Stalled++
 		return stopStalled, 0
 	}
-	if p.endsEarlierElsewhere(now, t) && p.mayMove(now, t, t.runTimeElsewhere()) {
+	if t.overruns < maxSlowStops && p.endsEarlierElsewhere(now, t) && p.mayMove(now, t, t.runTimeElsewhere()) {
 		p.progressCounts.Slow++
 		return stopSlow, 0
 	}
--- a/dispatch/planner/progress_test.go
+++ b/dispatch/planner/progress_test.go
@@ -311,3 +311,28 @@
 	f.act()
 	assert.Assert(t, e.runTimes != learnt && e.runTimes != nil)
 }
+
+// Guards against a task that is stopped at one endpoint after the other because it ends too late at its
+// own pace at each of them.
+func TestStopsOfASlowTaskAreFew(t *testing.T) {
+	f := newFleet(t, 1, 1, 1, 1, 1, 1, 1, 1)
+	s := f.run("j")
+	for n := range 4 {
+		for i := range 8 {
+			permille := 1000
+			if f.id(i) == s.Endpoint {
+				permille = 2500
+			}
+			f.setSpeed(i, 1, permille, 300, "r")
+		}
+		f.now += 50 * ms
+		stops := f.progress(s, RunProgress{Percent: 5, Left: 1900 * ms}).Stops
+		assert.Equal(t, len(stops) == 1, n < maxSlowStops, "run %d", n)
+		if len(stops) == 0 {
+			break
+		}
+		f.report(s, Stopped)
+		s = f.act().Starts[0]
+		f.report(s, Running)
+	}
+}
