--- a/dispatch/durations/durations.go
+++ b/dispatch/durations/durations.go
@@ -41,8 +41,11 @@
 	minLongRuns = 10
 	// minRuns is the number of runs from which the shares above are judged.
 	minRuns = 128
-	// judgeInterval is the number of runs between two judgements.
-	judgeInterval = 16
+	// judgeInterval is the least number of runs between two judgements, and judgeIntervalDivisor the
+	// number of endpoints for each run of it: a judgement of the runs at 990 endpoints takes 0.2 ms
+	// of processor time.
+	judgeInterval        = 16
+	judgeIntervalDivisor = 8
 	// maxFaultyDivisor: up to one in three endpoints may be slow because of a fault, as in the
 	// planner. A tail must show without the long runs there. As an entry prefers the endpoints of its
 	// own data centre, a third of them may hold nearly all of its runs.
@@ -147,9 +150,9 @@
 	}
 	d.older.add(endpoint, ran, declared)
 	d.younger.add(endpoint, ran, declared)
-	if d.older.all.runs%judgeInterval == 0 {
-		// The younger generation counts its long runs as well.
-		d.younger.judge(false)
+	if d.older.all.runs%d.older.judgeInterval() == 0 {
+		// The younger generation counts its long runs as well, by this median.
+		d.younger.median = d.younger.all.quantile(0.5)
 		d.tail = d.older.judge(d.tail)
 	}
 	d.rotate(now)
@@ -228,6 +231,9 @@
 	return &g.byClass[int(min(max(octave, lowestClass), highestClass))-lowestClass]
 }
 
+// judgeInterval is the number of runs between two judgements.
+func (g *generation) judgeInterval() int { return max(judgeInterval, len(g.at)/judgeIntervalDivisor) }
+
 // judge returns whether the run times have a heavy tail, given whether they had before.
 func (g *generation) judge(before bool) bool {
 	g.median = g.all.quantile(0.5)
--- a/dispatch/durations/durations_test.go
+++ b/dispatch/durations/durations_test.go
@@ -115,3 +115,27 @@
 	_, known = d.Limit(100 * 60 * ms)
 	assert.Assert(t, !known, "hardly any run was declared so long")
 }
+
+// Guards against processor time per run that grows with the number of endpoints, and against a tail that
+// is learnt later with few endpoints.
+func TestJudgementsOfManyEndpointsAreFew(t *testing.T) {
+	for endpoints, least := range map[int]int{12: judgeInterval, 128: judgeInterval, 990: 100} {
+		d, judged := New(), 0
+		for i := range 20 * 990 {
+			before := -1.0
+			if d.older != nil {
+				before, d.older.median = d.older.median, -1
+			}
+			d.Add(time.Duration(i)*ms, fmt.Sprint(i%endpoints), 20*ms, 20*ms)
+			if d.older.medianIsSet() {
+				judged++
+			} else if d.older != nil {
+				d.older.median = before
+			}
+		}
+		// A generation has few endpoints at first, and is then judged more often.
+		assert.Assert(t, judged > 0 && judged <= 20*990/least+200, "%d endpoints: judged %d times", endpoints, judged)
+	}
+}
+
+func (g *generation) medianIsSet() bool { return g != nil && g.median >= 0 }
