--- a/dispatch/planner/progress.go
+++ b/dispatch/planner/progress.go
@@ -27,6 +27,8 @@
 	// lose the work, and all endpoints would be ejected.
 	stallWindow       = time.Second
 	maxStalledDivisor = 2
+	// maxLeft bounds the time left of a run; a longer one is malformed.
+	maxLeft = time.Hour
 	// maxPercent is the progress of a run that has done its work.
 	maxPercent = 100
 )
@@ -75,7 +77,7 @@
 // task's open one, and values out of range, are ignored.
 func (p *Planner) RecordProgress(now time.Duration, id string, r RunProgress) {
 	e := p.endpoints[id]
-	if p.opt.Disabled.RunProgress || e == nil || r.Percent < 0 || r.Percent > maxPercent || r.Left < 0 {
+	if p.opt.Disabled.RunProgress || e == nil || r.Percent < 0 || r.Percent > maxPercent || r.Left < 0 || r.Left > maxLeft {
 		return
 	}
 	t := e.runs[r.Run.Task]
--- a/dispatch/planner/progress_test.go
+++ b/dispatch/planner/progress_test.go
@@ -142,6 +142,7 @@
 		"percent too high": {Percent: 101, Left: time.Second},
 		"negative percent": {Percent: -1, Stalled: true},
 		"negative time":    {Percent: 10, Left: -time.Second},
+		"time too long":    {Percent: 10, Left: maxLeft + time.Second},
 		"turned off":       {Percent: 10, Left: time.Second},
 		"earlier attempt":  {Percent: 10, Stalled: true},
 		"another endpoint": {Percent: 10, Stalled: true},
