--- a/bench/replay/guard.go
+++ b/bench/replay/guard.go
@@ -65,7 +65,7 @@
 }
 
 func newGuard(s *sim, n int, dataCentre string) *guard {
-	g := &guard{sim: s, id: fmt.Sprintf("guard-%d", n), dataCentre: dataCentre, table: runs.New(runs.Options{}), running: map[work.RunnerRunID]runnerRun{}, slowdown: 1, cpu: s.load.runnerCPU(n), runTimeFactor: s.load.runTimeFactor(n)}
+	g := &guard{sim: s, id: fmt.Sprintf("guard-%d", n), dataCentre: dataCentre, table: runs.New(runs.Options{DisableRunProgress: s.load.Disabled.RunProgress, DisableSharedDemand: s.load.Disabled.SharedDemand}), running: map[work.RunnerRunID]runnerRun{}, slowdown: 1, cpu: s.load.runnerCPU(n), runTimeFactor: s.load.runTimeFactor(n)}
 	g.startRunner()
 	s.after(sweepInterval, g.sweep)
 	return g
--- a/bench/replay/load.go
+++ b/bench/replay/load.go
@@ -198,7 +198,8 @@
 	}
 }
 
-// Standard returns the loads that the tests and the documentation use.
+// Standard returns the loads that the tests and the documentation use. Shared demand and the backlog
+// limit are off by default, and on for the loads that they address.
 func Standard() []Load {
 	calm := base("calm")
 	burst := base("burst")
@@ -213,5 +214,17 @@
 	hanging.RunnerFaults = []RunnerFault{{At: 4 * time.Second, For: 5 * time.Second, Kind: Hanging, Runners: 1}}
 	gone := base("gone")
 	gone.RunnerFaults = []RunnerFault{{At: 4 * time.Second, For: 3 * time.Second, Kind: Gone, Runners: 3}}
-	return append([]Load{calm, burst, narrowBurst, slow, failing, hanging, gone}, slices.Concat(smallLoads(), largeLoads(), thinEntryLoads(), crashLoads(), shiftedLoads(), tailLoads(), speedsLoads(), backlogLoads(), competingLoads())...)
+	loads := append([]Load{calm, burst, narrowBurst, slow, failing, hanging, gone}, slices.Concat(smallLoads(), largeLoads(), thinEntryLoads(), crashLoads(), shiftedLoads(), tailLoads(), speedsLoads())...)
+	for i := range loads {
+		loads[i].Disabled = planner.Features{SharedDemand: true, BacklogLimit: true}
+	}
+	for _, l := range backlogLoads() {
+		l.Disabled.SharedDemand = true
+		loads = append(loads, l)
+	}
+	for _, l := range competingLoads() {
+		l.Disabled.BacklogLimit = true
+		loads = append(loads, l)
+	}
+	return loads
 }
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -107,6 +107,8 @@
 	// attemptsSince, and olderAttempts those of the span before that, by job id.
 	attempts, olderAttempts map[string]int
 	attemptsSince           time.Duration
+	// runTimesPruned is when the run times of idle contracts were last removed.
+	runTimesPruned time.Duration
 	// lateStarts are the starts that may still be executed, by task. lateStartsPruned is when
 	// those that can't be executed any more were last removed.
 	lateStarts       map[work.TaskID][]lateStart
@@ -148,9 +150,12 @@
 	failureRate float64
 	// runTimes is the level of the service's run times.
 	runTimes level
-	speeds   serviceSpeeds
-	outlook  outlook
-	entry    entryState
+	// stallsUntil is the time until which stalled runs are not stopped at once, as runs have stalled
+	// at more than half of the endpoints.
+	stallsUntil time.Duration
+	speeds      serviceSpeeds
+	outlook     outlook
+	entry       entryState
 	// shared is what is known of the demand of all entries.
 	shared *sharedDemand
 }
@@ -391,8 +396,10 @@
 	p.inStartupGrace(now)
 	p.forgetAttempts(now)
 	p.forgetLateStarts(now)
+	p.forgetRunTimes(now)
 	p.contact.blocked = false
 	for _, s := range p.services {
+		next = min(next, p.refreshFactors(now, s))
 		p.endOverdue(now, s)
 		if now >= p.pausedUntil {
 			p.place(now, s)
@@ -449,13 +456,18 @@
 // refuse ends a job of which no task has started. If one of its tasks has a late start, the job was
 // submitted before, and its tasks may have run.
 func (p *Planner) refuse(now time.Duration, j *job, reason Reason) {
-	if slices.ContainsFunc(j.tasks, func(t *task) bool { return p.hasLateStart(now, t) }) {
+	if p.mayHaveRunBefore(now, j) {
 		p.end(now, j, Expired, ReasonLateStart)
 		return
 	}
 	p.end(now, j, Refused, reason)
 }
 
+// mayHaveRunBefore reports whether a task of a job has a late start.
+func (p *Planner) mayHaveRunBefore(now time.Duration, j *job) bool {
+	return slices.ContainsFunc(j.tasks, func(t *task) bool { return p.hasLateStart(now, t) })
+}
+
 // shortage returns the reason for which a job's tasks can't be started.
 func (p *Planner) shortage(now time.Duration, j *job) Reason {
 	switch {
--- a/dispatch/planner/progress.go
+++ b/dispatch/planner/progress.go
@@ -17,6 +17,18 @@
 	// wellBeforeDivisor limits the time until the end of a run elsewhere to the time left to the
 	// open run divided by it: less is not worth the work that is lost.
 	wellBeforeDivisor = 2
+	// maxSlowStops is the number of stops of a task's runs after which a run whose progress moves is
+	// not stopped any more: if it ends too late at the third endpoint as well, the task is the
+	// cause, and each stop loses the work done.
+	maxSlowStops = 2
+	// stallWindow is the time for which an endpoint counts as stalled after a run there has stalled,
+	// and maxStalledDivisor limits the endpoints at which stalled runs are stopped at once to half of
+	// them. If runs stall at more, something that they share is the cause: restarts would only
+	// lose the work, and all endpoints would be ejected.
+	stallWindow       = time.Second
+	maxStalledDivisor = 2
+	// maxLeft bounds the time left of a run; a longer one is malformed.
+	maxLeft = time.Hour
 	// maxPercent is the progress of a run that has done its work.
 	maxPercent = 100
 )
@@ -65,7 +77,7 @@
 // task's open one, and values out of range, are ignored.
 func (p *Planner) RecordProgress(now time.Duration, id string, r RunProgress) {
 	e := p.endpoints[id]
-	if p.opt.Disabled.RunProgress || e == nil || r.Percent < 0 || r.Percent > maxPercent || r.Left < 0 {
+	if p.opt.Disabled.RunProgress || e == nil || r.Percent < 0 || r.Percent > maxPercent || r.Left < 0 || r.Left > maxLeft {
 		return
 	}
 	t := e.runs[r.Run.Task]
@@ -75,6 +87,7 @@
 	switch {
 	case r.Stalled:
 		t.progress = progress{at: now, stalled: true}
+		t.job.service.recordStall(now, e)
 		p.nextCheck = min(p.nextCheck, now)
 	case r.Left > 0:
 		t.progress = progress{at: now, endsAt: now + r.Left}
@@ -88,6 +101,28 @@
 	}
 }
 
+// recordStall records that a run has stalled at an endpoint. The endpoints are counted once per
+// endpoint and stallWindow.
+func (s *service) recordStall(now time.Duration, at *endpoint) {
+	if at.stalledAt > 0 && now-at.stalledAt < stallWindow {
+		return
+	}
+	at.stalledAt = now
+	accepting, stalled := 0, 0
+	for _, e := range s.endpoints {
+		if !e.acceptsStarts() {
+			continue
+		}
+		accepting++
+		if e.stalledAt > 0 && now-e.stalledAt < stallWindow {
+			stalled++
+		}
+	}
+	if stalled*maxStalledDivisor > accepting {
+		s.stallsUntil = now + stallWindow
+	}
+}
+
 // progressDecision is what the progress of a run decides.
 type progressDecision int
 
@@ -118,13 +153,13 @@
 	if g.stalled {
 		// If a second run, at another endpoint, stalls as well, the task is the cause: then the
 		// run time limit decides.
-		if t.overruns > 0 || !p.mayMove(now, t, t.runTimeElsewhere()) {
+		if t.overruns > 0 || now < t.job.service.stallsUntil || !p.mayMove(now, t, t.runTimeElsewhere()) {
 			return noProgress, 0
 		}
 		p.progressCounts.Stalled++
 		return stopStalled, 0
 	}
-	if p.endsEarlierElsewhere(now, t) && p.mayMove(now, t, t.runTimeElsewhere()) {
+	if t.overruns < maxSlowStops && p.endsEarlierElsewhere(now, t) && p.mayMove(now, t, t.runTimeElsewhere()) {
 		p.progressCounts.Slow++
 		return stopSlow, 0
 	}
--- a/dispatch/planner/progress_test.go
+++ b/dispatch/planner/progress_test.go
@@ -142,6 +142,7 @@
 		"percent too high": {Percent: 101, Left: time.Second},
 		"negative percent": {Percent: -1, Stalled: true},
 		"negative time":    {Percent: 10, Left: -time.Second},
+		"time too long":    {Percent: 10, Left: maxLeft + time.Second},
 		"turned off":       {Percent: 10, Left: time.Second},
 		"earlier attempt":  {Percent: 10, Stalled: true},
 		"another endpoint": {Percent: 10, Stalled: true},
@@ -208,3 +209,131 @@
 	}
 	assert.Assert(t, limits[false] > 7*50*ms && limits[true] < 7*50*ms, "%v", limits)
 }
+
+// Guards against the ejection of an endpoint that is slow by nature: a run there that would end too late
+// at its own pace is stopped, although nothing is wrong with the endpoint.
+func TestStopAtLastinglySlowEndpointIsNoFailure(t *testing.T) {
+	f := newFleet(t, 1, 1, 1, 1)
+	for i := range 4 {
+		f.setSpeed(i, 1, 1000, 300, "r")
+	}
+	s := f.run("j")
+	for i := range 4 {
+		if f.id(i) == s.Endpoint {
+			f.setSpeed(i, 1, 2000, 300, "r")
+		}
+	}
+	f.now += 100 * ms
+	stops := f.progress(s, RunProgress{Percent: 5, Left: 1900 * ms}).Stops
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Reason, ReasonRunTooLong)
+	assert.Equal(t, f.endpoints[s.Endpoint].health.failureStreak, 0)
+}
+
+// Guards against a run that is kept by an estimate that its guard has withdrawn, and against one that is
+// judged by the progress of the task's earlier run.
+func TestProgressThatIsNotKnownAnyMore(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	s := f.run("j")
+	f.now += 20 * ms
+	f.progress(s, RunProgress{Percent: 30, Left: time.Second})
+	f.progress(s, RunProgress{Percent: 20})
+	stops, first := f.stopsWithin(600 * ms)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, first, usualLimit-20*ms)
+
+	f = newFleet(t, 1, 1)
+	s = f.run("j")
+	f.progress(s, RunProgress{Percent: 30, Left: time.Second})
+	f.report(s, Stopped)
+	second := f.act().Starts[0]
+	f.report(second, Running)
+	stops, first = f.stopsWithin(600 * ms)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, first, usualLimit)
+}
+
+// Guards against a retest that leaves the distribution of the earlier run times in force: jobs would
+// still be rejected by it.
+func TestRetestForgetsTheTail(t *testing.T) {
+	var e estimate
+	f := newFleet(t)
+	e.runTimes = f.estimate("x").runTimes
+	for i := range 4000 {
+		ran := 20 * ms
+		if i%33 == 0 {
+			ran *= 7
+		}
+		e.runTimes.Add(f.now, f.id(i%4), ran, ran)
+	}
+	assert.Assert(t, e.runTimes.HasTail())
+	e.reset()
+	assert.Assert(t, e.runTimes != nil && !e.runTimes.HasTail())
+}
+
+// Guards against the loss of all work and the ejection of all endpoints while something that all runs
+// share stalls, and against a stall at one endpoint that goes unnoticed afterwards.
+func TestRunsThatStallEverywhereAreKept(t *testing.T) {
+	f := newFleet(t, 3, 3, 3, 3)
+	stopped := 0
+	starts := f.submitLongWait("j", 12).Starts
+	assert.Equal(t, len(starts), 12)
+	for _, s := range starts {
+		f.report(s, Running)
+	}
+	for _, s := range starts {
+		f.now += 5 * ms
+		stopped += len(f.progress(s, RunProgress{Percent: 30, Stalled: true}).Stops)
+	}
+	ejected := f.CountEndpoints(f.now)[Ejected]
+	assert.Assert(t, ejected <= 2 && stopped <= 6, "%d runs stopped, %d endpoints ejected", stopped, ejected)
+	assert.Assert(t, stopped > 0, "half of the endpoints may have a fault")
+	for _, s := range starts {
+		f.report(s, Done)
+	}
+	f.now += stallWindow + 5*time.Second
+	f.act()
+	s := f.submitLongWait("next", 1).Starts[0]
+	f.report(s, Running)
+	f.now += 100 * ms
+	assert.Equal(t, len(f.progress(s, RunProgress{Percent: 30, Stalled: true}).Stops), 1)
+}
+
+// Guards against memory that grows with the number of contracts that there have ever been.
+func TestRunTimesOfIdleContractsAreRemoved(t *testing.T) {
+	f := newFleet(t, 1)
+	f.learnRunTime(20 * ms)
+	e := f.estimate(terms.Contract)
+	learnt := e.runTimes
+	f.now += runTimesRetention - 2*runTimesPruneInterval
+	f.act()
+	assert.Assert(t, e.runTimes == learnt)
+	f.now += 3 * runTimesPruneInterval
+	f.act()
+	assert.Assert(t, e.runTimes != learnt && e.runTimes != nil)
+}
+
+// Guards against a task that is stopped at one endpoint after the other because it ends too late at its
+// own pace at each of them.
+func TestStopsOfASlowTaskAreFew(t *testing.T) {
+	f := newFleet(t, 1, 1, 1, 1, 1, 1, 1, 1)
+	s := f.run("j")
+	for n := range 4 {
+		for i := range 8 {
+			permille := 1000
+			if f.id(i) == s.Endpoint {
+				permille = 2500
+			}
+			f.setSpeed(i, 1, permille, 300, "r")
+		}
+		f.now += 50 * ms
+		stops := f.progress(s, RunProgress{Percent: 5, Left: 1900 * ms}).Stops
+		assert.Equal(t, len(stops) == 1, n < maxSlowStops, "run %d", n)
+		if len(stops) == 0 {
+			break
+		}
+		f.report(s, Stopped)
+		s = f.act().Starts[0]
+		f.report(s, Running)
+	}
+}
--- a/dispatch/planner/runtimefactor_test.go
+++ b/dispatch/planner/runtimefactor_test.go
@@ -164,3 +164,99 @@
 	f.PauseStarts(0)
 	assert.Equal(t, len(f.act().Starts), 1)
 }
+
+// TestFactorsOfManyEndpoints guards against processor time that grows with the square of the number
+// of endpoints, each of which reports another ratio many times a second, and against a change that
+// is not used within a moment.
+func TestFactorsOfManyEndpoints(t *testing.T) {
+	const n = 400
+	f := unequalFleet(t, n, 1)
+	s := f.services["teardown"]
+	f.now += 10 * time.Second
+	f.act()
+	begin, computed, last := f.now, 0, s.speeds.computedUntil
+	for round := range 10 {
+		for i := range n {
+			f.now += ms
+			f.setSpeed(i, 1, 1200+60*(round%2), 300, "r")
+			f.act()
+			if s.speeds.computedUntil != last {
+				computed, last = computed+1, s.speeds.computedUntil
+			}
+		}
+	}
+	most := int((f.now-begin+factorBurst)/s.sumInterval()) + 1
+	assert.Assert(t, computed > 0 && computed <= most, "computed %d times, at most %d", computed, most)
+	f.setSpeed(5, 1, 3000, 300, "r")
+	_, next := f.Act(f.now)
+	assert.Assert(t, next <= f.now+s.sumInterval())
+	f.now = next
+	f.act()
+	assert.Assert(t, f.factor(5) > 2)
+}
+
+// TestJobThatOnlyAFastEndpointCanDo guards against a job that is rejected as having too little time
+// while a fast endpoint could do it, against one that is started where it cannot end before its
+// caller's deadline, and against other jobs that are not started because of it.
+func TestJobThatOnlyAFastEndpointCanDo(t *testing.T) {
+	for _, fastIsFree := range []bool{true, false} {
+		f := unequalFleet(t, 4, 1)
+		f.learnRunTime(800 * ms)
+		f.now += startupGrace
+		for i := 1; i < 4; i++ {
+			f.setSpeed(i, 1, 1200, 300, "r")
+		}
+		total := 1
+		if !fastIsFree {
+			total = 0
+		}
+		f.setSpeed(0, total, 550, 300, "r")
+		f.act()
+		w := work.Job{ID: "short of time", Steps: []work.Step{{Count: 1, Need: core, Declared: 800 * ms}}}
+		f.Submit(f.now, f.now+300*ms, w, terms)
+		if !fastIsFree {
+			w.ID = "other"
+			f.Submit(f.now, f.now+10*time.Second, w, terms)
+		}
+		a := f.act()
+		assert.Equal(t, len(a.Ended), 0)
+		assert.Equal(t, len(a.Starts), 1)
+		assert.Equal(t, a.Starts[0].Endpoint == f.id(0), fastIsFree)
+		assert.Equal(t, a.Starts[0].Run.Task.Job == "short of time", fastIsFree)
+	}
+}
+
+// TestLimitsAtOwnSpeed guards against run time limits, forecasts and run times of stopped runs that
+// mistake a run time at an endpoint for that on a normal one.
+func TestLimitsAtOwnSpeed(t *testing.T) {
+	for name, c := range map[string]struct {
+		permille int
+		factor   float64
+	}{"normal": {1000, 1}, "slow by nature": {2000, 2}, "fast": {500, 0.5}} {
+		f := newFleet(t, 1, 1, 1, 1)
+		s := f.run("j")
+		for i := range 4 {
+			permille := 1000
+			if f.id(i) == s.Endpoint {
+				permille = c.permille
+			}
+			f.setSpeed(i, 1, permille, 300, "r")
+		}
+		task := f.endpoints[s.Endpoint].runs[s.Run.Task]
+		assert.Equal(t, task.runTimeLimit(), time.Duration(c.factor*float64(runTimeLimitFactor*60*ms))+runTimeLimitMargin, name)
+		cores, known := task.job.service.completionRate()
+		assert.Assert(t, known && cores == 1/c.factor, "%s: %v cores", name, cores)
+
+		left := task.job.deadline - answerMargin - f.now
+		task.job.expected[0] = time.Duration(0.9 * float64(left) / c.factor)
+		assert.Assert(t, task.job.canWait(f.now, 0, task.endpoint), name)
+		task.job.expected[0] = time.Duration(1.1 * float64(left) / c.factor)
+		assert.Assert(t, !task.job.canWait(f.now, 0, task.endpoint), name)
+
+		// Twice stopped, after 1.5 times what is expected at this endpoint.
+		task.job.expected[0] = 60 * ms
+		task.overruns = 2
+		f.ReportRun(f.now, s.Endpoint, s.Run, Stopped, time.Duration(1.5*c.factor*60)*ms)
+		assert.Assert(t, math.Abs(f.estimate(terms.Contract).meanRan-0.09) < 1e-9, "%s: %v", name, f.estimate(terms.Contract).meanRan)
+	}
+}
--- a/entry/edge/settings.go
+++ b/entry/edge/settings.go
@@ -95,7 +95,7 @@
 			// the balancer opens just before it notices.
 			BalancerNotice: settings.Duration(2300 * time.Millisecond),
 		},
-		Scheduling: Scheduling{RunProgress: true, EndpointSpeeds: true, SharedDemand: true, BacklogLimit: true},
+		Scheduling: Scheduling{RunProgress: true, EndpointSpeeds: true},
 		Log:        Log{Level: "info"},
 	}}
 }
--- a/guard/runs/progress.go
+++ b/guard/runs/progress.go
@@ -227,7 +227,7 @@
 // CapacityAt returns Capacity with what depends on the runs and on the time.
 func (t *Table) CapacityAt(now time.Duration) Capacity {
 	c := t.Capacity()
-	if t.runner == nil || !t.runner.listingRead {
+	if t.opt.DisableSharedDemand || t.runner == nil || !t.runner.listingRead {
 		return c
 	}
 	c.AllocatedByPriorityMilli = t.allocatedByPriority()
--- a/guard/runs/runs.go
+++ b/guard/runs/runs.go
@@ -23,6 +23,9 @@
 	MaxOrderAge time.Duration
 	// DisableRunProgress turns off progress reports and the estimate of what runs will release.
 	DisableRunProgress bool
+	// DisableSharedDemand turns off what only entries that share their demand use: the CPU by
+	// priority and the estimate of what runs will release.
+	DisableSharedDemand bool
 	// DisableEndpointSpeeds turns off the estimate of the runner's speed.
 	DisableEndpointSpeeds bool
 }
--- a/guard/side/settings.go
+++ b/guard/side/settings.go
@@ -57,12 +57,12 @@
 
 // Scheduling turns parts of the scheduling on or off.
 type Scheduling struct {
-	// RunProgress: entries are sent the progress of runs and when CPU will be released.
+	// RunProgress: entries are sent the progress of runs.
 	RunProgress bool `json:"run_progress"`
 	// EndpointSpeeds: entries are sent the speed of the runner.
 	EndpointSpeeds bool `json:"endpoint_speeds"`
-	// SharedDemand: entries are sent the demand of the other entries, and the most urgent demand is
-	// sent free capacity first.
+	// SharedDemand: entries are sent the demand of the other entries, the CPU by priority and when
+	// CPU will be released, and the most urgent demand is sent free capacity first.
 	SharedDemand bool `json:"shared_demand"`
 }
 
@@ -79,7 +79,7 @@
 			MaxLease:      settings.Duration(time.Second),
 			GracePeriod:   settings.Duration(6 * time.Second),
 		},
-		Scheduling: Scheduling{RunProgress: true, EndpointSpeeds: true, SharedDemand: true},
+		Scheduling: Scheduling{RunProgress: true, EndpointSpeeds: true},
 		Log:        Log{Level: "info"},
 	}}
 }
--- a/guard/uplink/outbox.go
+++ b/guard/uplink/outbox.go
@@ -229,9 +229,6 @@
 	s.capacityClock = clock.Truncate(time.Microsecond)
 	m := wireCapacity(clock, r)
 	m.OthersDemand, m.OthersEntries = others, uint32(entries)
-	if !s.up.opt.SharedDemand {
-		m.AllocatedByPriorityMilli = nil
-	}
 	m.Open = m.Open && !s.retiring
 	m.Retiring = s.retiring
 	return m
