planner: bound the processor time of shared demand

The interval between two combinations of the reports grows with the number of endpoints, and a waiting job is held back without a sum over the endpoints. The wait of a job is predicted once per interval also while the demand of the other entries is not known.

--- a/dispatch/planner/admission.go
+++ b/dispatch/planner/admission.go
@@ -108,6 +108,8 @@
 	if a.predictedAt > 0 && now-a.predictedAt < predictionInterval {
 		return false
 	}
+	// Also while the work ahead is not known: Act asks for each waiting job.
+	a.predictedAt = now
 	ahead, known := p.workAhead(now, j)
 	return known && p.predictsTooLate(now, j, ahead)
 }
--- a/dispatch/planner/demand.go
+++ b/dispatch/planner/demand.go
@@ -13,9 +13,11 @@
 	// maxReportAge is the age from which a guard's report on other entries no longer counts: guards
 	// send capacity at least every second, and to entries with waiting tasks far more often.
 	maxReportAge = 300 * time.Millisecond
-	// shareInterval is the least time between two combinations of the reports. Entries on small hosts
-	// read hundreds of messages a second.
-	shareInterval = 10 * time.Millisecond
+	// shareInterval is the least time between two combinations of the reports, and shareIntervalEach
+	// that for each endpoint: entries on small hosts have 0.14 of a core, read hundreds of messages a
+	// second, and have up to 990 endpoints with 16 contracts each.
+	shareInterval     = 10 * time.Millisecond
+	shareIntervalEach = 100 * time.Microsecond
 	// negligibleArrivalMilli is the rate of arriving work, in thousandths of a core, below which a
 	// contract without waiting tasks is not reported.
 	negligibleArrivalMilli = 100
@@ -57,6 +59,9 @@
 	// if no guard has reported it lately.
 	others []work.Demand
 	known  bool
+	// capacity is the CPU of all endpoints, of which this entry sees the share visible, in thousandths
+	// of a core.
+	capacity float64
 	// visible is the share of the service's guards with which this entry has sessions: with subsets,
 	// the others serve part of the other entries' demand.
 	visible float64
@@ -184,10 +189,15 @@
 	e.others = othersReport{at: now, demand: r.OthersDemand, entries: r.OthersEntries, allocated: r.AllocatedByPriorityMilli}
 }
 
-// combine updates what is known of the demand for a service, at most once per shareInterval.
+// combineInterval is the least time between two combinations of the reports for a service.
+func (s *service) combineInterval() time.Duration {
+	return max(shareInterval, time.Duration(len(s.endpoints))*shareIntervalEach)
+}
+
+// combine updates what is known of the demand for a service, at most once per combineInterval.
 func (p *Planner) combine(now time.Duration, s *service) *sharedDemand {
 	d := s.shared
-	if d.combinedAt > 0 && now-d.combinedAt < shareInterval {
+	if d.combinedAt > 0 && now-d.combinedAt < s.combineInterval() {
 		return d
 	}
 	d.combinedAt = now
@@ -195,13 +205,13 @@
 	d.queue = s.sumQueue(now)
 	d.held, d.heldKnown = s.heldByClass()
 	d.rows = work.MergeDemands(slices.Concat(s.ownDemand(now), d.others))
-	capacity := float64(s.capacityMilli()) / d.visible
-	d.overShare = overShares(d.rows, capacity)
+	d.capacity = float64(s.capacityMilli()) / d.visible
+	d.overShare = overShares(d.rows, d.capacity)
 	waiting := int64(0)
 	for _, row := range d.rows {
 		waiting += row.WaitingMilli
 	}
-	if waiting > 0 && float64(waiting) >= scarceShare*capacity {
+	if waiting > 0 && float64(waiting) >= scarceShare*d.capacity {
 		d.scarceAt = now
 	}
 	return d
--- a/dispatch/planner/reserve.go
+++ b/dispatch/planner/reserve.go
@@ -78,7 +78,7 @@
 	if !d.short || !d.heldKnown || d.scarceAt == 0 || now-d.scarceAt >= shortageMemory || j.started || j.terms.Priority <= 0 {
 		return false
 	}
-	capacity := int64(float64(s.capacityMilli()) / d.visible)
+	capacity := int64(d.capacity)
 	need := int64(0)
 	for _, t := range j.tasks {
 		if t.startable() {
--- a/dispatch/planner/shareddemand_test.go
+++ b/dispatch/planner/shareddemand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -232,3 +233,38 @@
 	}
 	assert.Equal(t, started, 40)
 }
+
+// TestCombinationsAreBounded guards against an entry with many endpoints that spends its processor time
+// on the reports: the interval between two combinations grows with the number of endpoints, and a
+// decision on a job does not sum the endpoints again.
+func TestCombinationsAreBounded(t *testing.T) {
+	f := newFleet(t, slices.Repeat([]int{1}, 300)...)
+	s := f.service("teardown")
+	f.combine(f.now, s)
+	first := s.shared.combinedAt
+	f.combine(f.now+29*ms, s)
+	assert.Equal(t, s.shared.combinedAt, first)
+	f.combine(f.now+30*ms, s)
+	assert.Equal(t, s.shared.combinedAt, first+30*ms)
+
+	f = newFleet(t, 1)
+	s = f.service("teardown")
+	f.combine(f.now, s)
+	first = s.shared.combinedAt
+	f.combine(f.now+shareInterval-1, s)
+	assert.Equal(t, s.shared.combinedAt, first)
+	f.combine(f.now+shareInterval, s)
+	assert.Equal(t, s.shared.combinedAt, first+shareInterval)
+}
+
+// Guards against work ahead that is computed on each Act for each waiting job while the other entries'
+// demand is not known.
+func TestUnknownWorkAheadIsAskedForOncePerInterval(t *testing.T) {
+	f := shortFleet(t, 2)
+	j := f.jobs["waiting-1"]
+	j.admission.predictedAt = 0
+	assert.Assert(t, !f.startsTooLate(f.now, j))
+	assert.Equal(t, j.admission.predictedAt, f.now)
+	f.startsTooLate(f.now+ms, j)
+	assert.Equal(t, j.admission.predictedAt, f.now)
+}
