--- a/dispatch/planner/demand.go
+++ b/dispatch/planner/demand.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sort"
@@ -24,6 +25,9 @@
 	// ownElsewhereShare is the share of a contract's work at other entries that counts as more urgent
 	// than a job of the same contract: only the least slack there is known.
 	ownElsewhereShare = 0.5
+	// maxIdleContracts is the number of contracts from which those without arriving work are removed
+	// whenever a contract is added: a service with cordoned endpoints only reports no demand.
+	maxIdleContracts = 256
 	// maxOtherEntries is the largest number of entries that a report may cover; a larger one is not
 	// valid, and the report is ignored.
 	maxOtherEntries = 1000
@@ -99,11 +103,17 @@
 func (p *Planner) sharesDemand() bool { return !p.opt.Disabled.SharedDemand }
 
 // countArrival counts a job that has arrived.
-func (s *service) countArrival(now time.Duration, j *job) {
+func (p *Planner) countArrival(now time.Duration, s *service, j *job) {
 	s.arrivals.add(now, j.coreTime()/milli)
+	if !p.sharesDemand() {
+		return
+	}
 	j.contract = work.ContractHash(j.terms.Contract)
 	a := s.shared.arrivals[j.contract]
 	if a == nil {
+		if len(s.shared.arrivals) >= maxIdleContracts {
+			s.shared.removeIdle(now)
+		}
 		a = &contractArrivals{}
 		s.shared.arrivals[j.contract] = a
 	}
@@ -112,6 +122,16 @@
 	a.slack = movingAverage(a.slack, (j.startBy - now).Seconds())
 }
 
+// removeIdle removes the contracts of which next to no work arrives.
+func (d *sharedDemand) removeIdle(now time.Duration) {
+	maps.DeleteFunc(d.arrivals, func(_ uint32, a *contractArrivals) bool { return a.arrivingMilli(now) < negligibleArrivalMilli })
+}
+
+// arrivingMilli is the rate at which work arrives, in thousandths of a core.
+func (a *contractArrivals) arrivingMilli(now time.Duration) int64 {
+	return int64(a.rate.value(now) * milli)
+}
+
 // Demand returns the demand of the tasks that wait for capacity of the endpoint's service, by
 // contract, the most urgent first, at most work.MaxDemands of them. A contract without waiting tasks
 // is listed while its work arrives, with the slack that its jobs have on arrival. The result is shared
@@ -131,13 +151,9 @@
 	}
 	s.shared.ownStale = false
 	rows := map[uint32]*work.Demand{}
+	s.shared.removeIdle(now)
 	for c, a := range s.shared.arrivals {
-		arriving := int64(a.rate.value(now) * milli)
-		if arriving < negligibleArrivalMilli {
-			delete(s.shared.arrivals, c)
-			continue
-		}
-		rows[c] = &work.Demand{Contract: c, Priority: a.priority, ArrivingMilli: arriving}
+		rows[c] = &work.Demand{Contract: c, Priority: a.priority, ArrivingMilli: a.arrivingMilli(now)}
 	}
 	for _, list := range [][]*job{s.started, s.unstarted} {
 		for _, j := range list {
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -245,7 +245,7 @@
 		j.retestRunTimes()
 	}
 	p.jobs[w.ID] = j
-	j.service.countArrival(now, j)
+	p.countArrival(now, j.service, j)
 	p.recordArrival(now, j)
 	switch fit := j.service.fits(j); {
 	case fit == fitsCordoned && !p.inStartupGrace(now):
--- a/dispatch/planner/shareddemand_test.go
+++ b/dispatch/planner/shareddemand_test.go
@@ -268,3 +268,21 @@
 	f.startsTooLate(f.now+ms, j)
 	assert.Equal(t, j.admission.predictedAt, f.now)
 }
+
+// TestArrivalsOfContractsAreBounded guards against memory that grows with every contract that ever sent
+// a job, when no demand is reported: the part is off, or all endpoints are cordoned.
+func TestArrivalsOfContractsAreBounded(t *testing.T) {
+	for _, off := range []bool{true, false} {
+		f := newFleet(t, 1)
+		f.opt.Disabled.SharedDemand = off
+		f.act()
+		f.now += startupGrace
+		f.endpoints["g0"].cordoned = true
+		for i := range 4 * maxIdleContracts {
+			f.submitFor(fmt.Sprint("c", i), 1, 1, 200*ms)
+			f.after(50 * ms)
+		}
+		n := len(f.service("teardown").shared.arrivals)
+		assert.Assert(t, n <= maxIdleContracts && (n == 0) == off, "%d", n)
+	}
+}
