planner: apply shares only while tasks wait at other entries

Without sums (older guards, one entry, nothing waiting elsewhere) an entry has to decide as without the part, but contracts were put last by the demand of this entry alone.

--- a/dispatch/planner/demand.go
+++ b/dispatch/planner/demand.go
@@ -222,7 +222,11 @@
 	d.held, d.heldKnown = s.heldByClass()
 	d.rows = work.MergeDemands(slices.Concat(s.ownDemand(now), d.others))
 	d.capacity = float64(s.capacityMilli()) / d.visible
-	d.overShare = overShares(d.rows, d.capacity)
+	// Without demand at other entries, jobs are ordered as without the part.
+	d.overShare = nil
+	if d.known && d.shortAt > 0 && now-d.shortAt < shortageMemory {
+		d.overShare = overShares(d.rows, d.capacity)
+	}
 	waiting := int64(0)
 	for _, row := range d.rows {
 		waiting += row.WaitingMilli
--- a/dispatch/planner/shareddemand_test.go
+++ b/dispatch/planner/shareddemand_test.go
@@ -286,3 +286,31 @@
 		assert.Assert(t, n <= maxIdleContracts && (n == 0) == off, "%d", n)
 	}
 }
+
+// TestSharesNeedOthersDemand guards against another order of jobs with older guards, with one entry only,
+// or while nothing waits at other entries: the shares count only where others compete.
+func TestSharesNeedOthersDemand(t *testing.T) {
+	other := work.Demand{Contract: 1, Priority: 3, WaitingMilli: 1000}
+	for name, c := range map[string]struct {
+		entries int
+		rows    []work.Demand
+		over    bool
+	}{
+		"an older guard, or one entry": {0, nil, false},
+		"nothing waits elsewhere":      {1, nil, false},
+		"others wait":                  {1, []work.Demand{other}, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			f.reportOthers(0, 1, 1, c.entries, nil, c.rows...)
+			for range 40 {
+				f.submitFor("greedy", 1, 4, 900*ms)
+			}
+			f.submitFor("modest", 1, 1, 100*ms)
+			f.after(shareInterval)
+			s := f.service("teardown")
+			assert.Assert(t, s.shared.short)
+			assert.Equal(t, s.overShare(work.ContractHash("greedy")), c.over)
+		})
+	}
+}
