planner: start wide held-back jobs, and try held-back jobs again

A job that needs more than the open part of the capacity was held back as long as urgent work arrived, also with nothing running. A held-back job was not tried again when the shortage ended by time.

--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -28,6 +28,7 @@
 // place starts the tasks that fit. A task that needs less than one for which there is no
 // capacity may still fit beside the running ones, so the jobs after it are tried too.
 func (p *Planner) place(now time.Duration, s *service) {
+	s.shared.heldBack = false
 	if len(s.started)+len(s.unstarted) == 0 {
 		return
 	}
@@ -44,6 +45,7 @@
 			continue
 		}
 		if p.heldBack(now, j) {
+			s.shared.heldBack = true
 			if !j.heldBack {
 				j.heldBack = true
 				p.out.HeldBack = append(p.out.HeldBack, j.work.ID)
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -403,6 +403,9 @@
 		p.endOverdue(now, s)
 		if now >= p.pausedUntil {
 			p.place(now, s)
+			if s.shared.heldBack {
+				next = min(next, now+heldBackInterval)
+			}
 		} else {
 			next = min(next, p.pausedUntil)
 		}
--- a/dispatch/planner/reserve.go
+++ b/dispatch/planner/reserve.go
@@ -16,6 +16,9 @@
 	// shortageMemory is the time after which a shortage is over: gaps of a shortage are as long as an
 	// entry's demand takes to reach the others.
 	shortageMemory = 200 * time.Millisecond
+	// heldBackInterval is the interval at which held-back jobs are tried again. A shortage ends by time,
+	// and the next message of a guard can be a second away.
+	heldBackInterval = shortageMemory / 4
 	// scarceShare is the share of the capacity that waiting tasks must need for some to be reserved.
 	// With 55 entries at 85 % load, some task waits nearly always, for milliseconds: at 0.01, 12 long jobs
 	// were rejected on a day without faults, at 0.04 none (replay, large-calm, seed 1).
@@ -99,7 +102,9 @@
 		for c := work.PriorityClass(row.Priority) + 1; c < work.PriorityClasses; c++ {
 			held += float64(d.held[c])
 		}
-		if int64(held/d.visible)+need > capacity-reserved {
+		// A job that needs more than is left open starts once no less urgent run holds any of it.
+		open := capacity - reserved
+		if int64(held/d.visible)+min(need, open) > open {
 			d.reserved, d.reservedAt = reserved, now
 			return true
 		}
--- a/dispatch/planner/shareddemand_test.go
+++ b/dispatch/planner/shareddemand_test.go
@@ -314,3 +314,32 @@
 		})
 	}
 }
+
+// TestWideJobIsNotStarved guards against a job that never starts because it needs more than the quarter
+// that stays open to it: it starts while no less urgent run holds any of that.
+func TestWideJobIsNotStarved(t *testing.T) {
+	urgent := work.Demand{Contract: 1, Slack: 50 * ms, WaitingMilli: 2000, ArrivingMilli: 900_000}
+	for heldMilli, starts := range map[int64]bool{0: true, 1000: false} {
+		f := newFleet(t, 100)
+		f.reportOthers(0, 100, 0, 1, []int64{0, 0, heldMilli, 0}, urgent)
+		assert.Equal(t, len(f.submitFor("check", 2, 30, 900*ms).Starts) > 0, starts)
+	}
+}
+
+// TestHeldBackJobIsTriedAgain guards against a job that is left waiting for up to a second after the
+// shortage has ended: no event tells of that.
+func TestHeldBackJobIsTriedAgain(t *testing.T) {
+	f := newFleet(t, 100)
+	f.reportOthers(0, 100, 0, 1, []int64{0, 0, 35_000, 0}, work.Demand{Contract: 1, Slack: 50 * ms, WaitingMilli: 4000, ArrivingMilli: 50_000})
+	assert.Equal(t, len(f.submitFor("check", 2, 8, 900*ms).HeldBack), 1)
+	begin := f.now
+	// The other entries' demand is not reported any more.
+	for {
+		a, next := f.Act(f.now)
+		if len(a.Starts) > 0 {
+			break
+		}
+		f.now = next
+	}
+	assert.Assert(t, f.now-begin <= maxReportAge+heldBackInterval, "%s", f.now-begin)
+}
