fleetwire: keep short slack, and ignore impossible demand

A slack below a millisecond was sent as zero, which stands for late jobs. A row with an amount near the largest integer made the sum with valid rows overflow. Work is rounded, so that it does not depend on the order of summing.

--- a/wire/fleetwire/demand.go
+++ b/wire/fleetwire/demand.go
@@ -1,12 +1,17 @@
 package fleetwire
 
 import (
+	"math"
 	"time"
 
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/wire/wirev1"
 )
 
+// maxDemandAmount is the largest valid amount of waiting CPU and work in a row, in thousandths: a million
+// cores waiting for 1,000 s. Sums of larger ones over the rows and entries could overflow.
+const maxDemandAmount = 1_000_000_000_000
+
 // ToDemands converts demand by contract to the wire type.
 func ToDemands(demands []work.Demand) []*wirev1.ContractDemand {
 	var out []*wirev1.ContractDemand
@@ -15,8 +20,8 @@
 			Contract:      d.Contract,
 			Priority:      uint32(max(d.Priority, 0)),
 			WaitingMilli:  d.WaitingMilli,
-			WorkCoreMs:    int64(d.Work * 1000),
-			SlackMs:       uint32(max(d.Slack.Milliseconds(), 0)),
+			WorkCoreMs:    int64(math.Round(d.Work * 1000)),
+			SlackMs:       slackMillis(d.Slack),
 			Jobs:          uint32(max(d.Jobs, 0)),
 			ArrivingMilli: uint32(max(d.ArrivingMilli, 0)),
 		})
@@ -24,15 +29,20 @@
 	return out
 }
 
+// slackMillis returns a slack in milliseconds, rounded up: zero stands for jobs that are late.
+func slackMillis(d time.Duration) uint32 {
+	return uint32(max((d + time.Millisecond - 1).Milliseconds(), 0))
+}
+
 // FromDemands converts demand by contract from the wire type. It returns at most work.MaxDemands
-// contracts and leaves out those with negative amounts.
+// contracts and leaves out those with negative or impossibly large amounts.
 func FromDemands(demands []*wirev1.ContractDemand) []work.Demand {
 	var out []work.Demand
 	for _, d := range demands {
 		if len(out) == work.MaxDemands {
 			break
 		}
-		if d.GetWaitingMilli() < 0 || d.GetWorkCoreMs() < 0 {
+		if d.GetWaitingMilli() < 0 || d.GetWaitingMilli() > maxDemandAmount || d.GetWorkCoreMs() < 0 || d.GetWorkCoreMs() > maxDemandAmount {
 			continue
 		}
 		out = append(out, work.Demand{
