--- a/dispatch/planner/shareddemand_test.go
+++ b/dispatch/planner/shareddemand_test.go
@@ -343,3 +343,25 @@
 	}
 	assert.Assert(t, f.now-begin <= maxReportAge+heldBackInterval, "%s", f.now-begin)
 }
+
+// TestEntryWithoutSharedDemand guards against an entry on which the part is off, and that yet sends its
+// demand, holds jobs back or orders them by what the guards report.
+func TestEntryWithoutSharedDemand(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		f := newFleet(t, 100)
+		f.opt.Disabled.SharedDemand = off
+		f.reportOthers(0, 100, 85, 1, []int64{0, 0, 35_000, 0},
+			work.Demand{Contract: 1, Slack: 50 * ms, WaitingMilli: 2000, ArrivingMilli: 50_000},
+			work.Demand{Contract: 2, Priority: 2, WaitingMilli: 2000, ArrivingMilli: 1})
+		a := f.submitFor("check", 2, 8, 900*ms)
+		assert.Equal(t, len(a.Starts) == 0 && len(a.HeldBack) == 1, !off)
+		for range 100 {
+			f.submitFor("check", 2, 8, 900*ms)
+		}
+		f.after(shareInterval)
+		s := f.service("teardown")
+		assert.Equal(t, s.shareRank(s.unstarted[0]) == 1, !off)
+		assert.Equal(t, f.Demand(f.now, "g0") == nil, off)
+		assert.Equal(t, f.SharedDemand(f.now) == SharedDemand{}, off)
+	}
+}
