--- a/guard/runs/priority_test.go
+++ b/guard/runs/priority_test.go
@@ -22,3 +22,14 @@
 	assert.DeepEqual(t, table.allocatedByPriority(), []int64{100, 0, 100, 100})
 	assert.Equal(t, table.used.CPUMilli, int64(300))
 }
+
+// Guards against capacity messages that differ from those without shared demand when it is turned off.
+func TestCapacityWithoutSharedDemand(t *testing.T) {
+	for _, off := range []bool{false, true} {
+		p := newProgressTable(t, "expected", "late")
+		p.opt.DisableSharedDemand = off
+		c := p.CapacityAt(testStart + 100*ms)
+		assert.Equal(t, c.AllocatedByPriorityMilli == nil, off)
+		assert.Equal(t, c.ReleasesMilli == nil, off)
+	}
+}
