--- a/guard/demand/demand.go
+++ b/guard/demand/demand.go
@@ -6,6 +6,7 @@
 package demand
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -30,12 +31,17 @@
 // Record records the demand of an entry; no rows mean that nothing waits or arrives there. A report
 // older than the recorded one is ignored.
 func (t *Table) Record(now time.Duration, entry string, rows []work.Demand) {
-	if r, found := t.reports[entry]; found && r.at > now {
+	r, found := t.reports[entry]
+	if found && r.at > now {
 		return
 	}
 	if t.reports == nil {
 		t.reports = map[string]report{}
 	}
+	if !found {
+		// The last message of a replaced session can be recorded after Remove.
+		maps.DeleteFunc(t.reports, func(_ string, r report) bool { return now-r.at >= MaxAge })
+	}
 	t.reports[entry] = report{rows: rows, at: now}
 }
 
--- a/guard/demand/demand_test.go
+++ b/guard/demand/demand_test.go
@@ -90,3 +90,13 @@
 	sum, _ := table.Others(0, "")
 	assert.Equal(t, sum[0].Slack, 30*time.Millisecond)
 }
+
+// Guards against memory that grows with every entry whose last message was recorded after its session
+// had ended.
+func TestExpiredReportsAreRemoved(t *testing.T) {
+	var table Table
+	for e := range 100 {
+		table.Record(time.Duration(e)*MaxAge, fmt.Sprint(e), nil)
+	}
+	assert.Equal(t, len(table.reports), 1)
+}
