--- a/dispatch/planner/demand.go
+++ b/dispatch/planner/demand.go
@@ -298,25 +298,25 @@
 	// started is the work of jobs that have started, which go before all others.
 	started float64
 	// inTime holds the jobs that can still start in time by priority, late those that can't.
-	inTime map[int]lane
-	late   lane
+	inTime map[int]workByStart
+	late   workByStart
 }
 
-// lane is a list of jobs by their latest start, with the sums of their work.
-type lane struct {
+// workByStart is a list of jobs by their latest start, with the sums of their work.
+type workByStart struct {
 	startBy []time.Duration
 	// upTo is the work of the jobs up to and including each one.
 	upTo []float64
 }
 
-func (l lane) add(j *job) lane {
-	return lane{append(l.startBy, j.startBy), append(l.upTo, l.total()+j.coreTime()/milli)}
+func (l workByStart) add(j *job) workByStart {
+	return workByStart{append(l.startBy, j.startBy), append(l.upTo, l.total()+j.coreTime()/milli)}
 }
 
-func (l lane) total() float64 { return l.before(math.MaxInt64) }
+func (l workByStart) total() float64 { return l.before(math.MaxInt64) }
 
 // before returns the work of the jobs that must start before the given time.
-func (l lane) before(startBy time.Duration) float64 {
+func (l workByStart) before(startBy time.Duration) float64 {
 	n := sort.Search(len(l.startBy), func(i int) bool { return l.startBy[i] >= startBy })
 	if n == 0 {
 		return 0
@@ -325,7 +325,7 @@
 }
 
 func (s *service) sumQueue(now time.Duration) ownQueue {
-	q := ownQueue{inTime: map[int]lane{}}
+	q := ownQueue{inTime: map[int]workByStart{}}
 	for _, j := range s.started {
 		q.started += j.coreTime() / milli
 	}
--- a/dispatch/planner/share.go
+++ b/dispatch/planner/share.go
@@ -35,7 +35,7 @@
 const shareTolerance = 2.5
 
 // overShares returns the contracts whose arriving work exceeds their max-min share of what is left of
-// the capacity for their priority. A contract alone in its priority has nobody to yield to.
+// the capacity for their priority. The only contract of a priority is never over its share.
 func overShares(rows []work.Demand, capacityMilli float64) map[uint32]bool {
 	byPriority := map[int][]work.Demand{}
 	for _, d := range rows {
