--- a/dispatch/planner/demand.go
+++ b/dispatch/planner/demand.go
@@ -222,7 +222,7 @@
 	d.others, d.visible, d.known = p.othersDemand(now, s)
 	d.queue = s.sumQueue(now)
 	d.held, d.heldKnown = s.heldByClass()
-	d.rows = work.MergeDemands(slices.Concat(s.ownDemand(now), d.others))
+	d.rows = work.MergeDemands(s.ownDemand(now), d.others)
 	d.capacity = float64(s.capacityMilli()) / d.visible
 	// Without demand at other entries, jobs are ordered as without the part.
 	d.overShare = nil
@@ -255,14 +255,14 @@
 // entry.
 func (p *Planner) othersDemand(now time.Duration, s *service) (rows []work.Demand, visible float64, known bool) {
 	covered, largest := 0, 0
-	var all []work.Demand
+	lists := make([][]work.Demand, 0, len(s.endpoints))
 	for _, e := range s.endpoints {
 		if e.others.entries == 0 || now-e.others.at >= maxReportAge {
 			continue
 		}
 		covered += e.others.entries
 		largest = max(largest, e.others.entries)
-		all = append(all, e.others.demand...)
+		lists = append(lists, e.others.demand)
 	}
 	if covered == 0 {
 		return nil, 1, false
@@ -271,7 +271,7 @@
 	// The largest report counts: a smaller one may lack entries that were silent for a moment.
 	visible = float64(largest+1) / float64(most+1)
 	scale := float64(most) / float64(covered)
-	rows = work.MergeDemands(all)
+	rows = work.MergeDemands(lists...)
 	for i := range rows {
 		d := &rows[i]
 		d.WaitingMilli = int64(float64(d.WaitingMilli) * scale)
--- a/dispatch/work/demands.go
+++ b/dispatch/work/demands.go
@@ -6,20 +6,22 @@
 	"time"
 )
 
-// MergeDemands adds up the demand of rows with the same contract and returns the rows with the most
+// MergeDemands adds up the demand of rows with the same contract, over all lists, and returns the rows with the most
 // urgent first. Those beyond MaxDemands are added up in the last row, which has the contract 0 and
 // the least urgent priority among them. The rows passed are not changed.
-func MergeDemands(rows []Demand) []Demand {
-	byContract := make(map[uint32]int, len(rows))
+func MergeDemands(lists ...[]Demand) []Demand {
+	byContract := make(map[uint32]int, MaxDemands)
 	var out []Demand
-	for _, d := range rows {
-		i, found := byContract[d.Contract]
-		if !found {
-			byContract[d.Contract] = len(out)
-			out = append(out, d)
-			continue
+	for _, rows := range lists {
+		for _, d := range rows {
+			i, found := byContract[d.Contract]
+			if !found {
+				byContract[d.Contract] = len(out)
+				out = append(out, d)
+				continue
+			}
+			out[i] = out[i].add(d)
 		}
-		out[i] = out[i].add(d)
 	}
 	slices.SortFunc(out, Demand.compare)
 	if len(out) <= MaxDemands {
--- a/guard/demand/demand.go
+++ b/guard/demand/demand.go
@@ -51,15 +51,15 @@
 // Others returns the sum of the demand of all entries heard within MaxAge except the receiver, and
 // the number of these entries, which includes those without demand.
 func (t *Table) Others(now time.Duration, receiver string) (sum []work.Demand, entries int) {
-	var rows []work.Demand
+	lists := make([][]work.Demand, 0, len(t.reports))
 	for entry, r := range t.reports {
 		if entry == receiver || now-r.at >= MaxAge {
 			continue
 		}
 		entries++
-		rows = append(rows, r.rows...)
+		lists = append(lists, r.rows)
 	}
-	return work.MergeDemands(rows), entries
+	return work.MergeDemands(lists...), entries
 }
 
 // MostUrgent returns the most urgent row with waiting tasks; found is false if there is none.
