--- a/dispatch/work/demands.go
+++ b/dispatch/work/demands.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// MergeDemands adds up the demand of rows with the same contract, over all lists, and returns the rows with the most
-// urgent first. Those beyond MaxDemands are added up in the last row, which has the contract 0 and
-// the least urgent priority among them. The rows passed are not changed.
+// MergeDemands adds up the demand of rows with the same contract, over all lists, and returns the rows
+// with the most urgent first. Those beyond MaxDemands are added up in the last row, which has the
+// contract 0 and the least urgent priority among them. The rows passed are not changed.
 func MergeDemands(lists ...[]Demand) []Demand {
 	byContract := make(map[uint32]int, MaxDemands)
 	var out []Demand
