--- a/dispatch/planner/runtimefactor.go
+++ b/dispatch/planner/runtimefactor.go
@@ -62,6 +62,10 @@
 	// which the intervals of earlier computations reach.
 	stale         bool
 	computedUntil time.Duration
+	// changed is true if a report since the last computation changes a factor, in relation to normal,
+	// the ratio of a normal endpoint then.
+	changed bool
+	normal  float64
 }
 
 // runTimeFactor returns the lasting ratio of the endpoint's run times to those of a normal endpoint
@@ -100,22 +104,27 @@
 		return
 	}
 	l.ratio, l.samples = ratio, samples
-	if e.service != nil {
-		e.service.speeds.stale = true
+	if s := e.service; s != nil {
+		s.speeds.stale = true
+		s.speeds.changed = s.speeds.changed || s.speeds.normal > 0 && l.factorOf(s.speeds.normal) != e.runTimeFactor()
 	}
 }
 
 // refreshFactors computes the run time factors again if they are stale and due. It returns the time
-// of the next call if they stay stale, and a later one otherwise.
+// of the next call if an endpoint's factor changes by that, and a later one otherwise: where all
+// endpoints are equal, no decision is made at another time than without factors.
 func (p *Planner) refreshFactors(now time.Duration, s *service) time.Duration {
 	x := &s.speeds
 	if !x.stale {
 		return now + time.Second
 	}
 	if due := x.computedUntil - factorBurst; now < due {
+		if !x.changed {
+			return now + time.Second
+		}
 		return due
 	}
-	x.stale = false
+	x.stale, x.changed = false, false
 	x.computedUntil = max(x.computedUntil, now) + s.sumInterval()
 	p.updateFactors(s)
 	return now + time.Second
@@ -134,6 +143,7 @@
 		slices.Sort(known)
 		normal = math.Sqrt(known[(n-1)/2] * known[n/2])
 	}
+	s.speeds.normal = normal
 	s.speeds.differ, s.speeds.least = false, math.Inf(1)
 	sum, weights := 0.0, 0.0
 	for _, e := range s.endpoints {
