--- a/dispatch/backlog/backlog_test.go
+++ b/dispatch/backlog/backlog_test.go
@@ -50,7 +50,7 @@
 			assert.Equal(t, b.After%time.Second, time.Duration(0), "not when a caller returns that is told whole seconds")
 			slot := b.At / backlog.SlotLength
 			booked[slot] += work
-			// A slot may exceed its size only if no later one had room.
+			// A slot may exceed its size only if no later one had free capacity.
 			if booked[slot] > cores*backlog.SlotLength.Seconds()+1e-9 {
 				for after := b.After; after <= backlog.MaxRetry; after += time.Second {
 					assert.Assert(t, booked[(now+after)/backlog.SlotLength]+work > cores*backlog.SlotLength.Seconds()-1e-9)
--- a/dispatch/planner/runtimefactor_test.go
+++ b/dispatch/planner/runtimefactor_test.go
@@ -19,7 +19,7 @@
 	})
 }
 
-// unequalFleet returns a fleet of endpoints with room for the given number of tasks, every fourth of
+// unequalFleet returns a fleet of endpoints with free capacity for the given number of tasks, every fourth of
 // which takes 0.55 of the normal run time and the others 1.2, as reported in their first message.
 func unequalFleet(t *testing.T, n, total int) *fleet {
 	f := newFleet(t, make([]int, n)...)
@@ -134,7 +134,7 @@
 }
 
 // TestJobsShortOfTimeGoToFastEndpoints: of many endpoints one in four is fast, and a job that can be
-// in time only there must find one that has room, also if a sample doesn't contain it.
+// in time only there must find one that has free capacity, also if a sample doesn't contain it.
 func TestJobsShortOfTimeGoToFastEndpoints(t *testing.T) {
 	for i := range 20 {
 		f := unequalFleet(t, 40, 4)
@@ -153,7 +153,7 @@
 }
 
 // TestLateJobsStartOnOtherEndpoints: a job that could be in time on a fast endpoint only is still
-// started elsewhere if no fast one has room.
+// started elsewhere if no fast one has free capacity.
 func TestLateJobsStartOnOtherEndpoints(t *testing.T) {
 	f := unequalFleet(t, 8, 4)
 	f.setSpeed(0, 0, 550, 300, "r")
