--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -154,9 +154,15 @@
 		r.SetFault(fault)
 		r.do(StartPath, requestBody{Task: task, Run: 1, Spec: `{"ms":1000,"cpu":1400}`, Until: time.Hour.Milliseconds() + 500})
 		r.SetFault(Fault{})
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		// The test sets how long the run has lasted, however long it takes itself.
+		r.runs[task].timer.Stop()
 		return r.runs[task]
 	}
 	row := func(task string, after time.Duration) []any {
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		r.runs[task].startedAt = time.Now().Add(-after)
 		return r.runningRow(task, r.runs[task])
 	}
