--- a/Makefile
+++ b/Makefile
@@ -34,8 +34,11 @@
 
 test: lint alone unit spec
 
+# The loads of bench/replay take all processors for minutes, so they run after the tests of real
+# processes, whose stand-ins would answer late beside them.
 unit:
-	$(GO) test -race -timeout $(TEST_TIMEOUT) -p $(TEST_PACKAGES) $(SKIP) $(PACKAGES)
+	$(GO) test -race -timeout $(TEST_TIMEOUT) -p $(TEST_PACKAGES) $(SKIP) $(filter-out %/bench/...,$(PACKAGES))
+	$(GO) test -race -timeout $(TEST_TIMEOUT) -p $(TEST_PACKAGES) $(SKIP) $(filter %/bench/...,$(PACKAGES))
 
 # Each module must build on its own, without the Go workspace.
 alone:
