--- a/dispatch/backlog/schedule.go
+++ b/dispatch/backlog/schedule.go
@@ -12,7 +12,7 @@
 	// SlotLength is the length of a slot of the schedule. Work that returns within one slot waits
 	// for less than the slack of the shortest jobs.
 	SlotLength = 100 * time.Millisecond
-	// retryStep is the step in which callers are told when to retry: Retry-After is in whole
+	// retryStep is the step in which callers are asked to retry: Retry-After is in whole
 	// seconds, rounded up, so that any other time would not be when the caller returns.
 	retryStep = time.Second
 	// slots cover the time up to MaxRetry and the slot in progress.
--- a/dispatch/planner/admission.go
+++ b/dispatch/planner/admission.go
@@ -61,7 +61,7 @@
 	return s.hasWaiting(now) && now-s.shortSince >= minShortage
 }
 
-// recordArrival records a job's work, and whether it returns as it was told to.
+// recordArrival records a job's work, and whether it returns in its time to retry.
 func (p *Planner) recordArrival(now time.Duration, j *job) {
 	if p.opt.Disabled.BacklogLimit {
 		return
@@ -223,7 +223,7 @@
 	drain := min(s.waitingWork()/cores, maxDrainSeconds)
 	b := s.entry.retries.Book(now, seconds(drain), j.coreTime()/milli, freed)
 	p.returns.Expect(now, j.work.ID, b)
-	// A random time within the slot, for callers that are told more than whole seconds.
+	// A random time within the slot, for callers that get more than whole seconds.
 	inSlot := time.Duration(p.random.Float64() * float64(b.At%backlog.SlotLength))
 	return max(b.After-inSlot, minRetryAfter)
 }
--- a/guard/host/events.go
+++ b/guard/host/events.go
@@ -49,7 +49,7 @@
 		"The guard's data centre is cordoned, or is not any more, as an entry has read from the store at this revision. While it is cordoned the guard rejects every start; what runs goes on.",
 		"None.")
 	runStalled = eventlog.Define(2231, "guard.run_stalled", slog.LevelWarn,
-		"The runner lists a run with the same percentage for far longer than one percent took before; the entry of the run is told at once, and starts it elsewhere if that is still in time. percent is the percentage.",
+		"The runner lists a run with the same percentage for far longer than one percent took before; the entry of the run is notified at once, and starts it elsewhere if that is still in time. percent is the percentage.",
 		"If it is frequent at one runner, check that runner. If the runs end well afterwards, the runner's progress is not even: set capacity.scheduling.run_progress of the guard to false.")
 	orderRefused = eventlog.Define(2207, "guard.order_refused", slog.LevelInfo,
 		"The guard rejected an entry's order without sending it to the runner.",
