--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -127,6 +127,11 @@
 	return f.lateStarts.LateStarts(ctx, req)
 }
 
+// HandOver takes no jobs over.
+func (f fleetService) HandOver(context.Context, *connect.BidiStream[wirev1.HandOverRequest, wirev1.HandOverResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, nil)
+}
+
 // Run serves until ctx ends, then waits for open requests to be answered.
 func (e *Entry) Run(ctx context.Context) error {
 	s := *e.settings.Load()
--- a/wire/wirev1/wirev1connect/fleet.connect.go
+++ b/wire/wirev1/wirev1connect/fleet.connect.go
@@ -43,6 +43,8 @@
 	FleetServiceMeetProcedure = "/almondstand.wire.v1.FleetService/Meet"
 	// FleetServiceLateStartsProcedure is the fully-qualified name of the FleetService's LateStarts RPC.
 	FleetServiceLateStartsProcedure = "/almondstand.wire.v1.FleetService/LateStarts"
+	// FleetServiceHandOverProcedure is the fully-qualified name of the FleetService's HandOver RPC.
+	FleetServiceHandOverProcedure = "/almondstand.wire.v1.FleetService/HandOver"
 )
 
 // FleetServiceClient is a client for the almondstand.wire.v1.FleetService service.
@@ -56,6 +58,9 @@
 	// LateStarts returns the late starts that the other entry has from guards. An entry that
 	// may have missed some asks the other entries.
 	LateStarts(context.Context, *connect.Request[wirev1.LateStartsRequest]) (*connect.Response[wirev1.LateStartsResponse], error)
+	// HandOver carries jobs that the calling entry hands over, and their answers. When the
+	// stream ends, the called entry cancels the jobs that it has not answered.
+	HandOver(context.Context) *connect.BidiStreamForClient[wirev1.HandOverRequest, wirev1.HandOverResponse]
 }
 
 // NewFleetServiceClient constructs a client for the almondstand.wire.v1.FleetService service. By
@@ -87,6 +92,12 @@
 			connect.WithSchema(fleetServiceMethods.ByName("LateStarts")),
 			connect.WithClientOptions(opts...),
 		),
+		handOver: connect.NewClient[wirev1.HandOverRequest, wirev1.HandOverResponse](
+			httpClient,
+			baseURL+FleetServiceHandOverProcedure,
+			connect.WithSchema(fleetServiceMethods.ByName("HandOver")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -95,6 +106,7 @@
 	attach     *connect.Client[wirev1.AttachRequest, wirev1.AttachResponse]
 	meet       *connect.Client[wirev1.MeetRequest, wirev1.MeetResponse]
 	lateStarts *connect.Client[wirev1.LateStartsRequest, wirev1.LateStartsResponse]
+	handOver   *connect.Client[wirev1.HandOverRequest, wirev1.HandOverResponse]
 }
 
 // Attach calls almondstand.wire.v1.FleetService.Attach.
@@ -112,6 +124,11 @@
 	return c.lateStarts.CallUnary(ctx, req)
 }
 
+// HandOver calls almondstand.wire.v1.FleetService.HandOver.
+func (c *fleetServiceClient) HandOver(ctx context.Context) *connect.BidiStreamForClient[wirev1.HandOverRequest, wirev1.HandOverResponse] {
+	return c.handOver.CallBidiStream(ctx)
+}
+
 // FleetServiceHandler is an implementation of the almondstand.wire.v1.FleetService service.
 type FleetServiceHandler interface {
 	// Attach opens a guard's session. A newer stream of the same guard replaces
@@ -123,6 +140,9 @@
 	// LateStarts returns the late starts that the other entry has from guards. An entry that
 	// may have missed some asks the other entries.
 	LateStarts(context.Context, *connect.Request[wirev1.LateStartsRequest]) (*connect.Response[wirev1.LateStartsResponse], error)
+	// HandOver carries jobs that the calling entry hands over, and their answers. When the
+	// stream ends, the called entry cancels the jobs that it has not answered.
+	HandOver(context.Context, *connect.BidiStream[wirev1.HandOverRequest, wirev1.HandOverResponse]) error
 }
 
 // NewFleetServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -150,6 +170,12 @@
 		connect.WithSchema(fleetServiceMethods.ByName("LateStarts")),
 		connect.WithHandlerOptions(opts...),
 	)
+	fleetServiceHandOverHandler := connect.NewBidiStreamHandler(
+		FleetServiceHandOverProcedure,
+		svc.HandOver,
+		connect.WithSchema(fleetServiceMethods.ByName("HandOver")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/almondstand.wire.v1.FleetService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FleetServiceAttachProcedure:
@@ -158,6 +184,8 @@
 			fleetServiceMeetHandler.ServeHTTP(w, r)
 		case FleetServiceLateStartsProcedure:
 			fleetServiceLateStartsHandler.ServeHTTP(w, r)
+		case FleetServiceHandOverProcedure:
+			fleetServiceHandOverHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -178,3 +206,7 @@
 func (UnimplementedFleetServiceHandler) LateStarts(context.Context, *connect.Request[wirev1.LateStartsRequest]) (*connect.Response[wirev1.LateStartsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("almondstand.wire.v1.FleetService.LateStarts is not implemented"))
 }
+
+func (UnimplementedFleetServiceHandler) HandOver(context.Context, *connect.BidiStream[wirev1.HandOverRequest, wirev1.HandOverResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("almondstand.wire.v1.FleetService.HandOver is not implemented"))
+}
