entry/jobs: the policy of handovers and its inputs

The policy hands nothing over yet, so nothing changes for callers. go test of jobs, sessions and front passes.

--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"almondstand.dev/contract/cordon"
+	"almondstand.dev/dispatch/handover"
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/telemetry/uptime"
@@ -43,6 +44,11 @@
 	Disconnected func(ctx context.Context) bool
 	// Peers are the other entries; nil if there are none.
 	Peers Peers
+	// HandOver hands jobs over to other entries; nil if none is handed over.
+	HandOver HandOver
+	// Lag returns the mean time by which this entry has lately handled events late; nil if it is
+	// not measured.
+	Lag func() time.Duration
 }
 
 // Engine runs jobs.
@@ -52,8 +58,12 @@
 	// disconnected is Options.Disconnected.
 	disconnected func(context.Context) bool
 	peers        Peers
+	handOver     HandOver
+	lag          func() time.Duration
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// policy decides which jobs are handed over.
+	policy  *handover.Policy
 	plan    *planner.Planner
 	waiters map[string]*jobWaiters
 	guards  map[string]Guard
@@ -95,6 +105,9 @@
 		metrics:      newMetrics(o.Scope),
 		disconnected: o.Disconnected,
 		peers:        o.Peers,
+		handOver:     o.HandOver,
+		lag:          o.Lag,
+		policy:       handover.New(o.Planner.Seed),
 		plan:         planner.New(o.Planner),
 		waiters:      map[string]*jobWaiters{},
 		guards:       map[string]Guard{},
