standin: runners listen on ports below the ephemeral range

Its port was assigned by the kernel and may be given to another program while the runner is down. The runner now takes a port like the processes do; the function moves from e2e/harness to standin/freeport. Tests of standin and TestFleetServes pass.

--- a/e2e/harness/address.go
+++ b/e2e/harness/address.go
@@ -2,9 +2,10 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"sync/atomic"
+
+	"almondstand.dev/standin/freeport"
 )
 
 // allocatedHosts counts the loopback IPs that NewHost returned. Every process has an
@@ -20,41 +21,16 @@
 	return fmt.Sprintf("127.%d.%d.%d", secondOctet, n/250%250+1, n%250+1)
 }
 
-// The processes' ports are below the kernel's ephemeral port range. The kernel may assign
-// an ephemeral port to another program that listens on all addresses at any moment, even
-// between the check that the port is free and the start of the process that is to use it.
-const (
-	firstPort = 10_000
-	portRange = 20_000
-	// portTries is the maximum number of ports tried in the search for a free one.
-	portTries = 100
-)
-
-// nextPort counts the ports that have been tried.
-var nextPort atomic.Uint32
-
 // FreeAddresses sets each of the strings to an address on the host with a free port.
 // It keeps all ports bound until the last one is chosen, so that they differ.
 func FreeAddresses(host string, addresses ...*string) error {
 	for _, address := range addresses {
-		l, err := listenFree(host)
+		l, err := freeport.Listen(host)
 		if err != nil {
-			return err
+			return fmt.Errorf("harness: %w", err)
 		}
 		defer l.Close()
 		*address = l.Addr().String()
 	}
 	return nil
 }
-
-func listenFree(host string) (net.Listener, error) {
-	var err error
-	for range portTries {
-		port := firstPort + (uint32(os.Getpid())+nextPort.Add(1))%portRange
-		var l net.Listener
-		if l, err = net.Listen("tcp", fmt.Sprintf("%s:%d", host, port)); err == nil {
-			return l, nil
-		}
-	}
-	return nil, fmt.Errorf("harness: no free port: %w", err)
-}
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -16,6 +16,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"almondstand.dev/standin/freeport"
 )
 
 // Outcomes of runs.
@@ -160,7 +162,7 @@
 
 // Listen makes the runner listen on a free port of the host.
 func (r *Runner) Listen(host string) error {
-	l, err := net.Listen("tcp", host+":0")
+	l, err := freeport.Listen(host)
 	if err != nil {
 		return fmt.Errorf("worker stand-in: %w", err)
 	}
