--- a/contract/route/route.go
+++ b/contract/route/route.go
@@ -41,13 +41,20 @@
 	Version int64
 	Limits  Limits
 	byHost  map[string][]*Contract
-	count   int
+	// byName holds nil for a name that several contracts have.
+	byName map[string]*Contract
+	count  int
 }
 
 // NewTable returns a table of the contracts.
 func NewTable(version int64, limits Limits, contracts []*Contract) *Table {
-	t := &Table{Version: version, Limits: limits, byHost: map[string][]*Contract{}, count: len(contracts)}
+	t := &Table{Version: version, Limits: limits, byHost: map[string][]*Contract{}, byName: map[string]*Contract{}, count: len(contracts)}
 	for _, c := range contracts {
+		if _, taken := t.byName[c.Name]; taken {
+			t.byName[c.Name] = nil
+		} else {
+			t.byName[c.Name] = c
+		}
 		host := strings.ToLower(c.Host)
 		t.byHost[host] = append(t.byHost[host], c)
 	}
@@ -72,5 +79,9 @@
 	return nil
 }
 
+// ByName returns the contract with the given name, or nil if none or several have it: the platform
+// doesn't require that names differ.
+func (t *Table) ByName(name string) *Contract { return t.byName[name] }
+
 // Len returns the number of contracts.
 func (t *Table) Len() int { return t.count }
--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -136,8 +136,12 @@
 	j.longest, j.inTimeEnd = longest, min(j.arrived+target, end)-margin
 	j.startBy = j.inTimeEnd - longest
 	j.keepUntil = min(j.arrived+lateFactor*target, end) - longest - margin
-	// A job with hardly any time is served only if there is capacity at once.
-	j.startBy = max(j.startBy, j.arrived+time.Millisecond)
+}
+
+// allowStartAt lets a job with hardly any time start at the given time: it is served only if there is
+// capacity at once.
+func (j *job) allowStartAt(now time.Duration) {
+	j.startBy = max(j.startBy, now+time.Millisecond)
 	j.keepUntil = max(j.keepUntil, j.startBy)
 }
 
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -228,19 +228,27 @@
 
 // Submit adds a job whose caller waits until the deadline.
 func (p *Planner) Submit(now, deadline time.Duration, w work.Job, t Terms) Verdict {
+	return p.SubmitWaited(now, deadline, 0, w, t)
+}
+
+// SubmitWaited is Submit for a job that has waited at another entry, or to be taken over by one, for
+// the given time. Its response-time target and what is known of its late starts count from its arrival
+// there.
+func (p *Planner) SubmitWaited(now, deadline, waited time.Duration, w work.Job, t Terms) Verdict {
 	if j := p.jobs[w.ID]; j != nil {
 		if j.outcome != 0 {
 			return StillEnding
 		}
 		return Duplicate
 	}
-	j := newJob(now, deadline, w, t)
+	j := newJob(now-waited, deadline, w, t)
 	for _, t := range j.tasks {
 		t.attempt = max(p.attempts[w.ID], p.olderAttempts[w.ID])
 	}
 	j.service = p.service(t.Service)
 	estimate := p.estimate(t.Contract)
 	j.predict(estimate, j.service.meanFactor())
+	j.allowStartAt(now)
 	if now > j.latestStart(j.minCriticalPath) && estimate.retestDue(now) {
 		j.retestRunTimes()
 	}
--- a/dispatch/planner/types.go
+++ b/dispatch/planner/types.go
@@ -60,6 +60,8 @@
 	ReasonTooLittleTime    Reason = "too_little_time"
 	ReasonCallerGone       Reason = "caller_gone"
 	ReasonGuardUnreachable Reason = "guard_unreachable"
+	// ReasonEntryUnreachable: the connection to the entry that had taken the job over was lost.
+	ReasonEntryUnreachable Reason = "entry_unreachable"
 	// ReasonLateStart: a start of a task, ordered for an earlier submission of the job, may still
 	// be executed by a runner at which the task can't be started now.
 	ReasonLateStart Reason = "late_start"
