entry/jobs: jobs are handed over to other entries and taken over from them

Cause: an entry that is short of processor time, that shuts down or that reaches no endpoint answers late or rejects jobs that another entry could run in time. Change: Engine.Submit hands a job over where the policy says so, before it is accepted and outside the lock. It is one job with its callers here: a second caller joins, the last one that leaves cancels the handover, and Cancel, State and Count include it. A job that was not taken runs here; one that may have been sent is answered as one that may have run, and is not started again here before its runs are over. A job with runs, attempts or late starts here stays. Engine.TakeOver runs jobs of other entries and never hands them over; it takes none right after a pause of the process, since the job may have been read long after it was sent. SubmitElsewhere is Submit for a draining entry, which starts nothing. Events 1282 to 1284, metrics, and lines of explain. Nothing is handed over yet: the policy is a stub and no client is connected.

--- a/entry/explain/cause.go
+++ b/entry/explain/cause.go
@@ -21,12 +21,15 @@
 	requestInvalid  = "front.bad_request"
 	requestRejected = "front.turned_away"
 	rejectedEarly   = "job.rejected_early"
+	jobHandedOver   = "job.handed_over"
+	handoverEnded   = "job.handover_ended"
 )
 
 // cause returns a sentence that explains the outcome of a request.
 func cause(lines []LogEvent) string {
 	var outcomes []string
 	var last LogEvent
+	answeredElsewhere := ""
 	for _, l := range lines {
 		if !l.AboutRequest {
 			continue
@@ -40,9 +43,16 @@
 			outcomes = append(outcomes, fmt.Sprintf("turned away at %s for what it says: %s", l.Process, l.Fields["error"]))
 		case requestRejected:
 			outcomes = append(outcomes, fmt.Sprintf("turned away at %s: %s; nothing has run", l.Process, l.Fields["why"]))
+		case handoverEnded:
+			if l.Fields["end"] == "answered" {
+				answeredElsewhere = fmt.Sprintf("%s (%s) by the answer of the entry at %s, whose log is not given", l.Fields["outcome"], l.Fields["why"], l.Fields["to"])
+			}
 		}
 		last = l
 	}
+	if len(outcomes) == 0 && answeredElsewhere != "" {
+		outcomes = append(outcomes, answeredElsewhere)
+	}
 	if len(outcomes) == 0 {
 		return fmt.Sprintf("no outcome was logged; the last word is %s at %s. Its entry may have ended before it: look for the end of its log", last.Name, last.Process)
 	}
@@ -60,6 +70,7 @@
 	"caller_time_over":      "its caller's time was over with tasks still open",
 	"too_little_time":       "its caller would have left before the work could be done",
 	"caller_gone":           "its caller broke the connection off",
+	"entry_unreachable":     "the connection to the entry that it was handed over to was lost; tasks may have run there",
 	"guard_unreachable":     "its caller's time was over while a guard with its tasks could not be reached",
 }
 
@@ -154,6 +165,10 @@
 			count["stopped without progress at "+l.Fields["guard"]]++
 		case l.AboutRequest && l.Name == runKept:
 			count["kept beyond the limit because of progress at "+l.Fields["guard"]]++
+		case l.AboutRequest && l.Name == jobHandedOver:
+			count[fmt.Sprintf("handed over by %s to %s (%s)", l.Process, l.Fields["to"], l.Fields["why"])]++
+		case l.AboutRequest && l.Name == handoverEnded && l.Fields["end"] != "answered":
+			count[fmt.Sprintf("handover to %s ended as %s", l.Fields["to"], l.Fields["end"])]++
 		case l.AboutRequest && l.Name == jobHeldBack:
 			count["waited for capacity reserved for more urgent work"]++
 		case !l.AboutRequest && (l.Name == "session.guard_lost" || l.Name == "guard.look_failed"):
--- a/entry/explain/explain_test.go
+++ b/entry/explain/explain_test.go
@@ -94,3 +94,27 @@
 	assert.NilError(t, err)
 	assert.Equal(t, s.Cause, "completed at e1 after 1000 ms, of which 2 ms waiting for the first start. On the way: 1 times waited for capacity reserved for more urgent work")
 }
+
+// Guards against an operator who does not see that another entry ran a job, also without that entry's log,
+// and that a handover failed on the way.
+func TestHandedOverJob(t *testing.T) {
+	const first = `{"time":"2026-01-01T00:00:01.000Z","level":"INFO","msg":"job.handed_over","entry":"e1","event":1282,"job":"a","to":"10.0.0.2:7720","why":"draining"}
+{"time":"2026-01-01T00:00:01.200Z","level":"INFO","msg":"job.handover_ended","entry":"e1","event":1283,"job":"a","to":"10.0.0.2:7720","end":"answered","outcome":"completed","why":"done"}
+`
+	const second = `{"time":"2026-01-01T00:00:01.001Z","level":"INFO","msg":"job.taken_over","entry":"e2","event":1284,"job":"a"}
+{"time":"2026-01-01T00:00:01.199Z","level":"INFO","msg":"job.completed","entry":"e2","event":1256,"job":"a","waited_ms":2,"took_ms":198}
+`
+	const handedOver = ". On the way: 1 times handed over by e1 to 10.0.0.2:7720 (draining)"
+	s, err := FromLogs("a", strings.NewReader(first), strings.NewReader(second))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Cause, "completed at e2 after 198 ms, of which 2 ms waiting for the first start"+handedOver)
+	s, err = FromLogs("a", strings.NewReader(first))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Cause, "completed (done) by the answer of the entry at 10.0.0.2:7720, whose log is not given"+handedOver)
+	const expired = `{"time":"2026-01-01T00:00:01.201Z","level":"WARN","msg":"job.not_completed","entry":"e1","event":1257,"job":"a","outcome":"expired","why":"entry_unreachable","took_ms":201}
+`
+	s, err = FromLogs("a", strings.NewReader(strings.Replace(first, `"answered"`, `"lost"`, 1)+expired))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Cause, "expired at e1 after 201 ms: the connection to the entry that it was handed over to was lost; tasks may have run there"+
+		handedOver+", 1 times handover to 10.0.0.2:7720 ended as lost")
+}
--- a/entry/jobs/answers.go
+++ b/entry/jobs/answers.go
@@ -34,4 +34,9 @@
 			delete(e.answers, id)
 		}
 	}
+	for id, until := range e.handedRunsUntil {
+		if now > until {
+			delete(e.handedRunsUntil, id)
+		}
+	}
 }
--- a/entry/jobs/callers.go
+++ b/entry/jobs/callers.go
@@ -29,7 +29,7 @@
 }
 
 // dropCaller removes one caller of a job, and cancels the job if it was the last. It reports
-// whether the job was cancelled. The caller of the method holds the lock.
+// whether the job was cancelled in the planner. The caller of the method holds the lock.
 func (e *Engine) dropCaller(now time.Duration, id string, w *jobWaiters, c *caller) bool {
 	i := slices.Index(w.callers, c)
 	if i < 0 {
@@ -40,6 +40,10 @@
 	if len(w.callers) > 0 || e.waiters[id] != w {
 		return false
 	}
+	if w.handover != nil {
+		e.cancelHandover(now, id, w)
+		return false
+	}
 	e.plan.Cancel(now, id)
 	return true
 }
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -32,7 +32,8 @@
 			"the time until its first start, and its total time.",
 		"fits_no_runner: the job requests more than any runner has; no_runner: check the guards' sessions; "+
 			"too_little_time: the deadline leaves less than half of the estimated time, or a run failed too late for a retry; "+
-			"crashes_runners: several runners crashed while running the same task, see its job.run_wrong lines; no_room_in_time: the load exceeds the runners' capacity; late_start: see guard.start_late; late_starts_unknown: see job.late_starts_asked; guard_unreachable: check the network to the guards.")
+			"crashes_runners: several runners crashed while running the same task, see its job.run_wrong lines; no_room_in_time: the load exceeds the runners' capacity; late_start: see guard.start_late; late_starts_unknown: see job.late_starts_asked; guard_unreachable: check the network to the guards; "+
+			"entry_unreachable: see job.handover_ended.")
 	callerGone = eventlog.Define(1259, "job.caller_gone", slog.LevelInfo,
 		"A caller's connection ended before its answer, waited_ms after the job was accepted. The job is cancelled if callers_left is zero.", "None.")
 	lateStartsReceived = eventlog.Define(1260, "job.late_starts", slog.LevelInfo,
@@ -53,6 +54,16 @@
 		"Many of these: the load exceeds the runners' capacity, or that of one contract its share.")
 	jobReturned = eventlog.Define(1281, "job.returned", slog.LevelInfo,
 		"A job that this entry had rejected returned in its time to retry, and ended with the outcome given. It went before new jobs of its contract.", "None.")
+	jobHandedOver = eventlog.Define(1282, "job.handed_over", slog.LevelInfo,
+		"A job was handed over to the entry at the address in to. why is lag: this entry is short of processor time and would answer late; draining: it shuts down; "+
+			"or no_endpoint_reached: it reaches no endpoint of the job's service. lag_ms is the mean time by which it has handled events late.",
+		"lag: the host is too small for its callers, see entry.lag. no_endpoint_reached: check the network to the guards.")
+	handoverEnded = eventlog.Define(1283, "job.handover_ended", slog.LevelInfo,
+		"A handover ended after took_ms. end is answered: the other entry answered with outcome and why; not_taken: it ordered no task, and this entry runs the job itself or, if it shuts down, rejects it; "+
+			"cancelled: the callers left; or lost: the connection ended, so that tasks may have run, and the callers were answered that.",
+		"lost: look for the end of the other entry's log, and check the network between the entries. Many not_taken: job_handovers_not_taken_total at the other entry has the reasons.")
+	jobTakenOver = eventlog.Define(1284, "job.taken_over", slog.LevelInfo,
+		"This entry has taken over a job from another entry, where its request arrived waited_ms before. Its job.taken line follows.", "None.")
 	jobHeldBack = eventlog.Define(1290, "job.held_back", slog.LevelInfo,
 		"A job is not started although a runner may have free capacity: that is reserved for more urgent work, which arrives at this or other entries and can't wait as long as a run of the job takes. Logged once for a job.",
 		"If it is frequent, the capacity is too small for the load.")
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -44,11 +44,19 @@
 	Disconnected func(ctx context.Context) bool
 	// Peers are the other entries; nil if there are none.
 	Peers Peers
-	// HandOver hands jobs over to other entries; nil if none is handed over.
+	// HandOver hands jobs over to other entries; nil if none is handed over or taken over.
 	HandOver HandOver
+	// Contracts is needed if HandOver is set.
+	Contracts Contracts
 	// Lag returns the mean time by which this entry has lately handled events late; nil if it is
 	// not measured.
 	Lag func() time.Duration
+	// SpareMilli returns the processor time that this entry did not use lately, in thousandths of a
+	// core; zero if there is none or it is unknown. If it is nil, no job is taken over.
+	SpareMilli func() int
+	// ReceivedBefore returns how long ago the request with the given context was received; nil if it
+	// is not known.
+	ReceivedBefore func(ctx context.Context) time.Duration
 }
 
 // Engine runs jobs.
@@ -59,11 +67,25 @@
 	disconnected func(context.Context) bool
 	peers        Peers
 	handOver     HandOver
+	contracts    Contracts
 	lag          func() time.Duration
+	spareMilli   func() int
+	// receivedBefore is Options.ReceivedBefore.
+	receivedBefore func(context.Context) time.Duration
 
 	mu sync.Mutex
 	// policy decides which jobs are handed over.
-	policy  *handover.Policy
+	policy policy
+	// draining is true once the entry shuts down.
+	draining bool
+	// unreachedAt is when a job was last submitted of whose service no endpoint was reached.
+	unreachedAt time.Duration
+	// handedOver and takenOver count the jobs in flight to and from other entries.
+	handedOver, takenOver int
+	// handedRunsUntil holds the time until which runs of a job that was handed over may go on at
+	// the other entry, by job id.
+	handedRunsUntil map[string]time.Duration
+
 	plan    *planner.Planner
 	waiters map[string]*jobWaiters
 	guards  map[string]Guard
@@ -77,6 +99,8 @@
 	lastPrune time.Duration
 	// lastCheck is the uptime of the last clock reading; zero until Run is called.
 	lastCheck time.Duration
+	// pausedUntil is the time until which nothing is started after a pause of the process.
+	pausedUntil time.Duration
 	// callersChecked is the uptime at which the callers' connections were last checked.
 	callersChecked time.Duration
 	// askingPeers is true while the other entries are being asked for late starts.
@@ -90,6 +114,10 @@
 	answer  planner.Answer
 	terms   planner.Terms
 	arrived time.Duration
+	// handover is set while the job is handed over.
+	handover *jobHandover
+	// rejected is true for a job that was to be handed over and that no other entry has taken.
+	rejected bool
 }
 
 type cachedAnswer struct {
@@ -106,13 +134,18 @@
 		disconnected: o.Disconnected,
 		peers:        o.Peers,
 		handOver:     o.HandOver,
+		contracts:    o.Contracts,
 		lag:          o.Lag,
+		spareMilli:   o.SpareMilli,
 		policy:       handover.New(o.Planner.Seed),
 		plan:         planner.New(o.Planner),
 		waiters:      map[string]*jobWaiters{},
 		guards:       map[string]Guard{},
 		answers:      map[string]cachedAnswer{},
 		runsEnded:    map[string]chan struct{}{},
+
+		receivedBefore:  o.ReceivedBefore,
+		handedRunsUntil: map[string]time.Duration{},
 	}
 	e.actTimer = time.AfterFunc(time.Hour, e.tick)
 	return e
@@ -124,61 +157,131 @@
 	e.applyActions(uptime.Now())
 }
 
+// submission is a request for a job.
+type submission struct {
+	// ctx ends when the caller disconnects, or when the entry that handed the job over cancels it.
+	ctx   context.Context
+	job   work.Job
+	terms planner.Terms
+	// deadline is the uptime until which the caller waits.
+	deadline time.Duration
+	// waited is how long the job has waited at the entry that handed it over.
+	waited time.Duration
+	// takenOver is true for a job that another entry has handed over to this one.
+	takenOver bool
+	// elsewhere is true for a job that this entry does not start: it is handed over or rejected.
+	elsewhere bool
+}
+
 // Submit runs a job and returns its outcome. deadline is the uptime until which the caller waits;
 // ctx ends when the caller disconnects.
 func (e *Engine) Submit(ctx context.Context, job work.Job, terms planner.Terms, deadline time.Duration) planner.Answer {
+	answer, _ := e.serve(submission{ctx: ctx, job: job, terms: terms, deadline: deadline})
+	return answer
+}
+
+// SubmitElsewhere is Submit for a job that this entry does not start itself because it shuts down. served
+// is false if the job must be rejected: it is not open here, and no other entry has taken it.
+func (e *Engine) SubmitElsewhere(ctx context.Context, job work.Job, terms planner.Terms, deadline time.Duration) (answer planner.Answer, served bool) {
+	return e.serve(submission{ctx: ctx, job: job, terms: terms, deadline: deadline, elsewhere: true})
+}
+
+// mayHaveRun is the answer for a job of which an earlier submission may have run or still be running, so
+// that the answer must not say that no task has started.
+var mayHaveRun = planner.Answer{Outcome: planner.Expired, Reason: planner.ReasonGuardUnreachable}
+
+// serve runs a job or hands it over, and returns its outcome. served is false if neither was possible.
+func (e *Engine) serve(s submission) (answer planner.Answer, served bool) {
 	e.mu.Lock()
 	now := uptime.Now()
-	answer, answered, verdict := e.submit(ctx, now, deadline, job, terms)
-	for !answered && verdict == planner.StillEnding {
-		ended := e.runsEndedChan(job.ID)
-		e.mu.Unlock()
-		if !awaitRunsEnded(ctx, ended) {
-			// An earlier job with this id may have run or still be running, so the
-			// answer must not say that no task has started.
-			return planner.Answer{Outcome: planner.Expired, Reason: planner.ReasonGuardUnreachable}
+	w, answer, v := e.submit(now, s)
+	for v == ending {
+		if s.elsewhere || !e.awaitRunsEnded(s.ctx, s.job.ID) {
+			e.mu.Unlock()
+			return mayHaveRun, true
 		}
-		e.mu.Lock()
 		now = uptime.Now()
-		answer, answered, verdict = e.submit(ctx, now, deadline, job, terms)
+		w, answer, v = e.submit(now, s)
 	}
-	if answered {
+	if v != open {
 		e.mu.Unlock()
-		return answer
-	}
-	w := e.waiters[job.ID]
-	if w == nil {
-		w = &jobWaiters{ready: make(chan struct{}), terms: terms, arrived: now}
-		e.waiters[job.ID] = w
+		return answer, v == answered
 	}
-	c := &caller{ctx}
+	c := &caller{s.ctx}
 	w.callers = append(w.callers, c)
-	if verdict == planner.Accepted {
-		logAccepted(e.logger, job, terms, deadline-now, e.plan.Forecast(job.ID))
+	if w.handover == nil {
+		e.applyActions(now)
 	}
-	e.applyActions(now)
 	e.mu.Unlock()
 	select {
 	case <-w.ready:
-	case <-ctx.Done():
-		e.removeCaller(job.ID, w, c)
+	case <-s.ctx.Done():
+		e.removeCaller(s.job.ID, w, c)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return w.answer
+	return w.answer, !w.rejected
 }
 
-// submit returns the cached answer of a job, or submits the job if there is none and the caller
-// still waits. The caller of submit holds the lock.
-func (e *Engine) submit(ctx context.Context, now, deadline time.Duration, job work.Job, terms planner.Terms) (answer planner.Answer, answered bool, v planner.Verdict) {
-	if k, cached := e.answers[job.ID]; cached && now-k.at < answerTTL {
-		return k.answer, true, 0
+// verdict is the result of a submission.
+type verdict int
+
+const (
+	// open: the job runs here or was handed over, and its caller waits for the answer.
+	open verdict = iota
+	// answered: there is an answer.
+	answered
+	// ending: runs of an earlier submission of the job may go on.
+	ending
+	// notServed: the job must not be started here, and no other entry takes it.
+	notServed
+)
+
+// submit returns the cached answer of a job, joins it if it is open, hands it over or accepts it. The
+// caller of submit holds the lock.
+func (e *Engine) submit(now time.Duration, s submission) (*jobWaiters, planner.Answer, verdict) {
+	id := s.job.ID
+	if k, cached := e.answers[id]; cached && now-k.at < answerTTL {
+		return nil, k.answer, answered
 	}
-	if e.isDisconnected(ctx) {
+	if e.isDisconnected(s.ctx) {
 		// The start would be ordered and stopped in one message.
-		return planner.Answer{Outcome: planner.Cancelled, Reason: planner.ReasonCallerGone}, true, 0
+		return nil, planner.Answer{Outcome: planner.Cancelled, Reason: planner.ReasonCallerGone}, answered
+	}
+	if w := e.waiters[id]; w != nil && w.handover != nil {
+		if s.takenOver {
+			// Two entries that hand the same job to each other would wait for each other.
+			return nil, mayHaveRun, answered
+		}
+		return w, planner.Answer{}, open
 	}
-	return planner.Answer{}, false, e.plan.Submit(now, deadline, job, terms)
+	if e.handedRunsUntil[id] > now {
+		return nil, planner.Answer{}, ending
+	}
+	if w := e.handOverIfDue(now, s); w != nil {
+		return w, planner.Answer{}, open
+	}
+	if _, _, known := e.plan.State(id); s.elsewhere && !known {
+		return nil, planner.Answer{}, notServed
+	}
+	return e.accept(now, s)
+}
+
+// accept submits a job to the planner, or joins it there. The caller of accept holds the lock.
+func (e *Engine) accept(now time.Duration, s submission) (*jobWaiters, planner.Answer, verdict) {
+	v := e.plan.SubmitWaited(now, s.deadline, s.waited, s.job, s.terms)
+	if v == planner.StillEnding {
+		return nil, planner.Answer{}, ending
+	}
+	w := e.waiters[s.job.ID]
+	if w == nil {
+		w = &jobWaiters{ready: make(chan struct{}), terms: s.terms, arrived: now}
+		e.waiters[s.job.ID] = w
+	}
+	if v == planner.Accepted {
+		logAccepted(e.logger, s.job, s.terms, s.deadline-now, e.plan.Forecast(s.job.ID))
+	}
+	return w, planner.Answer{}, open
 }
 
 // runsEndedChan returns the channel that is closed when the last run of an ended job is over. The
@@ -190,8 +293,16 @@
 	return e.runsEnded[id]
 }
 
-// awaitRunsEnded reports whether the runs of the earlier job with the same id ended in time.
-func awaitRunsEnded(ctx context.Context, ended chan struct{}) bool {
+// awaitRunsEnded reports whether the runs of the earlier job with the same id ended in time. The caller
+// holds the lock, which is released meanwhile.
+func (e *Engine) awaitRunsEnded(ctx context.Context, id string) bool {
+	handedLeft := e.handedRunsUntil[id] - uptime.Now()
+	ended := e.runsEndedChan(id)
+	e.mu.Unlock()
+	defer e.mu.Lock()
+	if handedLeft > 0 {
+		return handedLeft <= runsEndedTimeout && uptime.Sleep(ctx, handedLeft)
+	}
 	select {
 	case <-ended:
 		return true
@@ -205,10 +316,15 @@
 func (e *Engine) Cancel(id string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if _, open := e.waiters[id]; !open {
+	w := e.waiters[id]
+	if w == nil {
 		return false
 	}
 	now := uptime.Now()
+	if w.handover != nil {
+		e.cancelHandover(now, id, w)
+		return true
+	}
 	e.plan.Cancel(now, id)
 	e.applyActions(now)
 	return true
@@ -218,6 +334,9 @@
 func (e *Engine) State(id string) (outcome planner.Outcome, started, known bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if w := e.waiters[id]; w != nil && w.handover != nil {
+		return 0, true, true
+	}
 	if outcome, started, known = e.plan.State(id); known && outcome == 0 {
 		return outcome, started, true
 	}
@@ -227,11 +346,21 @@
 	return outcome, started, known
 }
 
-// Count returns the numbers of open jobs of a contract, or of all contracts if it is "".
+// Count returns the numbers of open jobs of a contract, or of all contracts if it is "". Jobs that were
+// handed over count as running.
 func (e *Engine) Count(contract string) planner.Counts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.plan.Count(uptime.Now(), contract)
+	c := e.plan.Count(uptime.Now(), contract)
+	if e.handedOver == 0 {
+		return c
+	}
+	for _, w := range e.waiters {
+		if w.handover != nil && (contract == "" || w.terms.Contract == contract) {
+			c.Running++
+		}
+	}
+	return c
 }
 
 // Endpoints counts the endpoints by state; states without endpoints are included.
--- a/entry/jobs/jobs_test.go
+++ b/entry/jobs/jobs_test.go
@@ -38,7 +38,12 @@
 )
 
 func newEngine() (*Engine, *fakeGuard) {
-	e := New(Options{Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Scope: tally.NoopScope})
+	return newEngineWith(Options{Logger: slog.New(slog.NewJSONHandler(io.Discard, nil)), Scope: tally.NoopScope})
+}
+
+// newEngineWith returns an engine with one endpoint.
+func newEngineWith(o Options) (*Engine, *fakeGuard) {
+	e := New(o)
 	g := &fakeGuard{starts: make(chan planner.Start, 16), stops: make(chan planner.Stop, 16)}
 	e.Attach("g", "a", true, g)
 	e.ApplyUpdate("g", g, GuardUpdate{Status: &planner.EndpointStatus{Service: "s", Runner: work.Incarnation{ID: "r"}, AcceptsStarts: true, Total: work.Amounts{CPUMilli: 4000}}})
--- a/entry/jobs/log.go
+++ b/entry/jobs/log.go
@@ -9,6 +9,7 @@
 
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
+	entryhandover "almondstand.dev/entry/handover"
 )
 
 func millis(key string, d time.Duration) slog.Attr { return slog.Int64(key, d.Milliseconds()) }
@@ -123,3 +124,21 @@
 		slog.String("outcome", d.Outcome.String()), slog.String("why", string(d.Reason)),
 		millis("waited_ms", d.Waited), millis("took_ms", took), millis("retry_after_ms", d.RetryAfter))
 }
+
+func logHandedOver(l *slog.Logger, h *jobHandover, lag time.Duration) {
+	jobHandedOver.Log(context.Background(), l, slog.String("job", h.submission.job.ID), slog.String("contract", h.submission.terms.Contract),
+		slog.String("to", h.address), slog.String("why", string(h.why)), millis("lag_ms", lag), millis("time_left_ms", h.submission.deadline-h.startedAt))
+}
+
+func logHandoverEnded(l *slog.Logger, h *jobHandover, end handoverEnd, a planner.Answer, took time.Duration) {
+	attrs := []slog.Attr{slog.String("job", h.submission.job.ID), slog.String("to", h.address), slog.String("end", string(end)), millis("took_ms", took)}
+	if end == handoverAnswered {
+		attrs = append(attrs, slog.String("outcome", a.Outcome.String()), slog.String("why", string(a.Reason)))
+	}
+	handoverEnded.Log(context.Background(), l, attrs...)
+}
+
+func logTakenOver(l *slog.Logger, j entryhandover.Job) {
+	jobTakenOver.Log(context.Background(), l, slog.String("job", j.Work.ID), slog.String("contract", j.Contract),
+		millis("waited_ms", j.Waited), millis("time_left_ms", j.TimeLeft))
+}
--- a/entry/jobs/metrics.go
+++ b/entry/jobs/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/uber-go/tally/v4"
 
+	"almondstand.dev/dispatch/handover"
 	"almondstand.dev/dispatch/planner"
 )
 
@@ -13,6 +14,7 @@
 	outcomes map[outcomeKey]*outcomeMetrics
 	// waitError is the wait of jobs less that predicted on their arrival, in seconds.
 	waitError tally.Histogram
+	takenOver tally.Counter
 }
 
 type outcomeKey struct {
@@ -41,6 +43,7 @@
 func newMetrics(scope tally.Scope) *metrics {
 	m := &metrics{scope: scope, changes: map[planner.RunEvent]tally.Counter{}, outcomes: map[outcomeKey]*outcomeMetrics{}}
 	m.waitError = scope.Histogram("job_wait_less_predicted_seconds", tally.ValueBuckets{-2, -1, -0.5, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.5, 1, 2})
+	m.takenOver = scope.Counter("jobs_taken_over_total")
 	for c, name := range changeNames {
 		m.changes[c] = scope.Tagged(map[string]string{"change": name}).Counter("run_changes_total")
 	}
@@ -75,3 +78,13 @@
 		m.waitError.RecordValue((d.Waited - x.Wait).Seconds())
 	}
 }
+
+// countHandover counts a job that was handed over, by why and by how that ended.
+func (m *metrics) countHandover(why handover.Reason, end handoverEnd) {
+	m.scope.Tagged(map[string]string{"why": string(why), "outcome": string(end)}).Counter("jobs_handed_over_total").Inc(1)
+}
+
+// countNotTaken counts a job that another entry handed over and that was not taken.
+func (m *metrics) countNotTaken(why string) {
+	m.scope.Tagged(map[string]string{"why": why}).Counter("job_handovers_not_taken_total").Inc(1)
+}
--- a/entry/jobs/pause.go
+++ b/entry/jobs/pause.go
@@ -53,7 +53,8 @@
 		return
 	}
 	if now-e.lastCheck > pauseThreshold {
-		e.plan.PauseStarts(now + resumeDelay)
+		e.pausedUntil = now + resumeDelay
+		e.plan.PauseStarts(e.pausedUntil)
 		processPaused.Log(context.Background(), e.logger, millis("for_ms", now-e.lastCheck))
 	}
 	e.lastCheck = now
