entry/front: a draining entry offers jobs to other entries

Change: the handler reads the job and offers it with Jobs.SubmitElsewhere. It rejects it as before if it is invalid or if no other entry takes it. The terms of a contract come from jobs.Terms. Result: go test ./front ./cmd/almondstand in entry passes.

--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -15,6 +15,7 @@
 	"almondstand.dev/contract/route"
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
+	"almondstand.dev/entry/jobs"
 	"almondstand.dev/platform/ingress"
 	"almondstand.dev/telemetry/uptime"
 )
@@ -41,6 +42,8 @@
 // Jobs runs jobs; see entry/jobs.
 type Jobs interface {
 	Submit(ctx context.Context, job work.Job, terms planner.Terms, deadline time.Duration) planner.Answer
+	// SubmitElsewhere starts no job here. It returns false if no other entry takes the job.
+	SubmitElsewhere(ctx context.Context, job work.Job, terms planner.Terms, deadline time.Duration) (planner.Answer, bool)
 	Cancel(id string) bool
 	State(id string) (outcome planner.Outcome, started, known bool)
 	Count(contract string) planner.Counts
@@ -52,7 +55,7 @@
 	jobs   Jobs
 	logger *slog.Logger
 	// closing makes responses close their connections, so that callers open the next one
-	// to another entry. closed rejects new jobs.
+	// to another entry. closed keeps new jobs from being started here.
 	closing, closed atomic.Bool
 	inFlight        atomic.Int64
 }
@@ -65,7 +68,7 @@
 // DisableKeepAlives makes every further response close its connection.
 func (f *Handler) DisableKeepAlives() { f.closing.Store(true) }
 
-// RejectNewJobs makes the handler reject new jobs.
+// RejectNewJobs makes the handler reject new jobs that no other entry takes over.
 func (f *Handler) RejectNewJobs() { f.closed.Store(true) }
 
 // InFlight returns the number of requests in flight.
@@ -117,16 +120,32 @@
 }
 
 func (f *Handler) submit(w http.ResponseWriter, req *http.Request, table *route.Table, c *route.Contract, id string) {
-	arrived := uptime.Now() - ingress.ReceivedBefore(req.Context())
-	if f.closed.Load() {
+	closed := f.closed.Load()
+	job, deadline, err := f.readJob(w, req, table, c, id)
+	if closed {
+		if err == nil {
+			if answer, served := f.jobs.SubmitElsewhere(req.Context(), job, jobs.Terms(c), deadline); served {
+				f.writeOutcome(w, answer)
+				return
+			}
+		}
 		f.rejectEarly(w, req, "this entry is ending")
 		return
 	}
-	timeout, present, err := ingress.Deadline(req)
 	if err != nil {
 		f.rejectInvalid(w, req, c, id, err)
 		return
 	}
+	f.writeOutcome(w, f.jobs.Submit(req.Context(), job, jobs.Terms(c), deadline))
+}
+
+// readJob reads and checks a request. deadline is the uptime until which its caller waits.
+func (f *Handler) readJob(w http.ResponseWriter, req *http.Request, table *route.Table, c *route.Contract, id string) (job work.Job, deadline time.Duration, err error) {
+	arrived := uptime.Now() - ingress.ReceivedBefore(req.Context())
+	timeout, present, err := ingress.Deadline(req)
+	if err != nil {
+		return work.Job{}, 0, err
+	}
 	if !present {
 		timeout = defaultTimeout
 		if c.Timeout > 0 {
@@ -137,28 +156,15 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	job, err := ingress.ReadJob(w, req, id, limit)
+	job, err = ingress.ReadJob(w, req, id, limit)
 	if err != nil {
-		f.rejectInvalid(w, req, c, id, err)
-		return
+		return work.Job{}, 0, err
 	}
-	if uptime.Now() >= arrived+timeout {
-		f.rejectInvalid(w, req, c, id, ingress.ErrDeadlineExceeded)
-		return
-	}
-	answer := f.jobs.Submit(req.Context(), job, terms(c), arrived+timeout)
-	f.writeOutcome(w, answer)
-}
-
-func terms(c *route.Contract) planner.Terms {
-	return planner.Terms{
-		Contract:     c.Name,
-		Service:      c.Service,
-		Priority:     c.Priority,
-		MaxAttempts:  c.MaxAttempts,
-		TargetFactor: c.TargetFactor,
-		TargetMargin: c.TargetMargin,
+	deadline = arrived + timeout
+	if uptime.Now() >= deadline {
+		return work.Job{}, 0, ingress.ErrDeadlineExceeded
 	}
+	return job, deadline, nil
 }
 
 func (f *Handler) writeOutcome(w http.ResponseWriter, a planner.Answer) {
@@ -174,7 +180,7 @@
 	}
 }
 
-// rejectEarly rejects a request before its body is read: none of its tasks has run. The log
+// rejectEarly rejects a request of which none of the tasks has run. The log
 // record takes the job ID from the end of the path, as the contract may not be known.
 func (f *Handler) rejectEarly(w http.ResponseWriter, req *http.Request, reason string) {
 	rejectedEarly.Log(req.Context(), f.logger, slog.String("job", path.Base(req.URL.Path)), slog.String("why", reason))
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -33,6 +33,9 @@
 func (noJobs) Submit(context.Context, work.Job, planner.Terms, time.Duration) planner.Answer {
 	return planner.Answer{}
 }
+func (noJobs) SubmitElsewhere(context.Context, work.Job, planner.Terms, time.Duration) (planner.Answer, bool) {
+	return planner.Answer{}, false
+}
 func (noJobs) Cancel(string) bool                         { return false }
 func (noJobs) State(string) (planner.Outcome, bool, bool) { return 0, false, false }
 func (noJobs) Count(string) planner.Counts                { return planner.Counts{} }
@@ -72,3 +75,35 @@
 		})
 	}
 }
+
+// validBody is the body of a request for a job of one task.
+const validBody = `{"best_effort":true,"steps":[{"count":1,"cpu":1000}]}`
+
+// elsewhere is a Jobs of an entry whose jobs other entries take over.
+type elsewhere struct{ noJobs }
+
+func (elsewhere) SubmitElsewhere(context.Context, work.Job, planner.Terms, time.Duration) (planner.Answer, bool) {
+	return planner.Answer{Outcome: planner.Completed}, true
+}
+
+// Guards against rejections by an entry that shuts down while another entry takes its jobs, and against
+// jobs that it starts itself.
+func TestJobsOfDrainingEntryAreOfferedToOthers(t *testing.T) {
+	table := route.NewTable(1, route.Limits{}, []*route.Contract{{Name: "c", Host: "h.example", Prefix: "/q/", Service: "s"}})
+	for _, c := range []struct {
+		jobs Jobs
+		body string
+		code int
+	}{
+		{elsewhere{}, validBody, 200},
+		{noJobs{}, validBody, 503},
+		{elsewhere{}, "{}", 503},
+	} {
+		f := New(&config{table, true}, c.jobs, slog.New(slog.DiscardHandler))
+		f.RejectNewJobs()
+		req := httptest.NewRequest("POST", "http://h.example/q/00000000000000a7", strings.NewReader(c.body))
+		w := httptest.NewRecorder()
+		f.ServeHTTP(w, req)
+		assert.Equal(t, w.Code, c.code, w.Body.String())
+	}
+}
