--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -9,6 +9,7 @@
 
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
+	"almondstand.dev/entry/internal/clockoffset"
 	"almondstand.dev/entry/jobs"
 	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/fleetwire"
@@ -47,7 +48,7 @@
 	lastReceived   time.Duration
 	membersVersion uint64
 	// offset estimates the age of the guard's messages.
-	offset clockOffset
+	offset clockoffset.Estimate
 
 	// cordon tells the guard whether its data centre is cordoned. Only the send loop uses it.
 	cordon cordonNotice
@@ -95,7 +96,7 @@
 	now := uptime.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.offset.age(now, time.Duration(clockUs)*time.Microsecond)
+	return s.offset.Age(now, time.Duration(clockUs)*time.Microsecond)
 }
 
 // noteRead records that a message was processed. If it carried capacity and tasks are pending, an
