entry/handover: client and server of the stream between entries

An entry that hands jobs over needs a transport that never takes a job that may have run for one that was not taken. Client keeps one stream for each other entry: jobs, cancellations and answers that are due go in one message, heartbeats and the silence limit apply only while jobs are in flight. Server passes jobs to a Taker; it answers each job once, also cancelled ones, and takes none whose message waited unread for the silence limit.

--- /dev/null
+++ b/entry/handover/handover_test.go
@@ -0,0 +1,398 @@
+package handover
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"almondstand.dev/dispatch/planner"
+	"almondstand.dev/dispatch/work"
+	"almondstand.dev/standin/relay"
+	"almondstand.dev/telemetry/uptime"
+	"almondstand.dev/wire/fleetwire"
+	"almondstand.dev/wire/wirev1"
+	"almondstand.dev/wire/wirev1/wirev1connect"
+)
+
+// slack is how much later than its limit something may happen on a busy machine.
+const slack = 300 * time.Millisecond
+
+type takerFunc func(ctx context.Context, j Job) (planner.Answer, error)
+
+func (f takerFunc) TakeOver(ctx context.Context, j Job) (planner.Answer, error) { return f(ctx, j) }
+
+// service is the service of an entry, with one call.
+type service struct {
+	wirev1connect.UnimplementedFleetServiceHandler
+	handOver func(context.Context, *streamFromClient) error
+}
+
+func (s service) HandOver(ctx context.Context, st *streamFromClient) error {
+	return s.handOver(ctx, st)
+}
+
+// serve serves a FleetService on a loopback address.
+func serve(t testing.TB, s wirev1connect.FleetServiceHandler) (string, *http.Server) {
+	l, err := fleetwire.Listen(t.Context(), "127.0.0.1:0")
+	assert.NilError(t, err)
+	mux := http.NewServeMux()
+	mux.Handle(fleetwire.NewHandler(s))
+	server := fleetwire.NewServer(mux)
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return l.Addr().String(), server
+}
+
+func serveTaker(t testing.TB, f takerFunc) (string, tally.TestScope) {
+	scope := tally.NewTestScope("", nil)
+	address, _ := serve(t, service{handOver: NewServer(f, ServerOptions{Entry: "second", Scope: scope}).HandOver})
+	return address, scope
+}
+
+// startRelay starts a relay to an address.
+func startRelay(t testing.TB, target string) (string, *relay.Relay) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	r := relay.New(target)
+	go func() { _ = r.Serve(t.Context(), l) }()
+	return l.Addr().String(), r
+}
+
+func startClient(t testing.TB) (*Client, tally.TestScope) {
+	scope := tally.NewTestScope("", nil)
+	c := NewClient(ClientOptions{Entry: "first", Incarnation: 1, Scope: scope})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- c.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	return c, scope
+}
+
+// counter returns the sum of a counter over its tags.
+func counter(s tally.TestScope, name string) (n int64) {
+	for _, c := range s.Snapshot().Counters() {
+		if c.Name() == name {
+			n += c.Value()
+		}
+	}
+	return n
+}
+
+func testJob(n int) Job {
+	return Job{
+		Work: work.Job{ID: fmt.Sprintf("%016x", n), Spec: "spec", Steps: []work.Step{
+			{Count: 3, Need: work.Amounts{CPUMilli: 500, MemoryMB: 64, GPUs: 1}, Declared: 60 * time.Millisecond, Label: "l", DataRack: "r", MaxPerRunner: 2},
+			{Count: 1, After: []int{0}},
+		}},
+		Contract: "c", TimeLeft: 5 * time.Second, Waited: 20 * time.Millisecond,
+	}
+}
+
+// untilDone is a Taker that waits until a job's context ends, and reports both.
+type untilDone struct {
+	taken chan context.Context
+	ended chan time.Time
+}
+
+func newUntilDone() *untilDone {
+	return &untilDone{make(chan context.Context, 100), make(chan time.Time, 100)}
+}
+
+func (u *untilDone) TakeOver(ctx context.Context, _ Job) (planner.Answer, error) {
+	u.taken <- ctx
+	<-ctx.Done()
+	u.ended <- time.Now()
+	return planner.Answer{}, ctx.Err()
+}
+
+// handOver hands a job over in the background.
+func handOver(ctx context.Context, c *Client, address string, j Job) chan error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := c.HandOver(ctx, address, j)
+		done <- err
+	}()
+	return done
+}
+
+// Guards against a job or an answer that arrives changed: the second entry would run something else, or
+// the caller gets another outcome.
+func TestJobAndAnswerArriveUnchanged(t *testing.T) {
+	answers := []planner.Answer{
+		{Outcome: planner.Completed, Reason: planner.ReasonDone},
+		{Outcome: planner.Failed, Reason: planner.ReasonTaskFailed},
+		{Outcome: planner.Refused, Reason: planner.ReasonOverload, RetryAfter: 1500 * time.Millisecond},
+		{Outcome: planner.Expired, Reason: planner.ReasonDeadline},
+	}
+	next := 0
+	address, _ := serveTaker(t, func(_ context.Context, j Job) (planner.Answer, error) {
+		want := testJob(next)
+		assert.Check(t, j.TimeLeft <= want.TimeLeft && j.TimeLeft > want.TimeLeft-slack && j.Waited >= want.Waited && j.Waited < want.Waited+slack)
+		j.TimeLeft, j.Waited = want.TimeLeft, want.Waited
+		assert.Check(t, fmt.Sprintf("%+v", j) == fmt.Sprintf("%+v", want))
+		next++
+		return answers[next-1], nil
+	})
+	c, _ := startClient(t)
+	for i, want := range answers {
+		got, err := c.HandOver(t.Context(), address, testJob(i))
+		assert.NilError(t, err)
+		assert.Equal(t, got, want)
+	}
+}
+
+// Guards against a job that is lost or late because the other entry can't be reached, is suspended before
+// the stream is open, or does not know the call: the first entry must learn soon that it can run the job.
+func TestEntryThatCannotBeReached(t *testing.T) {
+	gone, server := serve(t, service{})
+	assert.NilError(t, server.Close())
+	older, _ := serve(t, wirev1connect.UnimplementedFleetServiceHandler{})
+	suspended, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = suspended.Close() }()
+	unnamed, _ := serve(t, service{handOver: func(_ context.Context, st *streamFromClient) error {
+		return st.Send(&wirev1.HandOverResponse{})
+	}})
+	itself, _ := serve(t, service{handOver: NewServer(newUntilDone(), ServerOptions{Entry: "first"}).HandOver})
+	c, scope := startClient(t)
+	for name, address := range map[string]string{"gone": gone, "older": older, "suspended": suspended.Addr().String(), "unnamed": unnamed, "itself": itself, "no address": "x"} {
+		start := time.Now()
+		_, err := c.HandOver(t.Context(), address, testJob(1))
+		assert.ErrorIs(t, err, ErrNotTaken, name)
+		assert.Assert(t, time.Since(start) < connectTimeout+slack, name)
+	}
+	assert.Equal(t, counter(scope, "handover_connections_failed_total"), int64(5))
+}
+
+// Guards against a refusal that is taken for "tasks may have run", and the reverse.
+func TestEntryThatTakesNoJob(t *testing.T) {
+	for taken, want := range map[error]error{ErrNotTaken: ErrNotTaken, errors.New("x"): nil} {
+		address, _ := serveTaker(t, func(context.Context, Job) (planner.Answer, error) { return planner.Answer{}, taken })
+		c, _ := startClient(t)
+		a, err := c.HandOver(t.Context(), address, testJob(1))
+		assert.ErrorIs(t, err, want)
+		assert.Equal(t, a.Outcome == planner.Expired, want == nil)
+	}
+}
+
+// Guards against a job that runs twice: the other entry died after the job was sent, so the first must not
+// run it.
+func TestEntryDiesAfterTheJobWasSent(t *testing.T) {
+	taker := newUntilDone()
+	address, server := serve(t, service{handOver: NewServer(taker, ServerOptions{Entry: "second"}).HandOver})
+	c, _ := startClient(t)
+	done := handOver(t.Context(), c, address, testJob(1))
+	<-taker.taken
+	assert.NilError(t, server.Close())
+	assert.ErrorIs(t, <-done, ErrLost)
+}
+
+// Guards against runs that outlive the caller's wait of 1.3 s, and a caller that waits: the other entry is
+// suspended (its bytes wait), or the link is cut in one or both directions. The answer is lost with it.
+func TestSilentStreamEndsAtBothEntries(t *testing.T) {
+	for name, state := range map[string]relay.State{
+		"suspended":  {ToTarget: relay.Stall, ToClient: relay.Stall},
+		"cut":        {ToTarget: relay.Drop, ToClient: relay.Drop},
+		"cut there":  {ToTarget: relay.Drop, ToClient: relay.Pass},
+		"cut return": {ToTarget: relay.Pass, ToClient: relay.Drop},
+	} {
+		t.Run(name, func(t *testing.T) {
+			taker := newUntilDone()
+			target, _ := serve(t, service{handOver: NewServer(taker, ServerOptions{Entry: "second"}).HandOver})
+			address, r := startRelay(t, target)
+			c, _ := startClient(t)
+			done := handOver(t.Context(), c, address, testJob(1))
+			ctx := <-taker.taken
+			time.Sleep(2 * silenceLimit)
+			assert.Assert(t, !Disconnected(ctx), "ended though heartbeats arrived")
+			assert.NilError(t, r.Set(state))
+			cut := time.Now()
+			assert.ErrorIs(t, <-done, ErrLost)
+			assert.Assert(t, time.Since(cut) < silenceLimit+readGrace+slack, "%s", time.Since(cut))
+			ended := <-taker.ended
+			assert.Assert(t, ended.Sub(cut) < silenceLimit+readGrace+slack, "%s", ended.Sub(cut))
+			assert.Assert(t, Disconnected(ctx))
+		})
+	}
+}
+
+// Guards against tasks of callers that left long ago: an entry that was suspended reads a job that waited
+// in its kernel. Its own clock does not show that, since the stream was idle.
+func TestJobThatWaitedUnreadIsNotTaken(t *testing.T) {
+	var mu sync.Mutex
+	taken := 0
+	target, scope := serveTaker(t, func(context.Context, Job) (planner.Answer, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		taken++
+		return planner.Answer{Outcome: planner.Completed}, nil
+	})
+	address, r := startRelay(t, target)
+	c, _ := startClient(t)
+	_, err := c.HandOver(t.Context(), address, testJob(1))
+	assert.NilError(t, err)
+	assert.NilError(t, r.Set(relay.State{ToTarget: relay.Stall, ToClient: relay.Pass}))
+	_, err = c.HandOver(t.Context(), address, testJob(2))
+	assert.ErrorIs(t, err, ErrLost)
+	assert.NilError(t, r.Set(relay.State{ToTarget: relay.Pass, ToClient: relay.Pass}))
+	for counter(scope, "handover_streams_ended_total") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	assert.Equal(t, taken, 1)
+}
+
+// Guards against a message to a guard that lets runs go on: an entry that was suspended checks its callers
+// before its timers have fired, and then reads heartbeats that had waited.
+func TestDisconnectedByTheClockAlone(t *testing.T) {
+	s := &serverStream{server: NewServer(nil, ServerOptions{}), inFlight: map[string]context.CancelFunc{"a": nil}}
+	ctx := context.WithValue(t.Context(), streamKey{}, s)
+	s.heard.record(uptime.Now())
+	assert.Assert(t, !Disconnected(ctx))
+	s.heard = lastHeard{}
+	s.heard.record(uptime.Now() - silenceLimit)
+	assert.Assert(t, Disconnected(ctx))
+	assert.ErrorIs(t, s.accept(uptime.Now(), 0, &wirev1.HandOverRequest{}), errSilent)
+	assert.Assert(t, Disconnected(ctx))
+	assert.Assert(t, !Disconnected(t.Context()))
+}
+
+// Guards against a job of a caller that has left which is sent nevertheless.
+func TestCallerLeavesBeforeTheJobIsSent(t *testing.T) {
+	var ids []string
+	target, _ := serveTaker(t, func(_ context.Context, j Job) (planner.Answer, error) {
+		ids = append(ids, j.Work.ID)
+		return planner.Answer{Outcome: planner.Completed}, nil
+	})
+	address, r := startRelay(t, target)
+	assert.NilError(t, r.Set(relay.State{ToTarget: relay.Stall, ToClient: relay.Pass}))
+	c, _ := startClient(t)
+	ctx, cancel := context.WithTimeout(t.Context(), connectTimeout/10)
+	defer cancel()
+	other := handOver(t.Context(), c, address, testJob(2))
+	_, err := c.HandOver(ctx, address, testJob(1))
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	assert.NilError(t, r.Set(relay.State{ToTarget: relay.Pass, ToClient: relay.Pass}))
+	assert.NilError(t, <-other)
+	assert.DeepEqual(t, ids, []string{testJob(2).Work.ID})
+}
+
+// Guards against tasks that run on for a caller that has left, and against an answer to its job that is
+// taken for one to a later submission: "not taken" would let the first entry run tasks that run already.
+func TestCallerLeavesAfterTheJobWasSent(t *testing.T) {
+	cancelled, release := make(chan struct{}), make(chan struct{})
+	address, _ := serveTaker(t, func(ctx context.Context, _ Job) (planner.Answer, error) {
+		<-ctx.Done()
+		close(cancelled)
+		<-release
+		return planner.Answer{}, ErrNotTaken
+	})
+	c, scope := startClient(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := c.HandOver(ctx, address, testJob(1))
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
+	<-cancelled
+	_, err = c.HandOver(t.Context(), address, testJob(1))
+	assert.ErrorIs(t, err, ErrLost)
+	close(release)
+	assert.Equal(t, counter(scope, "handover_answers_without_job_total"), int64(0))
+}
+
+// Guards against streams that break or send heartbeats while no job is in flight, and against idle ones
+// that are kept for ever.
+func TestIdleStream(t *testing.T) {
+	target, scope := serveTaker(t, func(context.Context, Job) (planner.Answer, error) {
+		return planner.Answer{Outcome: planner.Completed}, nil
+	})
+	address, r := startRelay(t, target)
+	c, _ := startClient(t)
+	for i, state := range []relay.State{{ToTarget: relay.Stall, ToClient: relay.Stall}, {ToTarget: relay.Pass, ToClient: relay.Pass}} {
+		_, err := c.HandOver(t.Context(), address, testJob(i))
+		assert.NilError(t, err)
+		assert.NilError(t, r.Set(state))
+		time.Sleep(silenceLimit + heartbeatInterval)
+		assert.NilError(t, r.Set(relay.State{ToTarget: relay.Pass, ToClient: relay.Pass}))
+	}
+	assert.Equal(t, counter(scope, "handover_streams_opened_total"), int64(1))
+	s := c.streams[address]
+	s.mu.Lock()
+	last := s.lastJob
+	s.mu.Unlock()
+	m, wait, err := s.next(last + idleTimeout - time.Second)
+	assert.Assert(t, m == nil && err == nil && wait == time.Second)
+	_, _, err = s.next(last + idleTimeout)
+	assert.ErrorIs(t, err, errIdle)
+	_, err = c.HandOver(t.Context(), address, testJob(3))
+	assert.NilError(t, err, "a job after the idle stream was closed")
+}
+
+// Guards against callers that wait for an entry that shuts down, and jobs that it still sends.
+func TestClientShutsDown(t *testing.T) {
+	taker := newUntilDone()
+	address, _ := serve(t, service{handOver: NewServer(taker, ServerOptions{Entry: "second"}).HandOver})
+	c := NewClient(ClientOptions{Entry: "first"})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := handOver(t.Context(), c, address, testJob(1))
+	<-taker.taken
+	cancel()
+	assert.NilError(t, c.Run(ctx))
+	assert.ErrorIs(t, <-done, ErrLost)
+	<-taker.ended
+	_, err := c.HandOver(t.Context(), address, testJob(2))
+	assert.ErrorIs(t, err, ErrNotTaken)
+}
+
+// Guards against answers that are mixed up, lost or never come when many callers hand jobs over and leave
+// at once.
+func TestManyJobsAtOnce(t *testing.T) {
+	address, _ := serveTaker(t, func(ctx context.Context, j Job) (planner.Answer, error) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(j.Work.ID[15]) * 50 * time.Microsecond):
+		}
+		if j.Work.ID[15] == '7' {
+			return planner.Answer{}, ErrNotTaken
+		}
+		return planner.Answer{Outcome: planner.Refused, RetryAfter: time.Duration(len(j.Work.Spec)) * time.Second}, nil
+	})
+	c, scope := startClient(t)
+	var callers sync.WaitGroup
+	for n := range 64 {
+		callers.Go(func() {
+			for i := range 20 {
+				j := testJob(n*1000 + i)
+				j.Work.Spec = fmt.Sprintf("%*s", n+1, "")
+				ctx, cancel := context.WithCancel(t.Context())
+				if i%5 == 0 {
+					time.AfterFunc(time.Duration(n)*100*time.Microsecond, cancel)
+				}
+				a, err := c.HandOver(ctx, address, j)
+				cancel()
+				switch {
+				case errors.Is(err, context.Canceled):
+					assert.Check(t, i%5 == 0)
+				case errors.Is(err, ErrNotTaken):
+					assert.Check(t, j.Work.ID[15] == '7')
+				default:
+					assert.Check(t, err == nil && a.RetryAfter == time.Duration(n+1)*time.Second, "%v %v", a, err)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	assert.Equal(t, counter(scope, "handover_streams_opened_total"), int64(1))
+	assert.Equal(t, counter(scope, "handover_answers_without_job_total"), int64(0))
+}
