entry/edge, entry/handover: connect the engine with the client and the server of handovers

Cause: nothing handed jobs over or took them over. Change: edge.Entry runs the client, serves HandOver, and while it drains it takes no more jobs over and waits for those in flight in both directions. The callers' check before each message to a guard covers jobs taken over (handover.Disconnected). The client checks callers before each of its messages too (ClientOptions.BeforeSend): an entry that was stalled would otherwise send a job, or a heartbeat that lets one go on, for a caller that has left. Setting capacity.scheduling.hand_over, true by default; gauges of the jobs in flight.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -15,6 +15,7 @@
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/entry/follower"
 	"almondstand.dev/entry/front"
+	"almondstand.dev/entry/handover"
 	"almondstand.dev/entry/jobs"
 	"almondstand.dev/entry/lag"
 	"almondstand.dev/entry/latestart"
@@ -23,6 +24,7 @@
 	"almondstand.dev/platform/ingress"
 	"almondstand.dev/platform/store"
 	"almondstand.dev/telemetry"
+	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/fleetwire"
 	"almondstand.dev/wire/wirev1"
 )
@@ -56,6 +58,9 @@
 	sessions *sessions.Server
 	lag      *lag.Meter
 	front    *front.Handler
+	// handOver hands jobs over to other entries, and takeOver takes theirs.
+	handOver *handover.Client
+	takeOver *handover.Server
 	// callers is the server of the callers' connections.
 	callers  *http.Server
 	draining atomic.Bool
@@ -77,15 +82,26 @@
 		Seeds:   func() []string { return e.settings.Load().seedAddresses() },
 		Logger:  o.Logger,
 	}, client, e.config)
-	e.jobs = jobs.New(jobs.Options{
-		Planner:      planner.Options{DataCentre: s.DataCentre, Seed: incarnation, Disabled: s.Scheduling.disabled()},
-		Logger:       o.Logger,
-		Scope:        o.Metrics.Scope,
-		Disconnected: ingress.Disconnected,
-		Peers:        latestart.NewClient(s.ID, e.members),
+	e.lag = lag.New(o.Metrics.Scope, o.Logger)
+	jobOptions := jobs.Options{
+		Planner:        planner.Options{DataCentre: s.DataCentre, Seed: incarnation, Disabled: s.Scheduling.disabled()},
+		Logger:         o.Logger,
+		Scope:          o.Metrics.Scope,
+		Disconnected:   disconnected,
+		Peers:          latestart.NewClient(s.ID, e.members),
+		Contracts:      e.config,
+		ReceivedBefore: ingress.ReceivedBefore,
+	}
+	e.handOver = handover.NewClient(handover.ClientOptions{
+		Entry: s.ID, Incarnation: incarnation, Logger: o.Logger, Scope: o.Metrics.Scope,
+		BeforeSend: func() { e.jobs.CheckCallers(uptime.Now()) },
 	})
+	if s.Scheduling.HandOver {
+		jobOptions.HandOver = e.handOver
+	}
+	e.jobs = jobs.New(jobOptions)
+	e.takeOver = handover.NewServer(e.jobs, handover.ServerOptions{Entry: s.ID, Incarnation: incarnation, Logger: o.Logger, Scope: o.Metrics.Scope})
 	e.config.OnCordons(e.jobs.SetCordons)
-	e.lag = lag.New(o.Metrics.Scope, o.Logger)
 	e.sessions = sessions.New(sessions.Options{Entry: s.ID, Incarnation: incarnation, Logger: o.Logger, Lag: e.lag}, e.jobs, e.members)
 	e.front = front.New(e.config, e.jobs, o.Logger)
 	e.callers = &http.Server{
@@ -98,6 +114,12 @@
 	return e
 }
 
+// disconnected reports whether the caller of a request has closed its connection, or the entry that handed
+// a job over has cancelled it or is out of contact.
+func disconnected(ctx context.Context) bool {
+	return ingress.Disconnected(ctx) || handover.Disconnected(ctx)
+}
+
 // Reload reads the settings file again. Only the seeds may change while the entry
 // runs. If the file cannot be read, the current settings stay in force.
 func (e *Entry) Reload(ctx context.Context) {
@@ -115,6 +137,8 @@
 	*sessions.Server
 	members    *registry.Registry
 	lateStarts *latestart.Server
+	// takeOver is nil if handovers are turned off.
+	takeOver *handover.Server
 }
 
 // Meet answers a call from another entry.
@@ -127,9 +151,20 @@
 	return f.lateStarts.LateStarts(ctx, req)
 }
 
-// HandOver takes no jobs over.
-func (f fleetService) HandOver(context.Context, *connect.BidiStream[wirev1.HandOverRequest, wirev1.HandOverResponse]) error {
-	return connect.NewError(connect.CodeUnimplemented, nil)
+// HandOver takes over jobs of another entry.
+func (f fleetService) HandOver(ctx context.Context, st *connect.BidiStream[wirev1.HandOverRequest, wirev1.HandOverResponse]) error {
+	if f.takeOver == nil {
+		return connect.NewError(connect.CodeUnimplemented, nil)
+	}
+	return f.takeOver.HandOver(ctx, st)
+}
+
+func (e *Entry) fleetService(s Settings) fleetService {
+	f := fleetService{Server: e.sessions, members: e.members, lateStarts: latestart.NewServer(e.jobs)}
+	if s.Scheduling.HandOver {
+		f.takeOver = e.takeOver
+	}
+	return f
 }
 
 // Run serves until ctx ends, then waits for open requests to be answered.
@@ -148,9 +183,10 @@
 	addActor(e.sessions.Run)
 	addActor(e.publishGauges)
 	addActor(e.lag.Run)
+	addActor(e.handOver.Run)
 	addActor(func(c context.Context) error {
 		mux := http.NewServeMux()
-		mux.Handle(fleetwire.NewHandler(fleetService{e.sessions, e.members, latestart.NewServer(e.jobs)}))
+		mux.Handle(fleetwire.NewHandler(e.fleetService(s)))
 		return serve(c, s.Listen.Guards.String(), fleetwire.NewServer(mux))
 	})
 	addActor(func(c context.Context) error {
@@ -192,10 +228,10 @@
 	return true
 }
 
-// drain waits until shutdownCtx ends. It then reports the entry as not ready,
-// still accepts requests until the load balancer has noticed, closes idle
-// connections and rejects requests after that, and waits until every open
-// request is answered or the grace period has almost passed.
+// drain waits until shutdownCtx ends. It then reports the entry as not ready and takes no more jobs over,
+// still accepts requests until the load balancer has noticed, closes idle connections and starts no more
+// jobs after that, and waits until every open request and every job taken over is answered or the grace
+// period has almost passed.
 func (e *Entry) drain(shutdownCtx, runCtx context.Context) error {
 	select {
 	case <-shutdownCtx.Done():
@@ -204,25 +240,34 @@
 	}
 	start := time.Now()
 	bounds := e.settings.Load().Bounds
-	draining.Log(runCtx, e.opts.Logger, slog.Int("open", e.front.InFlight()))
+	draining.Log(runCtx, e.opts.Logger, slog.Int("open", e.open()))
 	e.draining.Store(true)
+	e.jobs.Drain()
 	e.front.DisableKeepAlives()
 	time.Sleep(bounds.BalancerNotice.Std())
 	// New connections go to other entries by now, so callers whose idle connections are closed
 	// reach one that takes their jobs. On a connection that is left open the next job would be
-	// rejected.
+	// handed over or rejected.
 	e.callers.SetKeepAlivesEnabled(false)
 	e.front.RejectNewJobs()
 	limit := bounds.GracePeriod.Std() - exitReserve
-	for e.front.InFlight() > 0 && time.Since(start) < limit {
+	for e.open() > 0 && time.Since(start) < limit {
 		time.Sleep(drainPollInterval)
 	}
-	if n := e.front.InFlight(); n > 0 {
+	if n := e.open(); n > 0 {
 		drainTimedOut.Log(runCtx, e.opts.Logger, slog.Int("open", n))
 	}
+	// The last answers are being sent.
+	time.Sleep(drainPollInterval)
 	return nil
 }
 
+// open returns the number of callers' requests and of jobs taken over that are not answered.
+func (e *Entry) open() int {
+	_, takenOver := e.jobs.InFlight()
+	return e.front.InFlight() + takenOver
+}
+
 // serve serves HTTP on address until ctx ends, and then closes all connections.
 func serve(ctx context.Context, address string, server *http.Server) error {
 	listener, err := fleetwire.Listen(ctx, address)
--- a/entry/edge/gauges.go
+++ b/entry/edge/gauges.go
@@ -40,6 +40,8 @@
 	stalled := scope.Counter("runs_stalled_total")
 	othersWaiting := scope.Gauge("others_waiting_cores")
 	reserved := scope.Gauge("reserved_cores")
+	handedOver := scope.Tagged(map[string]string{"side": "out"}).Gauge("handovers_in_flight")
+	takenOver := scope.Tagged(map[string]string{"side": "in"}).Gauge("handovers_in_flight")
 	tick := time.NewTicker(gaugeInterval)
 	defer tick.Stop()
 	for {
@@ -75,6 +77,9 @@
 		shared := e.jobs.SharedDemand()
 		othersWaiting.Update(float64(shared.WaitingMilli) / 1000)
 		reserved.Update(float64(shared.ReservedMilli) / 1000)
+		out, in := e.jobs.InFlight()
+		handedOver.Update(float64(out))
+		takenOver.Update(float64(in))
 		droppedLines.Update(float64(e.opts.Metrics.LinesDropped()))
 	}
 }
--- a/entry/edge/settings.go
+++ b/entry/edge/settings.go
@@ -69,6 +69,8 @@
 	SharedDemand bool `json:"shared_demand"`
 	// BacklogLimit: the backlog of each contract is limited.
 	BacklogLimit bool `json:"backlog_limit"`
+	// HandOver: jobs are handed over to other entries, and taken over from them.
+	HandOver bool `json:"hand_over"`
 }
 
 // disabled returns the parts of the planner that are turned off.
@@ -95,7 +97,7 @@
 			// the balancer opens just before it notices.
 			BalancerNotice: settings.Duration(2300 * time.Millisecond),
 		},
-		Scheduling: Scheduling{RunProgress: true, EndpointSpeeds: true},
+		Scheduling: Scheduling{RunProgress: true, EndpointSpeeds: true, HandOver: true},
 		Log:        Log{Level: "info"},
 	}}
 }
--- a/entry/handover/client.go
+++ b/entry/handover/client.go
@@ -22,6 +22,10 @@
 	Incarnation uint64
 	Logger      *slog.Logger
 	Scope       tally.Scope
+	// BeforeSend is called before each message. It ends the contexts of jobs whose callers have
+	// disconnected, so that they are not sent, or are cancelled with the message: this entry may have been
+	// stalled, and its messages let the jobs go on. nil if the contexts alone decide.
+	BeforeSend func()
 }
 
 // errShutDown ends the streams when Run's context ends.
--- a/entry/handover/clientstream.go
+++ b/entry/handover/clientstream.go
@@ -106,16 +106,22 @@
 func (s *clientStream) leave(h *handedJob) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	id := h.job.Work.ID
-	if s.inFlight[id] == h {
-		h.left = true
-		s.cancelled = append(s.cancelled, id)
+	if s.inFlight[h.job.Work.ID] == h {
+		s.cancelJob(h)
 		signal(s.wake)
 		return
 	}
 	s.queue = slices.DeleteFunc(s.queue, func(q *handedJob) bool { return q == h })
 }
 
+// cancelJob queues the cancellation of a job in flight. The caller holds the lock.
+func (s *clientStream) cancelJob(h *handedJob) {
+	if !h.left {
+		h.left = true
+		s.cancelled = append(s.cancelled, h.job.Work.ID)
+	}
+}
+
 // run serves the stream until it ends.
 func (s *clientStream) run() {
 	err := s.serve()
@@ -237,6 +243,9 @@
 		if s.ctx.Err() != nil {
 			return context.Cause(s.ctx)
 		}
+		if beforeSend := s.client.opt.BeforeSend; beforeSend != nil {
+			beforeSend()
+		}
 		m, wait, err := s.next(uptime.Now())
 		if err != nil {
 			return err
@@ -271,6 +280,12 @@
 		s.rejectQueued()
 		return nil, heartbeatInterval, nil
 	}
+	for _, h := range s.inFlight {
+		if h.ctx.Err() != nil {
+			// Its caller has left, and the goroutine that waits for it may not have run yet.
+			s.cancelJob(h)
+		}
+	}
 	m = &wirev1.HandOverRequest{Cancelled: s.cancelled}
 	s.cancelled = nil
 	for _, h := range s.queue {
