--- a/dispatch/planner/preview_test.go
+++ b/dispatch/planner/preview_test.go
@@ -71,5 +71,6 @@
 	assert.Equal(t, fresh.Slack-waited.Slack, 30*ms)
 	w := work.Job{ID: "j", Steps: []work.Step{{Count: 1, Need: core, Declared: 100 * ms}}}
 	assert.Equal(t, f.SubmitWaited(f.now, f.now+1500*ms, 900*ms, w, terms), Accepted)
+	assert.Equal(t, f.Count(f.now, "").Oldest, 900*ms)
 	assert.Equal(t, len(f.act().Starts), 1)
 }
