entry/lag, entry/edge: recent lag, spare processor time and the cores of the host

The decision to hand jobs over needs the mean lag of the last 200 ms and the processor time that is left. The meter kept only maxima for a second.

lag.Meter.Recent returns the mean delay of requests (ObserveRequest, new), guards' messages, orders and its own timer over 150 to 200 ms.

go test -race of entry/lag, entry/edge, entry/jobs, entry/sessions and entry/cmd/almondstand passes.

--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -85,7 +85,7 @@
 		Peers:        latestart.NewClient(s.ID, e.members),
 	})
 	e.config.OnCordons(e.jobs.SetCordons)
-	e.lag = lag.New(o.Metrics.Scope, o.Logger)
+	e.lag = lag.New(o.Metrics.Scope, o.Logger, s.Host.Cores)
 	e.sessions = sessions.New(sessions.Options{Entry: s.ID, Incarnation: incarnation, Logger: o.Logger, Lag: e.lag}, e.jobs, e.members)
 	e.front = front.New(e.config, e.jobs, o.Logger)
 	e.callers = &http.Server{
--- a/entry/edge/settings.go
+++ b/entry/edge/settings.go
@@ -3,7 +3,9 @@
 package edge
 
 import (
+	"fmt"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"almondstand.dev/dispatch/planner"
@@ -28,6 +30,7 @@
 	// Store is the platform's metadata store.
 	Store  settings.Address `json:"store" validate:"required"`
 	Bounds Bounds           `json:"bounds"`
+	Host   Host             `json:"host"`
 	// Scheduling turns parts of the scheduling on or off.
 	Scheduling Scheduling `json:"scheduling"`
 	Log        Log        `json:"log"`
@@ -59,6 +62,16 @@
 	BalancerNotice settings.Duration `json:"balancer_notice"`
 }
 
+// Host describes what the process may use of its host.
+type Host struct {
+	// Cores is the number of cores, or a share of one; 0 means unknown. An entry that
+	// does not know it takes over no jobs of others.
+	Cores float64 `json:"cores"`
+}
+
+// maxCores is the largest number of cores that a host may have.
+const maxCores = 1024
+
 // Scheduling turns parts of the scheduling on or off.
 type Scheduling struct {
 	// RunProgress: the progress of runs decides whether they are stopped.
@@ -123,6 +136,10 @@
 		out = append(out, settings.Error{Path: "capacity.bounds.grace", Found: s.Bounds.GracePeriod.Std().String(),
 			Allowed: "capacity.bounds.balancer_notice and " + exitReserve.String() + " more"})
 	}
+	if c := s.Host.Cores; !(c >= 0 && c <= maxCores) {
+		out = append(out, settings.Error{Path: "capacity.host.cores", Found: strconv.FormatFloat(c, 'g', -1, 64),
+			Allowed: fmt.Sprintf("0 (unknown) to %d", maxCores)})
+	}
 	return out
 }
 
--- a/entry/jobs/handover.go
+++ b/entry/jobs/handover.go
@@ -37,5 +37,8 @@
 	if e.lag != nil {
 		s.Lag = e.lag()
 	}
+	if e.used != nil {
+		s.UsedPermille = e.used()
+	}
 	return s
 }
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -49,6 +49,9 @@
 	// Lag returns the mean time by which this entry has lately handled events late; nil if it is
 	// not measured.
 	Lag func() time.Duration
+	// Used returns the share of its processor time that this entry has lately used, in thousandths; nil
+	// or zero if it is not known.
+	Used func() int
 }
 
 // Engine runs jobs.
@@ -60,6 +63,7 @@
 	peers        Peers
 	handOver     HandOver
 	lag          func() time.Duration
+	used         func() int
 
 	mu sync.Mutex
 	// policy decides which jobs are handed over.
@@ -107,6 +111,7 @@
 		peers:        o.Peers,
 		handOver:     o.HandOver,
 		lag:          o.Lag,
+		used:         o.Used,
 		policy:       handover.New(o.Planner.Seed),
 		plan:         planner.New(o.Planner),
 		waiters:      map[string]*jobWaiters{},
--- a/entry/lag/lag.go
+++ b/entry/lag/lag.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"almondstand.dev/telemetry"
+	"almondstand.dev/telemetry/uptime"
 )
 
 const (
@@ -42,6 +44,12 @@
 	timerLateness, messageAge, orderDelay maxDuration
 	read, sent                            atomic.Int64
 	starts, rejected                      atomic.Int64
+
+	mu     sync.Mutex
+	delays Delays
+	usage  Usage
+	// cores is the number of cores of the host; zero if it is not known.
+	cores float64
 }
 
 type gauges struct {
@@ -49,9 +57,10 @@
 	read, sent                                 tally.Counter
 }
 
-// New returns a meter. Once Run is called it reports to scope and logger.
-func New(scope tally.Scope, logger *slog.Logger) *Meter {
-	return &Meter{logger: logger, gauges: gauges{
+// New returns a meter. Once Run is called it reports to scope and logger. cores is the number of the
+// host's cores that the process may use; zero if it is not known.
+func New(scope tally.Scope, logger *slog.Logger, cores float64) *Meter {
+	return &Meter{logger: logger, cores: cores, gauges: gauges{
 		timerLateness: scope.Gauge("timer_late_seconds"),
 		messageAge:    scope.Gauge("guard_message_age_seconds"),
 		orderDelay:    scope.Gauge("order_delay_seconds"),
@@ -66,6 +75,51 @@
 func (m *Meter) ObserveMessage(age time.Duration) {
 	m.messageAge.observe(age)
 	m.read.Add(1)
+	m.observe(age)
+}
+
+// ObserveRequest counts a caller's request that was read. age is how long it waited unread in the kernel.
+func (m *Meter) ObserveRequest(age time.Duration) { m.observe(age) }
+
+// observe adds a delay to the recent ones.
+func (m *Meter) observe(delay time.Duration) {
+	now := uptime.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.delays.Observe(now, delay)
+}
+
+// Recent returns the mean time by which the entry has lately handled events late: requests and messages
+// that waited unread, orders sent late and timers that fired late.
+func (m *Meter) Recent() time.Duration {
+	now := uptime.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.delays.Mean(now)
+}
+
+// SpareMilli returns the processor time that the entry did not use lately, in thousandths of a core; zero
+// if the number of cores is not known.
+func (m *Meter) SpareMilli() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.usage.SpareMilli(m.cores)
+}
+
+// UsedPermille returns the share of its processor time that the entry used lately, in thousandths; zero
+// if the number of cores is not known.
+func (m *Meter) UsedPermille() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.usage.UsedPermille(m.cores)
+}
+
+// sampleUsage records the processor time that the process has used.
+func (m *Meter) sampleUsage(cpu time.Duration) {
+	now := uptime.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.usage.Observe(now, cpu)
 }
 
 // ObserveSend counts a message to a guard. starts is the number of start orders in it, delay the time
@@ -75,6 +129,7 @@
 	m.starts.Add(int64(starts))
 	if starts > 0 {
 		m.orderDelay.observe(delay)
+		m.observe(delay)
 	}
 }
 
@@ -96,8 +151,10 @@
 		}
 		now := time.Now()
 		m.timerLateness.observe(now.Sub(due))
+		m.observe(now.Sub(due))
+		used := telemetry.ReadUsage().CPU
+		m.sampleUsage(used)
 		if span := now.Sub(reported); span >= reportInterval {
-			used := telemetry.ReadUsage().CPU
 			m.report(ctx, span, used-cpu)
 			reported, cpu = now, used
 		}
--- a/entry/lag/lag_test.go
+++ b/entry/lag/lag_test.go
@@ -15,7 +15,7 @@
 // Each report covers only its own interval: maxima and counters are reset after it.
 func TestReportCoversOnlyItsInterval(t *testing.T) {
 	var out bytes.Buffer
-	m := New(tally.NoopScope, slog.New(slog.NewJSONHandler(&out, nil)))
+	m := New(tally.NoopScope, slog.New(slog.NewJSONHandler(&out, nil)), 0)
 	m.ObserveMessage(30 * time.Millisecond)
 	m.ObserveMessage(400 * time.Millisecond)
 	m.ObserveSend(3, 70*time.Millisecond)
@@ -38,7 +38,7 @@
 // Run logs one report per second.
 func TestRunReportsEverySecond(t *testing.T) {
 	var out bytes.Buffer
-	m := New(tally.NoopScope, slog.New(slog.NewJSONHandler(&out, nil)))
+	m := New(tally.NoopScope, slog.New(slog.NewJSONHandler(&out, nil)), 0)
 	ctx, cancel := context.WithTimeout(t.Context(), reportInterval+reportInterval/2)
 	defer cancel()
 	assert.NilError(t, m.Run(ctx))
--- a/entry/sessions/sessions_test.go
+++ b/entry/sessions/sessions_test.go
@@ -75,7 +75,7 @@
 	logger := slog.New(slog.DiscardHandler)
 	e := jobs.New(jobs.Options{Logger: logger, Scope: tally.NoopScope})
 	s := &session{
-		server: New(Options{Logger: logger, Lag: lag.New(tally.NoopScope, logger)}, e, &fakeMembers{}),
+		server: New(Options{Logger: logger, Lag: lag.New(tally.NoopScope, logger, 0)}, e, &fakeMembers{}),
 		guard:  "g", wake: make(chan struct{}, 1), open: map[work.RunID]struct{}{},
 	}
 	e.Attach("g", "a", true, s)
@@ -184,7 +184,7 @@
 	var gone atomic.Bool
 	e := jobs.New(jobs.Options{Logger: logger, Scope: tally.NoopScope, Disconnected: func(context.Context) bool { return gone.Load() }})
 	mux := http.NewServeMux()
-	mux.Handle(fleetwire.NewHandler(attachService{Server: New(Options{Logger: logger, Lag: lag.New(tally.NoopScope, logger)}, e, &fakeMembers{})}))
+	mux.Handle(fleetwire.NewHandler(attachService{Server: New(Options{Logger: logger, Lag: lag.New(tally.NoopScope, logger, 0)}, e, &fakeMembers{})}))
 	l, err := fleetwire.Listen(t.Context(), "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := fleetwire.NewServer(mux)
