guard/load, guard/uplink, entry/sessions: report loads and list spare entries

An entry that is short of processor time must know which entries can take its jobs.

Entries add their load to messages to guards while they have spare processor time, and ask for those of others.

--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -158,6 +158,9 @@
 		}
 		s.recordClock(m.GetClockUs())
 		sentAt := uptime.Now() - s.messageAge(m.GetClockUs())
+		if loads := loadsOf(m.GetSpareEntries()); len(loads) > 0 {
+			s.server.jobs.RecordLoads(loads)
+		}
 		update := jobs.GuardUpdate{SentAt: sentAt, Status: capacityOf(m.GetCapacity())}
 		for _, r := range m.GetReports() {
 			c := changeOf(r)
@@ -272,6 +275,7 @@
 		m.HasPending, m.PendingMilli = s.server.jobs.PendingDemand(s.guard)
 		m.Demand = fleetwire.ToDemands(s.server.jobs.Demand(s.guard))
 		m.Guards = uint32(s.server.jobs.Guards())
+		m.Load, m.WantsSpareEntries = s.server.load()
 		m.Cordon = s.cordon.next(now, s.server.jobs.Cordons(), s.dataCentre)
 		if err := s.stream.Send(m); err != nil {
 			return err
--- a/guard/uplink/outbox.go
+++ b/guard/uplink/outbox.go
@@ -148,7 +148,7 @@
 			continue
 		}
 		clock := uptime.Now()
-		m := &wirev1.AttachRequest{ClockUs: clock.Microseconds(), Reports: reports, LateStarts: late, Progress: progress}
+		m := &wirev1.AttachRequest{ClockUs: clock.Microseconds(), Reports: reports, LateStarts: late, Progress: progress, SpareEntries: s.spareEntries(clock)}
 		if capacity {
 			m.Capacity = s.capacity(clock)
 		}
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -54,6 +54,10 @@
 	demand int64
 	// urgent is the most urgent of the demand by contract; nil if the entry has not sent any.
 	urgent *work.Demand
+	// wantsSpare is true while the entry wants the loads of other entries; spareSent is when they
+	// were last sent.
+	wantsSpare bool
+	spareSent  time.Duration
 	// capacityDue is when capacity is to be sent; zero if it is not scheduled.
 	capacityDue time.Time
 	// capacitySent is when capacity was last sent, and sentCapacity its value.
@@ -243,6 +247,7 @@
 	}
 	s.recordCordon(m)
 	s.recordDemand(m)
+	s.recordLoad(m)
 	s.setPending(m.GetHasPending(), m.GetPendingMilli())
 	s.recordFleetState(m)
 	if s.takeDeferred() {
--- a/guard/uplink/uplink.go
+++ b/guard/uplink/uplink.go
@@ -12,6 +12,7 @@
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/guard/advertise"
 	"almondstand.dev/guard/demand"
+	"almondstand.dev/guard/load"
 	"almondstand.dev/guard/runs"
 	"almondstand.dev/guard/subset"
 	"almondstand.dev/wire/fleetwire"
@@ -120,6 +121,10 @@
 	// demandMu guards demand. No other lock is taken while it is held.
 	demandMu sync.Mutex
 	demand   demand.Table
+
+	// loadMu guards loads. No other lock is taken while it is held.
+	loadMu sync.Mutex
+	loads  load.Table
 }
 
 // New returns an uplink without sessions.
@@ -223,6 +228,7 @@
 	if u.current[s.owner.Entry] == s {
 		delete(u.current, s.owner.Entry)
 		u.removeDemand(s.owner.Entry)
+		u.removeLoad(s.owner.Entry)
 	}
 }
 
