--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -82,7 +82,7 @@
 		Seeds:   func() []string { return e.settings.Load().seedAddresses() },
 		Logger:  o.Logger,
 	}, client, e.config)
-	e.lag = lag.New(o.Metrics.Scope, o.Logger)
+	e.lag = lag.New(o.Metrics.Scope, o.Logger, s.Host.Cores)
 	jobOptions := jobs.Options{
 		Planner:        planner.Options{DataCentre: s.DataCentre, Seed: incarnation, Disabled: s.Scheduling.disabled()},
 		Logger:         o.Logger,
@@ -90,6 +90,9 @@
 		Disconnected:   disconnected,
 		Peers:          latestart.NewClient(s.ID, e.members),
 		Contracts:      e.config,
+		Lag:            e.lag.Recent,
+		Used:           e.lag.UsedPermille,
+		SpareMilli:     e.lag.SpareMilli,
 		ReceivedBefore: ingress.ReceivedBefore,
 	}
 	e.handOver = handover.NewClient(handover.ClientOptions{
@@ -104,6 +107,7 @@
 	e.config.OnCordons(e.jobs.SetCordons)
 	e.sessions = sessions.New(sessions.Options{Entry: s.ID, Incarnation: incarnation, Logger: o.Logger, Lag: e.lag}, e.jobs, e.members)
 	e.front = front.New(e.config, e.jobs, o.Logger)
+	e.front.OnRequest(e.lag.ObserveRequest)
 	e.callers = &http.Server{
 		Handler:           e.front,
 		ConnContext:       ingress.ConnContext,
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -58,6 +58,8 @@
 	// to another entry. closed keeps new jobs from being started here.
 	closing, closed atomic.Bool
 	inFlight        atomic.Int64
+	// onRequest is set by OnRequest.
+	onRequest func(age time.Duration)
 }
 
 // New returns a handler that accepts jobs.
@@ -65,6 +67,10 @@
 	return &Handler{config: c, jobs: j, logger: logger}
 }
 
+// OnRequest sets the function that is called for each request for a job, with the time for which it has
+// waited unread. It must be called before requests are served.
+func (f *Handler) OnRequest(observe func(age time.Duration)) { f.onRequest = observe }
+
 // DisableKeepAlives makes every further response close its connection.
 func (f *Handler) DisableKeepAlives() { f.closing.Store(true) }
 
@@ -141,7 +147,11 @@
 
 // readJob reads and checks a request. deadline is the uptime until which its caller waits.
 func (f *Handler) readJob(w http.ResponseWriter, req *http.Request, table *route.Table, c *route.Contract, id string) (job work.Job, deadline time.Duration, err error) {
-	arrived := uptime.Now() - ingress.ReceivedBefore(req.Context())
+	age := ingress.ReceivedBefore(req.Context())
+	arrived := uptime.Now() - age
+	if f.onRequest != nil {
+		f.onRequest(age)
+	}
 	timeout, present, err := ingress.Deadline(req)
 	if err != nil {
 		return work.Job{}, 0, err
--- a/entry/jobs/handover.go
+++ b/entry/jobs/handover.go
@@ -92,6 +92,9 @@
 	if e.lag != nil {
 		s.Lag = e.lag()
 	}
+	if e.used != nil {
+		s.UsedPermille = e.used()
+	}
 	return s
 }
 
@@ -102,6 +105,13 @@
 	e.draining = true
 }
 
+// TakesJobs reports whether this entry takes over jobs of others if it has the processor time.
+func (e *Engine) TakesJobs() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.handOver != nil && !e.draining
+}
+
 // InFlight returns the numbers of jobs that are handed over to other entries and taken over from them.
 func (e *Engine) InFlight() (handedOver, takenOver int) {
 	e.mu.Lock()
@@ -134,7 +144,7 @@
 	if state.Unreachable {
 		e.unreachedAt = now
 	}
-	if !e.policy.Wanted(now, state) || e.contract(s.terms.Contract) == nil {
+	if e.contract(s.terms.Contract) == nil {
 		return nil
 	}
 	if e.receivedBefore != nil {
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -51,6 +51,9 @@
 	// Lag returns the mean time by which this entry has lately handled events late; nil if it is
 	// not measured.
 	Lag func() time.Duration
+	// Used returns the share of its processor time that this entry has lately used, in thousandths; nil
+	// or zero if it is not known.
+	Used func() int
 	// SpareMilli returns the processor time that this entry did not use lately, in thousandths of a
 	// core; zero if there is none or it is unknown. If it is nil, no job is taken over.
 	SpareMilli func() int
@@ -69,6 +72,7 @@
 	handOver     HandOver
 	contracts    Contracts
 	lag          func() time.Duration
+	used         func() int
 	spareMilli   func() int
 	// receivedBefore is Options.ReceivedBefore.
 	receivedBefore func(context.Context) time.Duration
@@ -136,6 +140,7 @@
 		handOver:     o.HandOver,
 		contracts:    o.Contracts,
 		lag:          o.Lag,
+		used:         o.Used,
 		spareMilli:   o.SpareMilli,
 		policy:       handover.New(o.Planner.Seed),
 		plan:         planner.New(o.Planner),
@@ -296,13 +301,14 @@
 // awaitRunsEnded reports whether the runs of the earlier job with the same id ended in time. The caller
 // holds the lock, which is released meanwhile.
 func (e *Engine) awaitRunsEnded(ctx context.Context, id string) bool {
-	handedLeft := e.handedRunsUntil[id] - uptime.Now()
+	if left := e.handedRunsUntil[id] - uptime.Now(); left > 0 {
+		e.mu.Unlock()
+		defer e.mu.Lock()
+		return left <= runsEndedTimeout && uptime.Sleep(ctx, left)
+	}
 	ended := e.runsEndedChan(id)
 	e.mu.Unlock()
 	defer e.mu.Lock()
-	if handedLeft > 0 {
-		return handedLeft <= runsEndedTimeout && uptime.Sleep(ctx, handedLeft)
-	}
 	select {
 	case <-ended:
 		return true
