e2e: an entry that drains hands its jobs over, and either entry fails meanwhile

Cause: no test ran a handover with real processes. Change: fleet.Options.Cores names the cores of the entries' hosts. In a fleet of three entries the first drains; the second takes its jobs over, and is killed, suspended, cut off, or suspended before it reads a job; the first is killed or suspended, or the caller leaves. The job is then submitted to the third as a caller does. No task may run twice, no "not run" may be false, and the caller of a lost job is answered within 0.9 s.

--- a/e2e/fleet/fleet.go
+++ b/e2e/fleet/fleet.go
@@ -51,6 +51,9 @@
 	// DataCentres are the data centres of the guards, in turn, and of their runners; the entries are
 	// in the first. Empty for a single one.
 	DataCentres []string
+	// Cores are the cores of the entries' hosts as named in their settings, in the order of the entries;
+	// those of further entries are not named. An entry takes over jobs of others only if they are.
+	Cores []float64
 }
 
 // defaultDataCentre is the data centre of a fleet with a single one.
@@ -270,8 +273,13 @@
 }
 
 func (f *Fleet) entrySettings(n *Node, store string) any {
+	host := map[string]any{}
+	if i := slices.Index(f.Entries, n); i < len(f.options.Cores) {
+		host["cores"] = f.options.Cores[i]
+	}
 	return capacitySection(map[string]any{
-		"id": n.ID, "zone": f.options.dataCentre(0),
+		"host": host,
+		"id":   n.ID, "zone": f.options.dataCentre(0),
 		"listen": map[string]string{"callers": n.CallersAddress, "ready": n.ReadyAddress, "guards": fmt.Sprintf("%s:%d", n.IP, entryPort), "advertise": fmt.Sprintf("%s:%d", n.AdvertisedIP, entryPort), "metrics": n.MetricsAddress},
 		"seeds":  f.seeds(),
 		"store":  store,
