--- a/entry/handover/client.go
+++ b/entry/handover/client.go
@@ -67,7 +67,7 @@
 // HandOver hands a job over to the entry at an address and returns its answer. It returns
 //   - ErrNotTaken if the job was not sent, or if the other entry has not taken it;
 //   - ErrLost if the stream ended after the job was passed to it for sending, or if an earlier submission
-//     of the job is still in flight on the stream;
+//     of the job is not answered yet on the stream;
 //   - the context's error if the context ended first. A job that was not sent by then is not sent at all,
 //     one that was sent is cancelled.
 func (c *Client) HandOver(ctx context.Context, address string, j Job) (planner.Answer, error) {
--- a/entry/handover/clientstream.go
+++ b/entry/handover/clientstream.go
@@ -90,11 +90,8 @@
 		return false, nil
 	}
 	id := h.job.Work.ID
-	if s.inFlight[id] != nil {
-		return false, fmt.Errorf("%w: job %s is in flight already", ErrLost, id)
-	}
-	if slices.ContainsFunc(s.queue, func(q *handedJob) bool { return q.job.Work.ID == id }) {
-		return false, fmt.Errorf("%w: job %s is queued already", ErrNotTaken, id)
+	if s.inFlight[id] != nil || slices.ContainsFunc(s.queue, func(q *handedJob) bool { return q.job.Work.ID == id }) {
+		return false, fmt.Errorf("%w: job %s was passed to the stream before", ErrLost, id)
 	}
 	s.queue = append(s.queue, h)
 	s.lastJob = h.queuedAt
@@ -196,9 +193,12 @@
 	go func() {
 		// Two sleeps: if this process is stalled during the first one, the second is left for reading
 		// what has arrived meanwhile.
-		if uptime.Sleep(connecting, connectTimeout/2) && uptime.Sleep(connecting, connectTimeout/2) {
-			s.cancel(errConnectTimeout)
+		for range 2 {
+			if !uptime.Sleep(connecting, connectTimeout/2) {
+				return
+			}
 		}
+		s.cancel(errConnectTimeout)
 	}()
 	opt := s.client.opt
 	err := st.Send(&wirev1.HandOverRequest{
@@ -312,9 +312,9 @@
 	}
 	if len(s.inFlight) == 0 {
 		s.heard.record(now)
+		s.startWatch()
 	}
 	s.inFlight[h.job.Work.ID] = h
-	s.startWatch()
 	return h.message
 }
 
@@ -343,7 +343,7 @@
 		s.rejectQueued()
 		time.AfterFunc(readGrace, func() { s.cancel(errSilent) })
 	default:
-		s.watch.Reset(silenceLimit - (now - s.heard.time()))
+		s.watch.Reset(s.heard.untilSilent(now))
 	}
 }
 
--- a/entry/handover/handover.go
+++ b/entry/handover/handover.go
@@ -63,6 +63,11 @@
 // of a process that was suspended fire some time after it resumes.
 func (l *lastHeard) silent(now time.Duration) bool { return now-l.time() >= silenceLimit }
 
+// untilSilent returns the time until the other end will have been silent for too long.
+func (l *lastHeard) untilSilent(now time.Duration) time.Duration {
+	return silenceLimit - (now - l.time())
+}
+
 // signal wakes the goroutine that sends, without blocking.
 func signal(wake chan struct{}) {
 	select {
--- a/entry/handover/handover_test.go
+++ b/entry/handover/handover_test.go
@@ -6,12 +6,15 @@
 	"fmt"
 	"net"
 	"net/http"
+	"reflect"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
@@ -89,6 +92,16 @@
 	return n
 }
 
+// waitForCounter waits for a counter that is increased after the callers have their answers.
+func waitForCounter(t *testing.T, s tally.TestScope, name string, want int64) {
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if n := counter(s, name); n != want {
+			return poll.Continue("%s is %d, not %d", name, n, want)
+		}
+		return poll.Success()
+	})
+}
+
 func testJob(n int) Job {
 	return Job{
 		Work: work.Job{ID: fmt.Sprintf("%016x", n), Spec: "spec", Steps: []work.Step{
@@ -99,6 +112,10 @@
 	}
 }
 
+func completes(context.Context, Job) (planner.Answer, error) {
+	return planner.Answer{Outcome: planner.Completed, Reason: planner.ReasonDone}, nil
+}
+
 // untilDone is a Taker that waits until a job's context ends, and reports both.
 type untilDone struct {
 	taken chan context.Context
@@ -127,28 +144,33 @@
 }
 
 // Guards against a job or an answer that arrives changed: the second entry would run something else, or
-// the caller gets another outcome.
+// the caller gets another outcome. A failure of the second entry must not count as "not taken".
 func TestJobAndAnswerArriveUnchanged(t *testing.T) {
-	answers := []planner.Answer{
-		{Outcome: planner.Completed, Reason: planner.ReasonDone},
-		{Outcome: planner.Failed, Reason: planner.ReasonTaskFailed},
-		{Outcome: planner.Refused, Reason: planner.ReasonOverload, RetryAfter: 1500 * time.Millisecond},
-		{Outcome: planner.Expired, Reason: planner.ReasonDeadline},
+	failed := planner.Answer{Outcome: planner.Expired, Reason: reasonNoAnswer}
+	results := []struct{ taken, want result }{
+		{result{answer: planner.Answer{Outcome: planner.Completed, Reason: planner.ReasonDone}}, result{}},
+		{result{answer: planner.Answer{Outcome: planner.Failed, Reason: planner.ReasonTaskFailed}}, result{}},
+		{result{answer: planner.Answer{Outcome: planner.Refused, Reason: planner.ReasonOverload, RetryAfter: 1500 * time.Millisecond}}, result{}},
+		{result{answer: planner.Answer{Outcome: planner.Expired, Reason: planner.ReasonDeadline}}, result{}},
+		{result{err: ErrNotTaken}, result{err: ErrNotTaken}},
+		{result{err: errors.New("x")}, result{answer: failed}},
 	}
-	next := 0
+	n := 0
 	address, _ := serveTaker(t, func(_ context.Context, j Job) (planner.Answer, error) {
-		want := testJob(next)
+		want := testJob(n)
 		assert.Check(t, j.TimeLeft <= want.TimeLeft && j.TimeLeft > want.TimeLeft-slack && j.Waited >= want.Waited && j.Waited < want.Waited+slack)
 		j.TimeLeft, j.Waited = want.TimeLeft, want.Waited
-		assert.Check(t, fmt.Sprintf("%+v", j) == fmt.Sprintf("%+v", want))
-		next++
-		return answers[next-1], nil
+		assert.Check(t, reflect.DeepEqual(j, want), "%+v", j)
+		return results[n].taken.answer, results[n].taken.err
 	})
 	c, _ := startClient(t)
-	for i, want := range answers {
-		got, err := c.HandOver(t.Context(), address, testJob(i))
-		assert.NilError(t, err)
-		assert.Equal(t, got, want)
+	for _, r := range results {
+		if r.want == (result{}) {
+			r.want = r.taken
+		}
+		got, err := c.HandOver(t.Context(), address, testJob(n))
+		assert.Equal(t, result{got, err}, r.want)
+		n++
 	}
 }
 
@@ -172,30 +194,22 @@
 		assert.ErrorIs(t, err, ErrNotTaken, name)
 		assert.Assert(t, time.Since(start) < connectTimeout+slack, name)
 	}
-	assert.Equal(t, counter(scope, "handover_connections_failed_total"), int64(5))
-}
-
-// Guards against a refusal that is taken for "tasks may have run", and the reverse.
-func TestEntryThatTakesNoJob(t *testing.T) {
-	for taken, want := range map[error]error{ErrNotTaken: ErrNotTaken, errors.New("x"): nil} {
-		address, _ := serveTaker(t, func(context.Context, Job) (planner.Answer, error) { return planner.Answer{}, taken })
-		c, _ := startClient(t)
-		a, err := c.HandOver(t.Context(), address, testJob(1))
-		assert.ErrorIs(t, err, want)
-		assert.Equal(t, a.Outcome == planner.Expired, want == nil)
-	}
+	waitForCounter(t, scope, "handover_connections_failed_total", 5)
 }
 
-// Guards against a job that runs twice: the other entry died after the job was sent, so the first must not
-// run it.
-func TestEntryDiesAfterTheJobWasSent(t *testing.T) {
+// Guards against a job that runs twice, as the first entry runs it though the second took it before it died,
+// and against jobs that go on for the silence limit after the first entry died.
+func TestConnectionBreaks(t *testing.T) {
 	taker := newUntilDone()
-	address, server := serve(t, service{handOver: NewServer(taker, ServerOptions{Entry: "second"}).HandOver})
+	target, _ := serveTaker(t, taker.TakeOver)
+	address, r := startRelay(t, target)
 	c, _ := startClient(t)
 	done := handOver(t.Context(), c, address, testJob(1))
 	<-taker.taken
-	assert.NilError(t, server.Close())
+	broken := time.Now()
+	assert.Equal(t, r.Reset(), 1)
 	assert.ErrorIs(t, <-done, ErrLost)
+	assert.Assert(t, (<-taker.ended).Sub(broken) < silenceLimit/2)
 }
 
 // Guards against runs that outlive the caller's wait of 1.3 s, and a caller that waits: the other entry is
@@ -209,7 +223,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			taker := newUntilDone()
-			target, _ := serve(t, service{handOver: NewServer(taker, ServerOptions{Entry: "second"}).HandOver})
+			target, _ := serveTaker(t, taker.TakeOver)
 			address, r := startRelay(t, target)
 			c, _ := startClient(t)
 			done := handOver(t.Context(), c, address, testJob(1))
@@ -230,13 +244,10 @@
 // Guards against tasks of callers that left long ago: an entry that was suspended reads a job that waited
 // in its kernel. Its own clock does not show that, since the stream was idle.
 func TestJobThatWaitedUnreadIsNotTaken(t *testing.T) {
-	var mu sync.Mutex
-	taken := 0
-	target, scope := serveTaker(t, func(context.Context, Job) (planner.Answer, error) {
-		mu.Lock()
-		defer mu.Unlock()
-		taken++
-		return planner.Answer{Outcome: planner.Completed}, nil
+	var taken atomic.Int32
+	target, scope := serveTaker(t, func(ctx context.Context, j Job) (planner.Answer, error) {
+		taken.Add(1)
+		return completes(ctx, j)
 	})
 	address, r := startRelay(t, target)
 	c, _ := startClient(t)
@@ -246,12 +257,8 @@
 	_, err = c.HandOver(t.Context(), address, testJob(2))
 	assert.ErrorIs(t, err, ErrLost)
 	assert.NilError(t, r.Set(relay.State{ToTarget: relay.Pass, ToClient: relay.Pass}))
-	for counter(scope, "handover_streams_ended_total") == 0 {
-		time.Sleep(time.Millisecond)
-	}
-	mu.Lock()
-	defer mu.Unlock()
-	assert.Equal(t, taken, 1)
+	waitForCounter(t, scope, "handover_streams_ended_total", 1)
+	assert.Equal(t, taken.Load(), int32(1))
 }
 
 // Guards against a message to a guard that lets runs go on: an entry that was suspended checks its callers
@@ -311,29 +318,52 @@
 	assert.Equal(t, counter(scope, "handover_answers_without_job_total"), int64(0))
 }
 
+// Guards against a client that was suspended and sends jobs on a stream that the other entry has ended, or
+// throws away answers that waited unread.
+func TestClientWasSuspended(t *testing.T) {
+	s := newClientStream(NewClient(ClientOptions{}), "")
+	handed := func(n int) *handedJob {
+		h := &handedJob{ctx: t.Context(), job: testJob(n), message: validJob(t, n), queuedAt: uptime.Now(), done: make(chan result, 1)}
+		_, err := s.enqueue(h)
+		assert.NilError(t, err)
+		return h
+	}
+	first, second := handed(1), handed(2)
+	cancelled := handed(3)
+	now := uptime.Now()
+	m, _, err := s.next(now)
+	assert.NilError(t, err)
+	assert.Equal(t, len(m.GetJobs()), 3, "jobs that are due go in one message")
+	s.leave(cancelled)
+	queued := handed(4)
+	now += silenceLimit
+	s.accept(now, []*wirev1.HandedAnswer{{Id: first.job.Work.ID, Outcome: wirev1.HandedOutcome_HANDED_OUTCOME_COMPLETED}})
+	assert.NilError(t, (<-first.done).err)
+	m, _, err = s.next(now)
+	assert.Assert(t, m == nil && err == nil)
+	assert.ErrorIs(t, (<-queued.done).err, ErrNotTaken)
+	assert.Equal(t, s.fail(), 2)
+	assert.ErrorIs(t, (<-second.done).err, ErrLost)
+}
+
 // Guards against streams that break or send heartbeats while no job is in flight, and against idle ones
 // that are kept for ever.
 func TestIdleStream(t *testing.T) {
-	target, scope := serveTaker(t, func(context.Context, Job) (planner.Answer, error) {
-		return planner.Answer{Outcome: planner.Completed}, nil
-	})
+	target, scope := serveTaker(t, completes)
 	address, r := startRelay(t, target)
 	c, _ := startClient(t)
-	for i, state := range []relay.State{{ToTarget: relay.Stall, ToClient: relay.Stall}, {ToTarget: relay.Pass, ToClient: relay.Pass}} {
+	for i, mode := range []relay.Mode{relay.Stall, relay.Pass} {
 		_, err := c.HandOver(t.Context(), address, testJob(i))
 		assert.NilError(t, err)
-		assert.NilError(t, r.Set(state))
+		assert.NilError(t, r.Set(relay.State{ToTarget: mode, ToClient: mode}))
 		time.Sleep(silenceLimit + heartbeatInterval)
 		assert.NilError(t, r.Set(relay.State{ToTarget: relay.Pass, ToClient: relay.Pass}))
 	}
 	assert.Equal(t, counter(scope, "handover_streams_opened_total"), int64(1))
 	s := c.streams[address]
-	s.mu.Lock()
-	last := s.lastJob
-	s.mu.Unlock()
-	m, wait, err := s.next(last + idleTimeout - time.Second)
+	m, wait, err := s.next(s.lastJob + idleTimeout - time.Second)
 	assert.Assert(t, m == nil && err == nil && wait == time.Second)
-	_, _, err = s.next(last + idleTimeout)
+	_, _, err = s.next(s.lastJob + idleTimeout)
 	assert.ErrorIs(t, err, errIdle)
 	_, err = c.HandOver(t.Context(), address, testJob(3))
 	assert.NilError(t, err, "a job after the idle stream was closed")
@@ -342,7 +372,7 @@
 // Guards against callers that wait for an entry that shuts down, and jobs that it still sends.
 func TestClientShutsDown(t *testing.T) {
 	taker := newUntilDone()
-	address, _ := serve(t, service{handOver: NewServer(taker, ServerOptions{Entry: "second"}).HandOver})
+	address, _ := serveTaker(t, taker.TakeOver)
 	c := NewClient(ClientOptions{Entry: "first"})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := handOver(t.Context(), c, address, testJob(1))
@@ -366,29 +396,29 @@
 		if j.Work.ID[15] == '7' {
 			return planner.Answer{}, ErrNotTaken
 		}
-		return planner.Answer{Outcome: planner.Refused, RetryAfter: time.Duration(len(j.Work.Spec)) * time.Second}, nil
+		return planner.Answer{Outcome: planner.Refused, RetryAfter: j.Waited.Truncate(time.Minute)}, nil
 	})
 	c, scope := startClient(t)
 	var callers sync.WaitGroup
-	for n := range 64 {
+	for caller := range 64 {
 		callers.Go(func() {
 			for i := range 20 {
-				j := testJob(n*1000 + i)
-				j.Work.Spec = fmt.Sprintf("%*s", n+1, "")
+				n := caller*20 + i
+				j := testJob(n)
+				j.Waited = time.Duration(n) * time.Minute
 				ctx, cancel := context.WithCancel(t.Context())
-				if i%5 == 0 {
-					time.AfterFunc(time.Duration(n)*100*time.Microsecond, cancel)
+				if n%5 == 0 {
+					time.AfterFunc(time.Duration(n)*2*time.Microsecond, cancel)
 				}
-				a, err := c.HandOver(ctx, address, j)
-				cancel()
-				switch {
+				switch a, err := c.HandOver(ctx, address, j); {
 				case errors.Is(err, context.Canceled):
-					assert.Check(t, i%5 == 0)
+					assert.Check(t, n%5 == 0)
 				case errors.Is(err, ErrNotTaken):
 					assert.Check(t, j.Work.ID[15] == '7')
 				default:
-					assert.Check(t, err == nil && a.RetryAfter == time.Duration(n+1)*time.Second, "%v %v", a, err)
+					assert.Check(t, err == nil && a.RetryAfter == j.Waited, "%v %v", a, err)
 				}
+				cancel()
 			}
 		})
 	}
--- a/entry/handover/server.go
+++ b/entry/handover/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -163,6 +164,9 @@
 		case <-s.wake:
 		case <-timer.C:
 		}
+		if s.ctx.Err() != nil {
+			return context.Cause(s.ctx)
+		}
 		m, wait := s.next(uptime.Now())
 		if m == nil {
 			if wait > 0 {
@@ -245,7 +249,7 @@
 		// An answer could not name the job.
 		return s.foreign(fmt.Errorf("%w: job id %.40q", errForeign, id))
 	}
-	if s.inFlight[id] != nil {
+	if s.unanswered(id) {
 		s.server.metrics.repeated.Inc(1)
 		return nil
 	}
@@ -261,7 +265,7 @@
 	}
 	if len(s.inFlight) == 0 {
 		s.quietSince = now
-		s.startWatch()
+		s.startWatch(now)
 		signal(s.wake)
 	}
 	ctx, cancel := context.WithCancel(s.ctx)
@@ -277,6 +281,12 @@
 	return nil
 }
 
+// unanswered reports whether a job with an id is in flight, or its answer waits to be sent: an answer to
+// a second one would be taken for that of the first. The caller holds the lock.
+func (s *serverStream) unanswered(id string) bool {
+	return s.inFlight[id] != nil || slices.ContainsFunc(s.answers, func(a *wirev1.HandedAnswer) bool { return a.GetId() == id })
+}
+
 // queueAnswer queues an answer. The caller holds the lock.
 func (s *serverStream) queueAnswer(a *wirev1.HandedAnswer) {
 	s.answers = append(s.answers, a)
@@ -284,16 +294,17 @@
 }
 
 // startWatch starts the check for silence unless it runs. The caller holds the lock.
-func (s *serverStream) startWatch() {
+func (s *serverStream) startWatch(now time.Duration) {
 	if s.watching {
 		return
 	}
 	s.watching = true
+	wait := s.heard.untilSilent(now)
 	if s.watch == nil {
-		s.watch = time.AfterFunc(silenceLimit, s.checkSilence)
+		s.watch = time.AfterFunc(wait, s.checkSilence)
 		return
 	}
-	s.watch.Reset(silenceLimit)
+	s.watch.Reset(wait)
 }
 
 // checkSilence ends the stream after silenceLimit without a message while jobs are in flight.
@@ -307,14 +318,15 @@
 	case s.heard.silent(now):
 		s.cancel(errSilent)
 	default:
-		s.watch.Reset(silenceLimit - (now - s.heard.time()))
+		s.watch.Reset(s.heard.untilSilent(now))
 	}
 }
 
 // logEnd counts and logs the end of the stream.
 func (s *serverStream) logEnd(err error) {
 	s.mu.Lock()
-	lost := len(s.inFlight)
+	// The Taker may have returned already, since the contexts have ended.
+	lost := len(s.inFlight) + len(s.answers)
 	s.mu.Unlock()
 	attrs := []slog.Attr{slog.String("side", sideIn), slog.String("entry", s.entry), slog.Any("error", err)}
 	if lost > 0 {
