bench/replay, dispatch/handover: entries hand jobs over in the replay

The decision had no load that shows what it gives to callers.

With Load.HandOver, entries report their loads to the guards and hand jobs over with the production policy. A job that is handed over costs the first entry the request (200 of the 300 us of a job), one message sent and one read; the other entry pays for a message read, the rest of the job and the answer; each way takes 1 ms.

--- a/bench/replay/guard.go
+++ b/bench/replay/guard.go
@@ -10,6 +10,7 @@
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/guard/advertise"
 	"almondstand.dev/guard/demand"
+	"almondstand.dev/guard/load"
 	"almondstand.dev/guard/runs"
 )
 
@@ -61,6 +62,7 @@
 	runTimeFactor float64
 	// demand is what entries have reported, offers the state of the offers of capacity.
 	demand demand.Table
+	loads  load.Table
 	offers advertise.Offers
 }
 
@@ -116,6 +118,7 @@
 	owner := l.owner
 	g.table.EntryAlive(owner, sent)
 	l.recordDemand(m.rows)
+	l.recordLoad(m)
 	l.setPending(m.pending, m.demand)
 	var reports []runs.Report
 	for _, id := range o.stops {
--- a/bench/replay/link.go
+++ b/bench/replay/link.go
@@ -5,9 +5,11 @@
 	"slices"
 	"time"
 
+	"almondstand.dev/dispatch/handover"
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/guard/demand"
+	"almondstand.dev/guard/load"
 	"almondstand.dev/guard/runs"
 )
 
@@ -25,6 +27,9 @@
 	owner   runs.Owner
 	pending bool
 	demand  int64
+	// wantsSpare is true if the entry wants the loads of other entries, sentSpare is when they were sent.
+	wantsSpare bool
+	sentSpare  time.Duration
 	// urgent is the most urgent demand; nil if it is not known.
 	urgent *work.Demand
 
@@ -88,6 +93,22 @@
 	}
 }
 
+// recordLoad records the entry's load; see guard/uplink.
+func (l *session) recordLoad(m entryMessage) {
+	l.guard.loads.Record(l.guard.sim.now, l.owner.Entry, m.load)
+	l.wantsSpare = m.wantsSpare
+}
+
+// takeSpare lists the entries with spare processor time for the next message.
+func (l *session) takeSpare() []handover.Load {
+	now := l.guard.sim.now
+	if !l.wantsSpare || now-l.sentSpare < load.ListInterval {
+		return nil
+	}
+	l.sentSpare = now
+	return l.guard.loads.Spare(now, l.owner.Entry)
+}
+
 // MostUrgent implements advertise.Session.
 func (l *session) MostUrgent() (d work.Demand, known bool) {
 	if l.urgent == nil {
@@ -217,8 +238,12 @@
 	}
 	l.guard.sim.result.Messages++
 	e := l.entry
+	spare := l.takeSpare()
 	l.guard.sim.after(messageDelay, func() {
-		e.cpu.run(readCost, func() { e.receive(l.guard.id, now, reports, progress, capacity) })
+		e.cpu.run(readCost, func() {
+			e.recordLoads(spare)
+			e.receive(l.guard.id, now, reports, progress, capacity)
+		})
 	})
 	l.scheduleFlush()
 }
--- a/bench/replay/load.go
+++ b/bench/replay/load.go
@@ -139,6 +139,8 @@
 	LeaveShare float64
 	// Retries is true if the callers of rejected jobs submit them once more, at the same entry.
 	Retries bool
+	// HandOver is true if entries hand jobs over to each other.
+	HandOver bool
 	// Disabled turns off parts of the planners and of the guards.
 	Disabled planner.Features
 }
--- a/dispatch/handover/handover.go
+++ b/dispatch/handover/handover.go
@@ -106,8 +106,8 @@
 // and at which it hands over all that it can. In between it hands over a share of them, so that the use
 // settles.
 const (
-	someUsed = 700
-	allUsed  = 900
+	someUsed = 500
+	allUsed  = 700
 )
 
 // Numbers of times that an entry's lag delays a job.
