entry/jobs, entry/handover: name the entry from which a job was taken over

An operator who reads job.taken_over needs the entry whose log has the rest. handover.From returns it from a job's context.

--- a/e2e/fleet_handover_test.go
+++ b/e2e/fleet_handover_test.go
@@ -112,7 +112,7 @@
 	}
 	assert.Equal(t, f.Checker.Starts()-before, 20)
 	waitUntil(t, time.Second, "the jobs were not handed over", func() bool {
-		return countLines(f.Entries[0], `"msg":"job.handover_ended"`, `"end":"answered"`) == 10 && countLines(f.Entries[1], `"msg":"job.taken_over"`) == 10
+		return countLines(f.Entries[0], `"msg":"job.handover_ended"`, `"end":"answered"`) == 10 && countLines(f.Entries[1], `"msg":"job.taken_over"`, `"from":"entry-1"`) == 10
 	})
 }
 
--- a/entry/handover/server.go
+++ b/entry/handover/server.go
@@ -74,6 +74,14 @@
 	return found && s.heard.silent(uptime.Now())
 }
 
+// From returns the id of the entry that handed over the job with the given context; "" for other contexts.
+func From(ctx context.Context) string {
+	if s, found := ctx.Value(streamKey{}).(*serverStream); found {
+		return s.entry
+	}
+	return ""
+}
+
 type streamFromClient = connect.BidiStream[wirev1.HandOverRequest, wirev1.HandOverResponse]
 
 // HandOver serves the stream of another entry.
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -63,7 +63,7 @@
 			"cancelled: the callers left; or lost: the connection ended, so that tasks may have run, and the callers were answered that.",
 		"lost: look for the end of the other entry's log, and check the network between the entries. Many not_taken: job_handovers_not_taken_total at the other entry has the reasons.")
 	jobTakenOver = eventlog.Define(1284, "job.taken_over", slog.LevelInfo,
-		"This entry has taken over a job from another entry, where its request arrived waited_ms before. Its job.taken line follows.", "None.")
+		"This entry has taken over a job from the entry in from, where its request arrived waited_ms before. Its job.taken line follows.", "None.")
 	jobHeldBack = eventlog.Define(1290, "job.held_back", slog.LevelInfo,
 		"A job is not started although a runner may have free capacity: that is reserved for more urgent work, which arrives at this or other entries and can't wait as long as a run of the job takes. Logged once for a job.",
 		"If it is frequent, the capacity is too small for the load.")
--- a/entry/jobs/handover.go
+++ b/entry/jobs/handover.go
@@ -310,7 +310,7 @@
 		defer e.mu.Unlock()
 		e.takenOver--
 	}()
-	logTakenOver(e.logger, j)
+	logTakenOver(e.logger, j, entryhandover.From(ctx))
 	answer, _ := e.serve(submission{
 		ctx: ctx, job: j.Work, terms: Terms(c), deadline: received + j.TimeLeft, waited: j.Waited, takenOver: true,
 	})
--- a/entry/jobs/log.go
+++ b/entry/jobs/log.go
@@ -138,7 +138,7 @@
 	handoverEnded.Log(context.Background(), l, attrs...)
 }
 
-func logTakenOver(l *slog.Logger, j entryhandover.Job) {
-	jobTakenOver.Log(context.Background(), l, slog.String("job", j.Work.ID), slog.String("contract", j.Contract),
+func logTakenOver(l *slog.Logger, j entryhandover.Job, from string) {
+	jobTakenOver.Log(context.Background(), l, slog.String("job", j.Work.ID), slog.String("contract", j.Contract), slog.String("from", from),
 		millis("waited_ms", j.Waited), millis("time_left_ms", j.TimeLeft))
 }
