dispatch/handover: ask for the loads of others before jobs are handed over

An entry hands jobs over from a use of 50 % of its processor time, but asked for the loads of the others only from a lag of 5 ms: below that it knew no entry to choose.

Loads are wanted from a use of 40 %.

--- a/dispatch/handover/handover.go
+++ b/dispatch/handover/handover.go
@@ -104,10 +104,11 @@
 
 // Shares of its processor time that an entry uses, in thousandths, at which it starts to hand jobs over
 // and at which it hands over all that it can. In between it hands over a share of them, so that the use
-// settles.
+// settles. The loads of the others are wanted before, at wantedUsed.
 const (
-	someUsed = 500
-	allUsed  = 700
+	wantedUsed = 400
+	someUsed   = 500
+	allUsed    = 700
 )
 
 // Numbers of times that an entry's lag delays a job.
@@ -170,7 +171,7 @@
 // other entries.
 func (p *Policy) Wanted(now time.Duration, s State) bool {
 	p.observe(now, s.Lag)
-	return s.Draining || s.Unreachable || p.highSince > 0
+	return s.Draining || s.Unreachable || p.highSince > 0 || s.UsedPermille >= wantedUsed
 }
 
 // observe records the lag of this entry.
--- a/dispatch/handover/handover_test.go
+++ b/dispatch/handover/handover_test.go
@@ -85,6 +85,14 @@
 	assert.Assert(t, !chosen(180*ms, 4*ms))
 }
 
+// Guards against an entry that hands no jobs over because it has not asked for the loads of others.
+func TestLoadsAreWantedBeforeJobsAreHandedOver(t *testing.T) {
+	for _, s := range []State{lagging, {Draining: true}, {Unreachable: true}, {UsedPermille: someUsed}} {
+		assert.Assert(t, New(1).Wanted(time.Second, s), "%+v", s)
+	}
+	assert.Assert(t, !New(1).Wanted(time.Second, State{Lag: lowLag, UsedPermille: 100}))
+}
+
 // Guards against an entry that is sent jobs although it does not take them.
 func TestEntryThatTookNoJobIsAvoided(t *testing.T) {
 	for _, o := range []Outcome{NotTaken, Lost} {
