entry/handover: an entry's own lateness is not taken for an unreachable entry

A test hung on a machine at load 20 while a removal of something else was tried: its job was not taken, most likely because the connection took over 100 ms. An entry that hands jobs over is short of processor time itself, so the 100 ms are four sleeps now: each grows by the lateness of this process, as the events of a connection do.

--- a/entry/handover/clientstream.go
+++ b/entry/handover/clientstream.go
@@ -191,10 +191,8 @@
 	connecting, connected := context.WithCancel(s.ctx)
 	defer connected()
 	go func() {
-		// Two sleeps: if this process is stalled during the first one, the second is left for reading
-		// what has arrived meanwhile.
-		for range 2 {
-			if !uptime.Sleep(connecting, connectTimeout/2) {
+		for range connectParts {
+			if !uptime.Sleep(connecting, connectTimeout/connectParts) {
 				return
 			}
 		}
--- a/entry/handover/handover.go
+++ b/entry/handover/handover.go
@@ -23,6 +23,10 @@
 	// connectTimeout is for the connection and the exchange of the first messages: a hundred times the
 	// latency between data centres. Jobs wait for it, which then run at the first entry.
 	connectTimeout = 100 * time.Millisecond
+	// connectParts is the number of sleeps that make up connectTimeout. Each ends late by as much as this
+	// process handles events late, and a connection takes some four events: an entry that is short of
+	// processor time must not take its own lateness for that of the other entry.
+	connectParts = 4
 	// heartbeatInterval is the longest pause between two messages while jobs are in flight, so that three
 	// in a row may be late.
 	heartbeatInterval = 100 * time.Millisecond
