--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -9,6 +9,7 @@
 
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
+	"almondstand.dev/entry/internal/clockoffset"
 	"almondstand.dev/entry/jobs"
 	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/fleetwire"
@@ -47,7 +48,7 @@
 	lastReceived   time.Duration
 	membersVersion uint64
 	// offset estimates the age of the guard's messages.
-	offset clockOffset
+	offset clockoffset.Estimate
 
 	// cordon tells the guard whether its data centre is cordoned. Only the send loop uses it.
 	cordon cordonNotice
@@ -95,7 +96,7 @@
 	now := uptime.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.offset.age(now, time.Duration(clockUs)*time.Microsecond)
+	return s.offset.Age(now, time.Duration(clockUs)*time.Microsecond)
 }
 
 // noteRead records that a message was processed. If it carried capacity and tasks are pending, an
@@ -158,6 +159,9 @@
 		}
 		s.recordClock(m.GetClockUs())
 		sentAt := uptime.Now() - s.messageAge(m.GetClockUs())
+		if loads := loadsOf(m.GetSpareEntries()); len(loads) > 0 {
+			s.server.jobs.RecordLoads(loads)
+		}
 		update := jobs.GuardUpdate{SentAt: sentAt, Status: capacityOf(m.GetCapacity())}
 		for _, r := range m.GetReports() {
 			c := changeOf(r)
@@ -272,6 +276,7 @@
 		m.HasPending, m.PendingMilli = s.server.jobs.PendingDemand(s.guard)
 		m.Demand = fleetwire.ToDemands(s.server.jobs.Demand(s.guard))
 		m.Guards = uint32(s.server.jobs.Guards())
+		m.Load, m.WantsSpareEntries = s.server.load()
 		m.Cordon = s.cordon.next(now, s.server.jobs.Cordons(), s.dataCentre)
 		if err := s.stream.Send(m); err != nil {
 			return err
