entry/sessions: demand is sent to guards without a run in turn

Cause: an entry without a run at a guard sends it one message a second, and the guard counts demand for 200 ms, so that the demand of an entry that gets no capacity is unknown to the others most of the time.

Change: while tasks wait and shared demand is on, such guards are sent a message at most every 150 ms each, and all together at most every 10 ms, in turn (entry/sessions/turns, pure). Guards that a message reaches anyway skip their turn.

Result: a guard without a run hears demand 10 times in 1.5 s instead of twice; without shared demand it receives 3 messages, as before (TestGuardsWithoutARunHearDemand).

--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -10,6 +10,7 @@
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/entry/jobs"
+	"almondstand.dev/entry/sessions/turns"
 	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/fleetwire"
 	"almondstand.dev/wire/wirev1"
@@ -49,8 +50,10 @@
 	// offset estimates the age of the guard's messages.
 	offset clockOffset
 
-	// cordon tells the guard whether its data centre is cordoned. Only the send loop uses it.
+	// cordon tells the guard whether its data centre is cordoned, and turn is the guard's next turn to
+	// be sent demand. Only the send loop uses them.
 	cordon cordonNotice
+	turn   turns.Turn
 }
 
 // SendOrders implements jobs.Guard.
@@ -259,6 +262,7 @@
 		// stops for callers that had disconnected by then.
 		s.server.jobs.CheckCallers(now)
 		s.logLateOrders(ctx, now)
+		s.requestDemand(now, lastSent)
 		starts, decidedAt := s.pendingStarts(now)
 		m, delay, expired := s.nextMessage(now, now-lastSent)
 		s.reportExpired(ctx, now, expired)
@@ -266,7 +270,7 @@
 			return errSuperseded
 		}
 		if m == nil {
-			timer.Reset(delay)
+			timer.Reset(s.turn.In(now, delay))
 			continue
 		}
 		m.HasPending, m.PendingMilli = s.server.jobs.PendingDemand(s.guard)
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -13,6 +13,7 @@
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/entry/jobs"
 	"almondstand.dev/entry/lag"
+	"almondstand.dev/entry/sessions/turns"
 	"almondstand.dev/wire/wirev1"
 )
 
@@ -81,6 +82,8 @@
 	jobs    *jobs.Engine
 	members Members
 	logger  *slog.Logger
+	// turns is the order in which guards without a run of this entry are sent its demand.
+	turns turns.Queue
 
 	mu sync.Mutex
 	// guards holds the newest known incarnation of each guard, by guard id.
