dispatch/planner: demand of entries that few guards hear counts in full

Cause: the demand at other entries was estimated as the mean per covered entry times the number of entries. An entry that gets no capacity sends few messages, is covered by few guards, and so counted for a fraction; idle entries that are heard by few made the busy ones count for more.

Change: the guards' reports are extrapolated linearly over the number of entries that each covers (others_entries) to the known number. An entry that some guards have heard and others not makes the difference between their reports, however few have heard it. No field is added.

--- a/dispatch/planner/demand.go
+++ b/dispatch/planner/demand.go
@@ -249,37 +249,58 @@
 	}
 }
 
-// othersDemand estimates the demand of all other entries: the mean per covered entry over the recent
-// reports of the guards, times the number of other entries. Guards that serve a subset of the entries
-// cover only some of them. visible is the estimated share of the guards that have sessions with this
-// entry.
+// othersDemand estimates the demand of all other entries from the recent reports of the guards; see
+// reportFactors. Guards that serve a subset of the entries cover only some of them. visible is the
+// estimated share of the guards that have sessions with this entry.
 func (p *Planner) othersDemand(now time.Duration, s *service) (rows []work.Demand, visible float64, known bool) {
-	covered, largest := 0, 0
+	var counts []int
 	lists := make([][]work.Demand, 0, len(s.endpoints))
 	for _, e := range s.endpoints {
 		if e.others.entries == 0 || now-e.others.at >= maxReportAge {
 			continue
 		}
-		covered += e.others.entries
-		largest = max(largest, e.others.entries)
+		counts = append(counts, e.others.entries)
 		lists = append(lists, e.others.demand)
 	}
-	if covered == 0 {
+	if len(counts) == 0 {
 		return nil, 1, false
 	}
-	most := max(largest, p.entries-1)
 	// The largest report counts: a smaller one may lack entries that were silent for a moment.
+	largest := slices.Max(counts)
+	most := max(largest, p.entries-1)
 	visible = float64(largest+1) / float64(most+1)
-	scale := float64(most) / float64(covered)
-	rows = work.MergeDemands(lists...)
-	for i := range rows {
-		d := &rows[i]
-		d.WaitingMilli = int64(float64(d.WaitingMilli) * scale)
-		d.ArrivingMilli = int64(float64(d.ArrivingMilli) * scale)
-		d.Work *= scale
-		d.Jobs = int(math.Ceil(float64(d.Jobs) * scale))
+	return work.MergeScaledDemands(lists, reportFactors(counts, most)), visible, true
+}
+
+// reportFactors returns the factors by which the demand in the guards' reports is multiplied to estimate
+// that of all other entries by their sum; counts holds the number of entries that each report covers.
+//
+// The demand that the guards report is extrapolated linearly over the number of entries to that of all: an
+// entry that some guards have heard, and others not, makes the difference between their reports, however
+// few have heard it. The mean per covered entry instead would count an entry that gets no capacity, and is
+// heard by a third of the guards, as a third of one with runs. The extrapolation goes no further beyond the
+// largest number than that is from the mean; the rest, entries of which no guard has heard, are assumed to
+// be like the others.
+func reportFactors(counts []int, most int) []float64 {
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	mean, largest := float64(sum)/float64(len(counts)), float64(slices.Max(counts))
+	squares := 0.0
+	for _, n := range counts {
+		squares += (float64(n) - mean) * (float64(n) - mean)
+	}
+	to := min(float64(most), 2*largest-mean)
+	factors := make([]float64, len(counts))
+	for i, n := range counts {
+		factors[i] = 1 / float64(len(counts))
+		if squares > 0 {
+			factors[i] += (float64(n) - mean) * (to - mean) / squares
+		}
+		factors[i] *= float64(most) / to
 	}
-	return rows, visible, true
+	return factors
 }
 
 // capacityMilli is the CPU of the service's endpoints that are not cordoned.
--- a/dispatch/planner/shareddemand_test.go
+++ b/dispatch/planner/shareddemand_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -150,6 +152,51 @@
 	assert.Assert(t, !known, "the report is stale")
 }
 
+// TestEntryHeardByFewGuardsCountsInFull guards against an entry without runs that counts for less because
+// few guards have heard it lately: the more it lacks, the less it would be seen to lack.
+func TestEntryHeardByFewGuardsCountsInFull(t *testing.T) {
+	const always, seldom = 1.0, 0.34
+	for name, c := range map[string]struct {
+		// work and heard are the work waiting at each entry and the share of the guards that hear it.
+		work, heard []float64
+		tolerance   float64
+	}{
+		"heard by all":                  {[]float64{8, 0, 2}, []float64{always, always, always}, 0},
+		"one heard by few":              {[]float64{8, 0, 0, 0, 0, 2, 0, 0, 1}, []float64{seldom, always, always, always, always, always, always, always, always}, 0.01},
+		"one of several heard by few":   {[]float64{8, 0, 0, 0, 0, 2, 0, 0, 1}, []float64{seldom, seldom, seldom, seldom, seldom, always, always, always, always}, 0.1},
+		"idle entries are heard by few": {[]float64{0, 0, 0, 3, 3, 3}, []float64{seldom, seldom, seldom, always, always, always}, 0.1},
+		"all heard by few":              {[]float64{6, 1, 4, 1}, []float64{seldom, seldom, seldom, seldom}, 0.15},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, slices.Repeat([]int{1}, 60)...)
+			f.SetEntries(len(c.work) + 1)
+			random := rand.New(rand.NewPCG(1, 2))
+			want, sum := 0.0, 0.0
+			for _, w := range c.work {
+				want += w
+			}
+			const trials = 40
+			for range trials {
+				for g := range 60 {
+					d, entries := work.Demand{Contract: 1, WaitingMilli: 1}, 0
+					for e, share := range c.heard {
+						if random.Float64() < share {
+							entries++
+							d.Work += c.work[e]
+						}
+					}
+					f.reportOthers(g, 1, 1, entries, nil, d)
+				}
+				rows, _, known := f.othersDemand(f.now, f.service("teardown"))
+				assert.Assert(t, known)
+				sum += rows[0].Work / trials
+			}
+			t.Logf("%.2f of %.2f", sum, want)
+			assert.Assert(t, math.Abs(sum-want) <= c.tolerance*want+1e-9, "%f instead of %f", sum, want)
+		})
+	}
+}
+
 // TestWorkAhead: more urgent work of other entries goes first, work as urgent by its slack.
 func TestWorkAhead(t *testing.T) {
 	own := work.ContractHash("card")
--- a/dispatch/work/demands.go
+++ b/dispatch/work/demands.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -35,6 +36,44 @@
 	return append(out[:MaxDemands-1], rest)
 }
 
+// MergeScaledDemands is MergeDemands with the amounts of each list multiplied by its factor. Factors may
+// be negative; a sum below zero counts as zero.
+func MergeScaledDemands(lists [][]Demand, factors []float64) []Demand {
+	type amounts struct{ waiting, work, jobs, arriving float64 }
+	byContract := make(map[uint32]int, MaxDemands)
+	var out []Demand
+	var sums []amounts
+	for n, rows := range lists {
+		f := factors[n]
+		for _, d := range rows {
+			i, found := byContract[d.Contract]
+			if !found {
+				i = len(out)
+				byContract[d.Contract] = i
+				out, sums = append(out, d), append(sums, amounts{})
+			} else {
+				out[i] = out[i].add(d)
+			}
+			a := &sums[i]
+			a.waiting += f * float64(d.WaitingMilli)
+			a.work += f * d.Work
+			a.jobs += f * float64(d.Jobs)
+			a.arriving += f * float64(d.ArrivingMilli)
+		}
+	}
+	for i, a := range sums {
+		// Without the rounding, sums of fractions are off by a thousandth of a core, and one more job.
+		out[i].WaitingMilli = int64(math.Round(max(a.waiting, 0)))
+		out[i].Work = max(a.work, 0)
+		out[i].Jobs = int(math.Ceil(max(a.jobs-roundingError, 0)))
+		out[i].ArrivingMilli = int64(math.Round(max(a.arriving, 0)))
+	}
+	return MergeDemands(out)
+}
+
+// roundingError is more than the rounding error of a sum of fractions of jobs.
+const roundingError = 1e-6
+
 // add returns the sum of two rows. Contract 0 stands for several contracts, and its priority is the
 // least urgent of them.
 func (d Demand) add(o Demand) Demand {
