--- a/guard/uplink/demand.go
+++ b/guard/uplink/demand.go
@@ -13,24 +13,25 @@
 	if !s.up.opt.SharedDemand {
 		return
 	}
-	rows := work.MergeDemands(fleetwire.FromDemands(m.GetDemand()))
+	now, rows := uptime.Now(), work.MergeDemands(fleetwire.FromDemands(m.GetDemand()))
 	s.up.demandMu.Lock()
-	s.up.demand.Record(uptime.Now(), s.owner.Entry, rows)
+	s.up.demand.Record(now, s.owner.Entry, rows)
 	s.up.demandMu.Unlock()
 	urgent, found := demand.MostUrgent(rows)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.urgent = nil
 	if found {
-		s.urgent = &urgent
+		s.urgent, s.urgentAt = &urgent, now
 	}
 }
 
-// MostUrgent implements advertise.Session.
+// MostUrgent implements advertise.Session. Like the sums, it does not include demand that is older than
+// demand.MaxAge.
 func (s *session) MostUrgent() (d work.Demand, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.urgent == nil {
+	if s.urgent == nil || uptime.Now()-s.urgentAt >= demand.MaxAge {
 		return work.Demand{}, false
 	}
 	return *s.urgent, true
--- a/guard/uplink/demand_test.go
+++ b/guard/uplink/demand_test.go
@@ -52,6 +52,18 @@
 	assert.Equal(t, b.capacity(time.Second).GetOthersEntries(), uint32(0), "a silent entry frees its share")
 }
 
+// TestMostUrgentDemandExpires guards against an entry that is suspended or cut off and still gets the
+// first offer of each capacity, for up to 3 s, because its last message told of urgent work.
+func TestMostUrgentDemandExpires(t *testing.T) {
+	a := demandSession(New(Options{SharedDemand: true}, noHost{}), "a", 1)
+	a.receive(demandMessage(&wirev1.ContractDemand{Contract: 7, WaitingMilli: 100}))
+	_, known := a.MostUrgent()
+	assert.Assert(t, known)
+	time.Sleep(demand.MaxAge)
+	_, known = a.MostUrgent()
+	assert.Assert(t, !known)
+}
+
 // Malformed rows are ignored, and an older entry, which sends none, has no urgency.
 func TestMalformedDemandIsIgnored(t *testing.T) {
 	u := New(Options{SharedDemand: true}, noHost{})
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -52,8 +52,10 @@
 	pending bool
 	// demand is the CPU request of these tasks, in thousandths of a core.
 	demand int64
-	// urgent is the most urgent of the demand by contract; nil if the entry has not sent any.
-	urgent *work.Demand
+	// urgent is the most urgent of the demand by contract, received at urgentAt; nil if the entry has
+	// not sent any.
+	urgent   *work.Demand
+	urgentAt time.Duration
 	// capacityDue is when capacity is to be sent; zero if it is not scheduled.
 	capacityDue time.Time
 	// capacitySent is when capacity was last sent, and sentCapacity its value.
