dispatch/planner: held-back jobs do not prolong the shortage

Cause: a job that is held back while capacity is short counted as waiting, at its own entry and in the demand that it reports to the others, so that long jobs could keep up the shortage for which they were held back.

Change: the tasks of held-back jobs are not in WaitingMilli; their work and the job still are.

Result: held-back jobs start 200 to 300 ms after the last other task has waited (TestHeldBackJobsDoNotProlongTheShortage).

--- a/dispatch/planner/demand.go
+++ b/dispatch/planner/demand.go
@@ -178,11 +178,12 @@
 	return s.shared.own
 }
 
-// addDemand adds the waiting tasks of the job to its contract's demand.
+// addDemand adds the waiting tasks of the job to its contract's demand. A job that is held back does not
+// wait for CPU: it would prolong the shortage, at all entries, for which it is held back.
 func (j *job) addDemand(now time.Duration, d *work.Demand) {
 	waiting := int64(0)
 	for _, t := range j.tasks {
-		if t.startable() {
+		if t.startable() && !j.heldBack {
 			waiting += j.work.Steps[t.step].Need.CPUMilli
 		}
 	}
--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -14,9 +14,10 @@
 	service *service
 	// contract is the hash of the contract's name.
 	contract uint32
-	// heldBack is true once the job has waited for capacity reserved for more urgent work.
-	heldBack bool
-	tasks    []*task
+	// heldBack is true while the job waits for capacity reserved for more urgent work, and wasHeldBack
+	// once it has.
+	heldBack, wasHeldBack bool
+	tasks                 []*task
 	// arrived is the time of submission, deadline the end of the caller's wait.
 	arrived, deadline time.Duration
 	// startBy is the latest start that meets the response-time target, keepUntil the latest
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -44,10 +44,10 @@
 			p.contact.blocked = true
 			continue
 		}
-		if p.heldBack(now, j) {
+		if j.heldBack = p.heldBack(now, j); j.heldBack {
 			s.shared.heldBack = true
-			if !j.heldBack {
-				j.heldBack = true
+			if !j.wasHeldBack {
+				j.wasHeldBack = true
 				p.out.HeldBack = append(p.out.HeldBack, j.work.ID)
 			}
 			continue
--- a/dispatch/planner/shareddemand_test.go
+++ b/dispatch/planner/shareddemand_test.go
@@ -391,6 +391,25 @@
 	assert.Assert(t, f.now-begin <= maxReportAge+heldBackInterval, "%s", f.now-begin)
 }
 
+// TestHeldBackJobsDoNotProlongTheShortage guards against long jobs that are held back until they are
+// rejected because nothing waits but themselves, here and at other entries: they start once no other
+// task has waited for 200 ms, though the guards go on reporting urgent work that arrives.
+func TestHeldBackJobsDoNotProlongTheShortage(t *testing.T) {
+	f := newFleet(t, 100)
+	urgent := work.Demand{Contract: 1, Slack: 50 * ms, WaitingMilli: 4000, Jobs: 1, ArrivingMilli: 50_000}
+	f.reportOthers(0, 100, 0, 1, []int64{0, 0, 35_000, 0}, urgent)
+	assert.Equal(t, len(f.submitFor("check", 2, 8, 900*ms).HeldBack), 1)
+	rows := f.Demand(f.now, "g0")
+	assert.Assert(t, rows[0].Jobs == 1 && rows[0].WaitingMilli == 0 && rows[0].Work > 7, "%v", rows)
+	begin := f.now
+	urgent.WaitingMilli, urgent.Jobs = 0, 0
+	for starts := 0; starts == 0; starts = len(f.after(20 * ms).Starts) {
+		f.reportOthers(0, 100, 0, 1, []int64{0, 0, 35_000, 0}, urgent)
+		assert.Assert(t, f.now-begin <= shortageMemory+2*heldBackInterval, "%s", f.now-begin)
+	}
+	assert.Assert(t, f.now-begin >= shortageMemory)
+}
+
 // TestEntryWithoutSharedDemand guards against an entry on which the part is off, and that yet sends its
 // demand, holds jobs back or orders them by what the guards report.
 func TestEntryWithoutSharedDemand(t *testing.T) {
--- a/dispatch/work/demand.go
+++ b/dispatch/work/demand.go
@@ -21,7 +21,8 @@
 	Contract uint32
 	// Priority is that of the contract; 0 is the most urgent.
 	Priority int
-	// WaitingMilli is the CPU that the waiting tasks request, in thousandths of a core.
+	// WaitingMilli is the CPU that the waiting tasks request, in thousandths of a core, without the tasks
+	// of jobs that are held back for more urgent work.
 	WaitingMilli int64
 	// Work is the expected work of the waiting tasks, in core-seconds.
 	Work float64
