dispatch/planner: reports on more entries than can be are ignored

Cause: a guard's report on up to 1,000 other entries was accepted whatever the number of known entries, and its demand multiplied accordingly.

Change: a report on more than one and a half times the known number of other entries is ignored. While an entry knows only itself, the limit stays 1,000.

Result: TestReportsOnTooManyEntriesAreIgnored.

--- a/dispatch/planner/demand.go
+++ b/dispatch/planner/demand.go
@@ -28,8 +28,8 @@
 	// maxIdleContracts is the number of contracts from which those without arriving work are removed
 	// whenever a contract is added: a service with cordoned endpoints only reports no demand.
 	maxIdleContracts = 256
-	// maxOtherEntries is the largest number of entries that a report may cover; a larger one is not
-	// valid, and the report is ignored.
+	// maxOtherEntries is the largest number of entries that a report may cover while the number of
+	// entries is not known.
 	maxOtherEntries = 1000
 )
 
@@ -196,9 +196,20 @@
 	}
 }
 
+// maxCovered is the largest number of other entries that a report may cover; one on more is ignored. A
+// half more than the known ones may be new ones, or replaced ones that guards have not yet found gone.
+func (p *Planner) maxCovered() int {
+	// An entry that has just started knows only itself.
+	if p.entries <= 1 {
+		return maxOtherEntries
+	}
+	others := p.entries - 1
+	return others + (others+1)/2
+}
+
 // recordOthers records a guard's report on other entries.
-func (e *endpoint) recordOthers(now time.Duration, r EndpointStatus) {
-	if r.OthersEntries < 0 || r.OthersEntries > maxOtherEntries {
+func (p *Planner) recordOthers(now time.Duration, e *endpoint, r EndpointStatus) {
+	if r.OthersEntries < 0 || r.OthersEntries > p.maxCovered() {
 		r.OthersEntries, r.OthersDemand = 0, nil
 	}
 	waits := slices.ContainsFunc(r.OthersDemand, func(o work.Demand) bool { return o.WaitingMilli > 0 })
--- a/dispatch/planner/endpoint.go
+++ b/dispatch/planner/endpoint.go
@@ -195,7 +195,7 @@
 		e.maxTotal = work.Amounts{}
 	}
 	e.reportedAt = now
-	e.recordOthers(now, r)
+	p.recordOthers(now, e, r)
 	e.runner = r.Runner
 	if r.Runner.StartedMilli > 0 && !e.keepsID {
 		e.keepsID = true
--- a/dispatch/planner/shareddemand_test.go
+++ b/dispatch/planner/shareddemand_test.go
@@ -197,6 +197,21 @@
 	}
 }
 
+// TestReportsOnTooManyEntriesAreIgnored guards against one guard with a false number that multiplies the
+// demand of the other entries by it: it would have this entry reject its jobs.
+func TestReportsOnTooManyEntriesAreIgnored(t *testing.T) {
+	row := work.Demand{Contract: 1, WaitingMilli: 1000, Work: 4}
+	for entries, most := range map[int]int{0: maxOtherEntries, 1: maxOtherEntries, 2: 2, 10: 14, 55: 81} {
+		f := newFleet(t, 1)
+		f.SetEntries(entries)
+		for n, ignored := range map[int]bool{most: false, most + 1: true, -1: true} {
+			f.reportOthers(0, 1, 1, n, nil, row)
+			_, _, known := f.othersDemand(f.now, f.service("teardown"))
+			assert.Equal(t, known, !ignored, "%d of %d", n, entries)
+		}
+	}
+}
+
 // TestWorkAhead: more urgent work of other entries goes first, work as urgent by its slack.
 func TestWorkAhead(t *testing.T) {
 	own := work.ContractHash("card")
