dispatch/planner: drain times of tiny capacities

Cause: TestDrainTimeProperties failed once: with capacities of 1e-91 cores the squares in the solution are zero, so that a drain time was longer than that of more work.

Change: the solution is limited to the length of its interval.

--- a/dispatch/planner/foresight.go
+++ b/dispatch/planner/foresight.go
@@ -243,7 +243,8 @@
 		// The capacity grows linearly from a to b: solves a*t + (b-a)/length*t*t/2 = coreSeconds.
 		slope := (b - a) / length
 		t := 2 * coreSeconds / (a + math.Sqrt(a*a+2*slope*coreSeconds))
-		return from + seconds(t)
+		// Squares of tiny capacities are zero, which would give more than the length.
+		return from + seconds(min(t, length))
 	}
 	return from + seconds(min(coreSeconds/o.total, maxDrainSeconds))
 }
