dispatch/planner: a test that sums are computed once for an Act

The demand at this entry was already computed at most once after each Act, and the releases of its endpoints are summed at most every 10 ms, whatever the number of messages and waiting jobs. No test held that.

--- a/dispatch/planner/shareddemand_test.go
+++ b/dispatch/planner/shareddemand_test.go
@@ -108,6 +108,29 @@
 	assert.Equal(t, len(f.Demand(f.now, "g0")), 0)
 }
 
+// TestSumsAreComputedOnceForAnAct guards against an entry short of processor time that sums its waiting
+// tasks for each message to a guard, or the releases of its endpoints for each waiting job.
+func TestSumsAreComputedOnceForAnAct(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.submitFor("card", 1, 4, 200*ms)
+	f.after(shareInterval)
+	f.after(shareInterval / 2)
+	rows, s := f.Demand(f.now, "g0"), f.service("teardown")
+	assert.Equal(t, &rows[0], &f.Demand(f.now, "g1")[0], "own demand, for each message")
+	f.after(shareInterval / 2)
+	assert.Equal(t, s.shared.combinedAt, f.now)
+	assert.Equal(t, &rows[0], &s.shared.own[0], "own demand, for the combination")
+	assert.Assert(t, &rows[0] != &f.Demand(f.now, "g0")[0], "own demand as of an older Act")
+	f.reportReleases(0, 1, 1, 1, 1, 1, 1, 1, 1)
+	f.reportReleases(1, 1, 1, 1, 1, 1, 1, 1, 1)
+	f.now += outlookInterval
+	_, known := s.drainTime(f.now, 1)
+	assert.Assert(t, known)
+	s.outlook.total = 7
+	_, _ = s.drainTime(f.now, 2)
+	assert.Equal(t, s.outlook.total, 7.0, "releases, for each job")
+}
+
 // Contracts beyond the 16th are summed, so that no waiting work is lost.
 func TestDemandIsBounded(t *testing.T) {
 	f := newFleet(t, 1)
