bench/replay: entries send to guards as often as real ones

Cause: in the replay every entry sent a message to every guard each 150 ms, so that guards knew the demand of all entries all the time.

Change: as in entry/sessions, an entry sends a heartbeat each 150 ms only to guards at which it has a run, one each second to the others, and its demand in turn while tasks wait. The most urgent demand of a session expires after 200 ms there too. Messages from entries to guards are counted.

--- a/bench/replay/competing_test.go
+++ b/bench/replay/competing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -40,3 +41,20 @@
 	with := replay.Simulate(on, replay.Policies()[0], 1)
 	assert.Assert(t, with.All.OnTimeShare() >= simulate(t, "calm").All.OnTimeShare()-0.002)
 }
+
+// TestEntriesSendAsRealOnes guards against a replay whose guards hear every entry all the time, so that a
+// part that depends on it looks better than it is: guards without a run hear an entry once a second, and
+// more often only in turn while tasks wait.
+func TestEntriesSendAsRealOnes(t *testing.T) {
+	t.Parallel()
+	l := load(t, "uneven")
+	l.For, l.Bursts = 3*time.Second, nil
+	for i := range l.Kinds {
+		l.Kinds[i].PerSecond /= 1000
+	}
+	idle := replay.Simulate(l, replay.Policies()[0], 1)
+	const seconds, sessions = 7, 590
+	t.Logf("%d messages of idle entries, %d in turn", idle.EntryMessages, idle.DemandMessages)
+	assert.Assert(t, idle.EntryMessages > sessions*(seconds-2) && idle.EntryMessages < sessions*(seconds+1), "%d", idle.EntryMessages)
+	assert.Equal(t, idle.DemandMessages, 0)
+}
--- a/bench/replay/link.go
+++ b/bench/replay/link.go
@@ -7,6 +7,7 @@
 
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
+	"almondstand.dev/entry/sessions/turns"
 	"almondstand.dev/guard/demand"
 	"almondstand.dev/guard/runs"
 )
@@ -25,8 +26,14 @@
 	owner   runs.Owner
 	pending bool
 	demand  int64
-	// urgent is the most urgent demand; nil if it is not known.
-	urgent *work.Demand
+	// urgent is the most urgent demand, received at urgentAt; nil if it is not known.
+	urgent   *work.Demand
+	urgentAt time.Duration
+	// open holds the runs that the entry has ordered and that have not ended, by its knowledge.
+	// lastSent is the time of its last message to the guard, and turn its next turn to send demand.
+	open     map[work.RunID]struct{}
+	lastSent time.Duration
+	turn     turns.Turn
 
 	reports []runs.Report
 	// capacityDue is the time at which capacity is to be sent, reportsDue that of the
@@ -50,7 +57,7 @@
 const never = time.Duration(1<<63 - 1)
 
 func (g *guard) attach(e *entry) {
-	l := &session{guard: g, entry: e, owner: runs.Owner{Entry: fmt.Sprint("entry-", e.number), Incarnation: 1}, capacityDue: g.sim.now, reportsDue: never}
+	l := &session{guard: g, entry: e, owner: runs.Owner{Entry: fmt.Sprint("entry-", e.number), Incarnation: 1}, capacityDue: g.sim.now, reportsDue: never, open: map[work.RunID]struct{}{}}
 	g.sessions = append(g.sessions, l)
 	l.scheduleFlush()
 	g.sim.after(pingInterval, l.ping)
@@ -61,11 +68,43 @@
 	return g.sessions[i]
 }
 
-// ping makes the entry send a message to the guard at every interval, so that the guard
-// knows it to be alive.
+// ping makes the entry send a message to the guard if its heartbeat is due, or its turn has come to hear
+// of waiting tasks; see entry/sessions.
 func (l *session) ping() {
-	l.entry.cpu.run(0, func() { l.entry.send(l.guard, orders{}) })
-	l.guard.sim.after(pingInterval, l.ping)
+	now, e := l.guard.sim.now, l.entry
+	interval := idleInterval
+	if len(l.open) > 0 {
+		interval = pingInterval
+	}
+	shares := len(l.open) == 0 && slices.ContainsFunc(e.plan.Demand(now, l.guard.id), func(d work.Demand) bool { return d.Jobs > 0 })
+	turn := l.turn.Due(now, l.lastSent, shares, &e.turns)
+	if turn {
+		e.sim.result.DemandMessages++
+	}
+	if turn || now-l.lastSent >= interval {
+		l.lastSent = now
+		e.cpu.run(0, func() { e.send(l.guard, orders{}) })
+	}
+	wait := l.turn.In(now, min(pingInterval, interval-(now-l.lastSent)))
+	l.guard.sim.after(max(wait, time.Millisecond), l.ping)
+}
+
+// recordSent records a message of the entry.
+func (l *session) recordSent(o orders) {
+	l.lastSent = l.guard.sim.now
+	l.guard.sim.result.EntryMessages++
+	for _, x := range o.starts {
+		l.open[x.Run] = struct{}{}
+	}
+}
+
+// recordEnds records the ends of runs that a message to the entry reports.
+func (l *session) recordEnds(reports []runs.Report) {
+	for _, r := range reports {
+		if r.State != runs.Running {
+			delete(l.open, r.Run)
+		}
+	}
 }
 
 func (l *session) setPending(pending bool, demand int64) {
@@ -84,13 +123,13 @@
 	l.guard.demand.Record(l.guard.sim.now, l.owner.Entry, rows)
 	l.urgent = nil
 	if d, found := demand.MostUrgent(rows); found {
-		l.urgent = &d
+		l.urgent, l.urgentAt = &d, l.guard.sim.now
 	}
 }
 
 // MostUrgent implements advertise.Session.
 func (l *session) MostUrgent() (d work.Demand, known bool) {
-	if l.urgent == nil {
+	if l.urgent == nil || l.guard.sim.now-l.urgentAt >= demand.MaxAge {
 		return work.Demand{}, false
 	}
 	return *l.urgent, true
@@ -218,7 +257,10 @@
 	l.guard.sim.result.Messages++
 	e := l.entry
 	l.guard.sim.after(messageDelay, func() {
-		e.cpu.run(readCost, func() { e.receive(l.guard.id, now, reports, progress, capacity) })
+		e.cpu.run(readCost, func() {
+			l.recordEnds(reports)
+			e.receive(l.guard.id, now, reports, progress, capacity)
+		})
 	})
 	l.scheduleFlush()
 }
--- a/bench/replay/result.go
+++ b/bench/replay/result.go
@@ -51,6 +51,9 @@
 	Orders int
 	// Messages is the number of messages from guards to entries.
 	Messages int
+	// EntryMessages is the number of messages from entries to guards, of which DemandMessages were sent
+	// in turn because tasks waited.
+	EntryMessages, DemandMessages int
 	// ProgressReports is the number of progress reports in them, and StalledReports that of reports
 	// on stalled runs.
 	ProgressReports, StalledReports int
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -8,6 +8,7 @@
 
 	"almondstand.dev/dispatch/planner"
 	"almondstand.dev/dispatch/work"
+	"almondstand.dev/entry/sessions/turns"
 	"almondstand.dev/guard/subset"
 )
 
@@ -20,9 +21,10 @@
 	runnerDelay = 2 * time.Millisecond
 	// stopGrace is how long a run takes to end after it was stopped.
 	stopGrace = 50 * time.Millisecond
-	// pingInterval is the interval at which an entry sends a message to a guard even if
-	// it has no orders.
+	// pingInterval is the interval at which an entry sends a message to a guard even if it has no
+	// orders, and idleInterval that for guards at which it has no run.
 	pingInterval = 150 * time.Millisecond
+	idleInterval = time.Second
 	// sweepInterval is the interval at which guards check for runs that must be
 	// stopped.
 	sweepInterval = 20 * time.Millisecond
@@ -211,6 +213,8 @@
 	// confirmed holds, by guard, the newest clock reading that the guard knows this
 	// entry has received.
 	confirmed map[string]time.Duration
+	// turns is the order in which guards without a run are sent demand.
+	turns turns.Queue
 	// timerID identifies the current timer; older timers are ignored.
 	timerID int
 }
@@ -314,6 +318,7 @@
 	e.cpu.addCost(sendCost)
 	sent, read := e.guardClock(g.id), e.clocks[g.id].clock
 	e.confirmed[g.id] = read
+	g.session(e).recordSent(o)
 	m := entryMessage{sent: sent, read: read, orders: o, rows: e.plan.Demand(e.sim.now, g.id)}
 	m.pending, m.demand = e.plan.PendingDemand(e.sim.now, g.id)
 	e.sim.after(messageDelay, func() { g.receive(e, m) })
