guard/progress: a kind of work without progress stalls no run

Cause: once one run at a runner process had moved, any run at percentage 0 counted as stalled after 250 ms. At a runner that lists progress for some kinds of work only, runs of the other kinds were stopped once each.

Change: a run at percentage 0 counts as stalled only if a percentage of its kind (priority class, octave of the expected run time) has risen at that process.

Tests: TestKindWithoutProgressStallsNoRun; TestStates sets what its process knows through record instead of the field, as the field alone no longer says it.

--- a/guard/progress/progress.go
+++ b/guard/progress/progress.go
@@ -2,7 +2,12 @@
 // and how long it will take. It has no clock and does no I/O.
 package progress
 
-import "time"
+import (
+	"math/bits"
+	"time"
+
+	"almondstand.dev/dispatch/work"
+)
 
 // State says whether a run makes progress.
 type State int
@@ -56,6 +61,9 @@
 	// moves is true once a percentage has risen to less than 100. A runner that lists the same
 	// percentage until a run ends does not report progress, and its runs are not stalled.
 	moves bool
+	// kinds holds the kinds of which a percentage has risen to less than 100, by priority class, one bit
+	// for each octave of the expected run time.
+	kinds [work.PriorityClasses]uint64
 	// step is the greatest common divisor of the percentages below 100 that were listed, 0 if there
 	// was none above 0.
 	step int
@@ -64,12 +72,39 @@
 // Moves reports whether the process is known to report progress.
 func (p *Process) Moves() bool { return p.moves }
 
+// Kind is a kind of work. One runner may report progress for some kinds and not for others.
+type Kind struct {
+	Priority int
+	// Expected is the expected run time; kinds are told apart by its octave.
+	Expected time.Duration
+}
+
+// bit returns the position of the kind in Process.kinds.
+func (k Kind) bit() (class int, mask uint64) {
+	return work.PriorityClass(k.Priority), 1 << min(bits.Len64(uint64(max(k.Expected.Milliseconds(), 0))), 63)
+}
+
+// record records that a percentage of the kind has risen.
+func (p *Process) record(k Kind) {
+	class, mask := k.bit()
+	p.moves = true
+	p.kinds[class] |= mask
+}
+
+// knows reports whether a percentage of the kind has risen.
+func (p *Process) knows(k Kind) bool {
+	class, mask := k.bit()
+	return p.kinds[class]&mask != 0
+}
+
 // Run tracks the progress of one run. Its zero value knows nothing.
 type Run struct {
 	// read is true once there was a reading. lastClock is the runner's clock at the last one, and
 	// lastReadAt the uptime at which it was read.
 	read                  bool
 	lastClock, lastReadAt time.Duration
+	// kind is that of the run.
+	kind Kind
 	// highest is the highest percentage listed.
 	highest int
 	// start is the point to which a percentage is compared to tell what one percent took so far,
@@ -94,6 +129,8 @@
 	Percent       int
 	// Age is how long the run has lasted at ReadAt, zero if that is not known.
 	Age time.Duration
+	// Kind is the kind of the run's work.
+	Kind Kind
 }
 
 // Forget discards the readings, because a listing of the given clock has no progress of the run.
@@ -115,7 +152,7 @@
 	}
 	at := point{n.Clock, n.Percent}
 	if !r.read {
-		*r = Run{read: true, lastClock: n.Clock, lastReadAt: n.ReadAt, highest: n.Percent, start: at, reached: at}
+		*r = Run{read: true, kind: n.Kind, lastClock: n.Clock, lastReadAt: n.ReadAt, highest: n.Percent, start: at, reached: at}
 		if n.Age > 0 {
 			r.start = point{clock: n.Clock - n.Age}
 		}
@@ -144,7 +181,9 @@
 		r.held, r.wentBack, r.repeated = 0, true, false
 	default:
 		r.rise(at)
-		p.moves = p.moves || !r.wentBack && n.Percent < done
+		if !r.wentBack && n.Percent < done {
+			p.record(r.kind)
+		}
 	}
 }
 
@@ -195,6 +234,9 @@
 	switch {
 	case r.reached.percent == done && r.repeated:
 		return e
+	case r.reached.percent == 0 && !p.knows(r.kind):
+		// The runner may not report progress for this kind.
+		return e
 	case r.stalled(p.step, expected):
 		e.State = Stalled
 		return e
--- a/guard/progress/progress_test.go
+++ b/guard/progress/progress_test.go
@@ -58,7 +58,8 @@
 		"stalled, then listings not read":    {percents: repeat([]int{0, 10}, 20, 11), silence: 301 * ms, want: Unknown},
 		"over 100":                           {percents: []int{10, 20, 30, 101}, want: Unknown},
 	} {
-		p, r := Process{moves: true}, Run{}
+		p, r := Process{}, Run{}
+		p.record(Kind{})
 		var now time.Duration
 		for _, n := range percents(c.percents...) {
 			p.Record(&r, n)
@@ -86,6 +87,30 @@
 	assert.Equal(t, p.Estimate(&r, time.Hour+800*ms, 0).State, Stalled)
 }
 
+// TestKindWithoutProgressStallsNoRun guards against runs that are stopped after 250 ms at a runner that
+// lists progress for other kinds of work only: of another priority, or of another length.
+func TestKindWithoutProgressStallsNoRun(t *testing.T) {
+	silent := Kind{Priority: 1, Expected: 900 * ms}
+	for _, moving := range []Kind{{0, 900 * ms}, {1, 400 * ms}, {1, 2 * time.Second}} {
+		var p Process
+		var r Run
+		state := func(k Kind) State {
+			var other Run
+			for i, n := range percents(repeat(nil, 0, 40)...) {
+				at := n
+				at.Percent, at.Kind = i, k
+				p.Record(&other, at)
+				n.Kind = silent
+				p.Record(&r, n)
+			}
+			return p.Estimate(&r, time.Hour+800*ms, 0).State
+		}
+		assert.Equal(t, state(moving), Unknown, "%v", moving)
+		assert.Assert(t, p.Moves())
+		assert.Equal(t, state(Kind{Priority: 1, Expected: 520 * ms}), Stalled, "a run of the kind has moved")
+	}
+}
+
 // Guards against runs that are taken as stalled, and would be stopped, at a runner whose percentages
 // rise in large steps; a run that hangs there is found within two steps and a margin.
 func TestPercentagesInLargeSteps(t *testing.T) {
--- a/guard/runs/progress.go
+++ b/guard/runs/progress.go
@@ -76,7 +76,7 @@
 			r.progress.Forget(v.Clock)
 			continue
 		}
-		reading := progress.Reading{ReadAt: made, Clock: v.Clock, Percent: listed.Percent}
+		reading := progress.Reading{ReadAt: made, Clock: v.Clock, Percent: listed.Percent, Kind: progress.Kind{Priority: r.priority, Expected: r.expected}}
 		if r.started {
 			reading.Age = max(made-r.startedAt, 0)
 		}
