dispatch/planner: capacity that a run releases is left to its guard while others wait

When a run ends, its entry counts the capacity as free and orders there at once, while the guard offers it to the entry with the most urgent demand: one of the two orders is refused. An entry that is late loses both, and spends its processor time on them.

Change: while tasks wait at other entries, what a run has released counts as used until the guard's next report, for at most 100 ms, within which ten entries are offered capacity in turn.

--- a/dispatch/planner/demand.go
+++ b/dispatch/planner/demand.go
@@ -82,6 +82,8 @@
 	// scarceAt is when the waiting tasks of all entries last needed at least scarceShare of the capacity;
 	// zero for never.
 	scarceAt time.Duration
+	// left is what runs have released and was left to guards, oldest first.
+	left []releasedCPU
 	// heldBack is true if a job was last left waiting for reserved capacity.
 	heldBack bool
 	// reserved is the CPU that was last reserved for more urgent work, at reservedAt, for metrics.
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -401,6 +401,9 @@
 	for _, s := range p.services {
 		next = min(next, p.refreshFactors(now, s))
 		p.endOverdue(now, s)
+		if due := s.shared.takeBack(now); due > 0 {
+			next = min(next, due)
+		}
 		if now >= p.pausedUntil {
 			p.place(now, s)
 			if s.shared.heldBack {
--- a/dispatch/planner/report.go
+++ b/dispatch/planner/report.go
@@ -58,7 +58,11 @@
 	}
 	stopping := t.stopping
 	overran := c == Stopped && t.overranBefore() && e.normalRunTime(ran) > t.job.expected[t.step]
+	wasRunning := t.running > 0
 	p.closeRun(t)
+	if wasRunning {
+		p.leaveToGuard(now, e, t.job.work.Steps[t.step].Need)
+	}
 	switch c {
 	case Done:
 		p.recordDone(now, t, e, ran)
