dispatch/planner: later steps count only what is left of a job

Cause: with endpoints of unequal speed, whether a step is in time at an endpoint was judged by the whole critical path of its job. Later steps of a job seemed late on all endpoints but the fast ones and went there, though any would have done.

Change: it is judged by the path from the start of the step to the end of the job.

Result: TestLaterStepsCountOnlyWhatIsLeft. Jobs of one step are placed as before.

--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -23,9 +23,11 @@
 	// startBy is the latest start that meets the response-time target, keepUntil the latest
 	// start for an answer that is of any use.
 	startBy, keepUntil time.Duration
-	// longest is the expected time that the job takes on normal endpoints, and inTimeEnd the latest
-	// end of its last task that meets the response-time target.
-	longest, inTimeEnd time.Duration
+	// left is the expected time from the start of a step on normal endpoints until all steps that
+	// depend on it have ended, by step, and inTimeEnd the latest end of the job's last task that meets
+	// the response-time target.
+	left      []time.Duration
+	inTimeEnd time.Duration
 	// expected is the expected run time of a task, by step.
 	expected []time.Duration
 	// minRunTimes is the minimum run time of a task on a normal endpoint, by step, and
@@ -134,7 +136,7 @@
 	target := time.Duration(float64(criticalPath)*j.terms.TargetFactor*meanFactor) + j.terms.TargetMargin
 	end := j.deadline - answerMargin
 	margin := min(startMargin, max(target-longest, 0)/startMarginDivisor)
-	j.longest, j.inTimeEnd = longest, min(j.arrived+target, end)-margin
+	j.left, j.inTimeEnd = j.pathsLeft(), min(j.arrived+target, end)-margin
 	j.startBy = j.inTimeEnd - longest
 	j.keepUntil = min(j.arrived+lateFactor*target, end) - longest - margin
 	// A job with hardly any time is served only if there is capacity at once.
@@ -142,6 +144,19 @@
 	j.keepUntil = max(j.keepUntil, j.startBy)
 }
 
+// pathsLeft returns the expected time from the start of each step until all that depend on it have ended.
+func (j *job) pathsLeft() []time.Duration {
+	after := make([]time.Duration, len(j.work.Steps))
+	left := make([]time.Duration, len(j.work.Steps))
+	for s := len(left) - 1; s >= 0; s-- {
+		left[s] = time.Duration(float64(j.expected[s])*maxToMeanRunTime) + after[s]
+		for _, a := range j.work.Steps[s].After {
+			after[a] = max(after[a], left[s])
+		}
+	}
+	return left
+}
+
 // retestRunTimes lets the job start regardless of the learnt run times.
 func (j *job) retestRunTimes() {
 	j.retest = true
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -184,7 +184,7 @@
 		}
 		found++
 		sc.avoided = e == first.avoid
-		if s.speeds.differ && !j.inTimeAt(now, e.runTimeFactor()) {
+		if s.speeds.differ && !j.inTimeAt(now, step, e.runTimeFactor()) {
 			sc.lateEnd = j.predictedEnd(now, step, e)
 			lateSeen = true
 		}
@@ -201,7 +201,7 @@
 			consider(s.endpoints[p.random.IntN(n)])
 		}
 	}
-	if best == nil || bestScore.tier > tierNormal || bestScore.avoided || bestScore.lateEnd > 0 && j.inTimeAt(now, s.speeds.least) {
+	if best == nil || bestScore.tier > tierNormal || bestScore.avoided || bestScore.lateEnd > 0 && j.inTimeAt(now, step, s.speeds.least) {
 		for i, at := 0, p.random.IntN(max(n, 1)); i < n; i++ {
 			consider(s.endpoints[(at+i)%n])
 		}
--- a/dispatch/planner/predict.go
+++ b/dispatch/planner/predict.go
@@ -10,10 +10,10 @@
 // fastest of them by all entries.
 const placementSteps = 3
 
-// inTimeAt reports whether the job, started now on endpoints with the given run time factor, is
-// expected to meet its response-time target.
-func (j *job) inTimeAt(now time.Duration, factor float64) bool {
-	return now+time.Duration(float64(j.longest)*factor) <= j.inTimeEnd
+// inTimeAt reports whether the job is expected to meet its response-time target if a step, and those that
+// depend on it, start now on endpoints with the given run time factor.
+func (j *job) inTimeAt(now time.Duration, step int, factor float64) bool {
+	return now+time.Duration(float64(j.left[step])*factor) <= j.inTimeEnd
 }
 
 // predictedEnd returns when a task of a step that starts now at the endpoint is expected to end.
--- a/dispatch/planner/runtimefactor_test.go
+++ b/dispatch/planner/runtimefactor_test.go
@@ -152,6 +152,26 @@
 	}
 }
 
+// TestLaterStepsCountOnlyWhatIsLeft guards against later steps of a job that all go to the fast endpoints,
+// because the time for the steps that are done counts once more: the job is in time on any endpoint.
+func TestLaterStepsCountOnlyWhatIsLeft(t *testing.T) {
+	for i := range 20 {
+		f := unequalFleet(t, 8, 4)
+		step := work.Step{Count: 1, Need: core, Declared: 200 * ms}
+		next := step
+		next.After = []int{0}
+		w := work.Job{ID: fmt.Sprint("job", i), Steps: []work.Step{step, next}}
+		assert.Equal(t, f.Submit(f.now, f.now+3*time.Second, w, terms), Accepted)
+		first := f.act().Starts[0]
+		f.report(first, Running)
+		f.now += 250 * ms
+		f.report(first, Done)
+		starts := f.act().Starts
+		assert.Equal(t, len(starts), 1)
+		assert.Equal(t, starts[0].Speed, 0.0, "the speed decided")
+	}
+}
+
 // TestLateJobsStartOnOtherEndpoints: a job that could be in time on a fast endpoint only is still
 // started elsewhere if no fast one has free capacity.
 func TestLateJobsStartOnOtherEndpoints(t *testing.T) {
