dispatch/planner: the normal speed of endpoints does not jump

Cause: the reference of the run time factors was the median of the endpoints' ratios. With half of the endpoints fast, one more or less moved it by half of the difference at once, and the run times learnt before were in other units.

Change: the reference is the geometric mean of the middle third. One endpoint more or less moves it by at most 3/n of the difference, and up to a third of the endpoints do not move it. It has no memory, so that all entries have the same reference; one that keeps its last value while that is near the median was not chosen, because entries with different references would mix their units in the guards' ratios.

Result: TestNormalSpeedDoesNotJump.

--- a/dispatch/planner/runtimefactor.go
+++ b/dispatch/planner/runtimefactor.go
@@ -8,14 +8,14 @@
 
 // Endpoints of one service may lastingly differ in speed, as machines of several generations do.
 // Their guards report the ratio of run times to expectations; its ratio to that of a normal
-// endpoint, the median, is the endpoint's run time factor. Run times are learnt in units of a normal
+// endpoint, the mean of the middle third, is the endpoint's run time factor. Run times are learnt in units of a normal
 // endpoint, and an endpoint counts as slow (a fault) only in relation to its own factor.
 const (
 	// minSpeedSamples is the least number of samples with which a reported ratio is used.
 	minSpeedSamples = 16
 	// maxSpeedSamples is the number of samples over which guards average.
 	maxSpeedSamples = 256
-	// minSpeedRatio is the least ratio to the median, in either direction, of an endpoint that
+	// minSpeedRatio is the least ratio to the normal one, in either direction, of an endpoint that
 	// differs from a normal one.
 	minSpeedRatio = 1.25
 	// speedErrorFactor divided by the root of the number of samples is added to the logarithm of
@@ -138,11 +138,8 @@
 			known = append(known, e.lasting.ratio)
 		}
 	}
-	normal := 0.0
-	if n := len(known); n > 0 {
-		slices.Sort(known)
-		normal = math.Sqrt(known[(n-1)/2] * known[n/2])
-	}
+	slices.Sort(known)
+	normal := normalRatio(known)
 	s.speeds.normal = normal
 	s.speeds.differ, s.speeds.least = false, math.Inf(1)
 	sum, weights := 0.0, 0.0
@@ -160,6 +157,24 @@
 	}
 }
 
+// normalRatio returns the ratio of a normal endpoint, zero without any: the geometric mean of the middle
+// third of the sorted ratios. The median would jump between the ratios of fast and slow endpoints when
+// there are as many of the ones as of the others and an endpoint joins or leaves, and the run times learnt
+// before would be in other units. The mean moves by at most 3/n of the difference.
+func normalRatio(sorted []float64) float64 {
+	n := float64(len(sorted))
+	if n == 0 {
+		return 0
+	}
+	sum := 0.0
+	for i, ratio := range sorted {
+		if weight := min(float64(i+1), 2*n/3) - max(float64(i), n/3); weight > 0 {
+			sum += weight * math.Log(ratio)
+		}
+	}
+	return math.Exp(sum / (n / 3))
+}
+
 // factorOf returns the run time factor, given the ratio of a normal endpoint.
 func (l lastingSpeed) factorOf(normal float64) float64 {
 	if l.samples == 0 {
--- a/dispatch/planner/runtimefactor_test.go
+++ b/dispatch/planner/runtimefactor_test.go
@@ -68,6 +68,33 @@
 	}
 }
 
+// TestNormalSpeedDoesNotJump guards against run times that are in other units from one moment to the next:
+// in a service with half of its endpoints fast, one more or less would change the normal speed by a half.
+func TestNormalSpeedDoesNotJump(t *testing.T) {
+	for _, n := range []int{12, 59} {
+		last := math.Log(1.2)
+		for fast := range n + 1 {
+			f := newFleet(t, make([]int, n)...)
+			for i := range n {
+				permille := 1200
+				if i < fast {
+					permille = 550
+				}
+				f.setSpeed(i, 4, permille, 300, "r")
+			}
+			f.now += time.Second
+			f.act()
+			normal := math.Log(f.services["teardown"].speeds.normal)
+			assert.Assert(t, normal <= last+1e-9 && normal >= last-3/float64(n)*math.Log(1200.0/550)-1e-9, "%d of %d are fast: %f after %f", fast, n, normal, last)
+			if 3*fast <= n {
+				assert.Assert(t, math.Abs(normal-math.Log(1.2)) < 1e-9, "a third of the endpoints or fewer do not change it")
+			}
+			last = normal
+		}
+		assert.Assert(t, math.Abs(last-math.Log(0.55)) < 1e-9)
+	}
+}
+
 // TestSpeedIsForgotten guards against factors learnt at another guard or runner process, and against
 // an entry that has just started and places work as if all endpoints were alike.
 func TestSpeedIsForgotten(t *testing.T) {
