dispatch/planner: capacity is left to guards only while it is scarce

Cause: with 55 entries some task waits nearly always.

Change: what a run releases is left to its guard only while waiting tasks need at least 4 % of the capacity, or did within 200 ms, as for the reservation.

--- a/dispatch/planner/leave.go
+++ b/dispatch/planner/leave.go
@@ -20,19 +20,20 @@
 	reportedAt time.Duration
 }
 
-// leaveToGuard counts what a run has released as used until the guard reports again, while tasks wait at
-// other entries. It serves loads in which all entries have waiting tasks: the guard offers what was
+// leaveToGuard counts what a run has released as used until the guard reports again, while capacity is
+// scarce and tasks wait at other entries. It serves loads in which all entries have waiting tasks: the guard offers what was
 // released to the entry with the most urgent of them, and if the entry whose run has ended took it as
 // well, one of the two orders would be refused. Entries that are short of processor time, and late
 // therefore, would lose what their own runs release and most of what they are offered: of two orders one
 // was refused, and an entry with 0.19 of a core rejected 33 % of its jobs while the others of its data
-// centre rejected 1 % (replay, uneven, seed 1).
+// centre rejected 1 % (replay, uneven, seed 1). With 55 entries some task waits nearly always: without the condition
+// that capacity is scarce, 9 % more messages are sent on a day without faults (large-calm, seed 1).
 func (p *Planner) leaveToGuard(now time.Duration, e *endpoint, need work.Amounts) {
 	if !p.sharesDemand() || e.service == nil {
 		return
 	}
 	d := e.service.shared
-	if d.shortAt == 0 || now-d.shortAt >= shortageMemory {
+	if d.shortAt == 0 || now-d.shortAt >= shortageMemory || !d.scarce(now) {
 		return
 	}
 	e.used = e.used.Add(need)
--- a/dispatch/planner/leave_test.go
+++ b/dispatch/planner/leave_test.go
@@ -12,7 +12,7 @@
 // entry and that of the one to which the guard offers it: one is refused, and entries that are short of
 // processor time spend it on such orders.
 func TestReleasedCapacityIsLeftToTheGuard(t *testing.T) {
-	other := work.Demand{Contract: 1, Priority: 1, WaitingMilli: 1000}
+	other, few := work.Demand{Contract: 1, Priority: 1, WaitingMilli: 10_000}, work.Demand{Contract: 1, Priority: 1, WaitingMilli: 1000}
 	for name, c := range map[string]struct {
 		others []work.Demand
 		off    bool
@@ -24,11 +24,13 @@
 		"the guard offers it":             {[]work.Demand{other}, false, 0, 1, 0},
 		"it has offered it to another":    {[]work.Demand{other}, false, 1, 0, 0},
 		"it offers it to nobody":          {[]work.Demand{other}, false, -1, 0, 1},
+		"little waits elsewhere":          {[]work.Demand{few}, false, -1, 1, 0},
 		"nothing waits elsewhere":         {nil, false, -1, 1, 0},
 		"the entry does not share demand": {[]work.Demand{other}, true, -1, 1, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newFleet(t, 1)
+			f := newFleet(t, 1, 100)
+			f.setCapacity(1, 100, 100)
 			f.opt.Disabled.SharedDemand = c.off
 			f.reportOthers(0, 1, 0, 1, nil, c.others...)
 			first := f.submitFor("card", 1, 1, 60*ms).Starts[0]
--- a/dispatch/planner/reserve.go
+++ b/dispatch/planner/reserve.go
@@ -49,6 +49,11 @@
 	return held, known
 }
 
+// scarce reports whether waiting tasks needed at least scarceShare of the capacity within shortageMemory.
+func (d *sharedDemand) scarce(now time.Duration) bool {
+	return d.scarceAt > 0 && now-d.scarceAt < shortageMemory
+}
+
 // addHeld counts a start of this entry.
 func (d *sharedDemand) addHeld(j *job, need work.Amounts) {
 	d.held[work.PriorityClass(j.terms.Priority)] += need.CPUMilli
@@ -78,7 +83,7 @@
 func (p *Planner) heldBack(now time.Duration, j *job) bool {
 	s := j.service
 	d := s.shared
-	if !d.short || !d.heldKnown || d.scarceAt == 0 || now-d.scarceAt >= shortageMemory || j.started || j.terms.Priority <= 0 {
+	if !d.short || !d.heldKnown || !d.scarce(now) || j.started || j.terms.Priority <= 0 {
 		return false
 	}
 	capacity := int64(d.capacity)
