--- a/entry/sessions/demand.go
+++ b/entry/sessions/demand.go
@@ -8,7 +8,7 @@
 )
 
 // requestDemand requests a message if this entry has no run at the guard, tasks wait that the guard's
-// runner could take, and it is the guard's turn to be told so.
+// runner could take, and it is the guard's turn to be sent the demand.
 func (s *session) requestDemand(now, lastSent time.Duration) {
 	s.mu.Lock()
 	idle := len(s.open) == 0
