--- a/dispatch/planner/runtimefactor_test.go
+++ b/dispatch/planner/runtimefactor_test.go
@@ -68,6 +68,33 @@
 	}
 }
 
+// TestNormalSpeedDoesNotJump guards against run times that are in other units from one moment to the next:
+// in a service with half of its endpoints fast, one more or less would change the normal speed by a half.
+func TestNormalSpeedDoesNotJump(t *testing.T) {
+	for _, n := range []int{12, 59} {
+		last := math.Log(1.2)
+		for fast := range n + 1 {
+			f := newFleet(t, make([]int, n)...)
+			for i := range n {
+				permille := 1200
+				if i < fast {
+					permille = 550
+				}
+				f.setSpeed(i, 4, permille, 300, "r")
+			}
+			f.now += time.Second
+			f.act()
+			normal := math.Log(f.services["teardown"].speeds.normal)
+			assert.Assert(t, normal <= last+1e-9 && normal >= last-3/float64(n)*math.Log(1200.0/550)-1e-9, "%d of %d are fast: %f after %f", fast, n, normal, last)
+			if 3*fast <= n {
+				assert.Assert(t, math.Abs(normal-math.Log(1.2)) < 1e-9, "a third of the endpoints or fewer do not change it")
+			}
+			last = normal
+		}
+		assert.Assert(t, math.Abs(last-math.Log(0.55)) < 1e-9)
+	}
+}
+
 // TestSpeedIsForgotten guards against factors learnt at another guard or runner process, and against
 // an entry that has just started and places work as if all endpoints were alike.
 func TestSpeedIsForgotten(t *testing.T) {
@@ -152,6 +179,26 @@
 	}
 }
 
+// TestLaterStepsCountOnlyWhatIsLeft guards against later steps of a job that all go to the fast endpoints,
+// because the time for the steps that are done counts once more: the job is in time on any endpoint.
+func TestLaterStepsCountOnlyWhatIsLeft(t *testing.T) {
+	for i := range 20 {
+		f := unequalFleet(t, 8, 4)
+		step := work.Step{Count: 1, Need: core, Declared: 200 * ms}
+		next := step
+		next.After = []int{0}
+		w := work.Job{ID: fmt.Sprint("job", i), Steps: []work.Step{step, next}}
+		assert.Equal(t, f.Submit(f.now, f.now+3*time.Second, w, terms), Accepted)
+		first := f.act().Starts[0]
+		f.report(first, Running)
+		f.now += 250 * ms
+		f.report(first, Done)
+		starts := f.act().Starts
+		assert.Equal(t, len(starts), 1)
+		assert.Equal(t, starts[0].Speed, 0.0, "the speed decided")
+	}
+}
+
 // TestLateJobsStartOnOtherEndpoints: a job that could be in time on a fast endpoint only is still
 // started elsewhere if no fast one has free capacity.
 func TestLateJobsStartOnOtherEndpoints(t *testing.T) {
--- a/dispatch/planner/shareddemand_test.go
+++ b/dispatch/planner/shareddemand_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -106,6 +108,29 @@
 	assert.Equal(t, len(f.Demand(f.now, "g0")), 0)
 }
 
+// TestSumsAreComputedOnceForAnAct guards against an entry short of processor time that sums its waiting
+// tasks for each message to a guard, or the releases of its endpoints for each waiting job.
+func TestSumsAreComputedOnceForAnAct(t *testing.T) {
+	f := newFleet(t, 1, 1)
+	f.submitFor("card", 1, 4, 200*ms)
+	f.after(shareInterval)
+	f.after(shareInterval / 2)
+	rows, s := f.Demand(f.now, "g0"), f.service("teardown")
+	assert.Equal(t, &rows[0], &f.Demand(f.now, "g1")[0], "own demand, for each message")
+	f.after(shareInterval / 2)
+	assert.Equal(t, s.shared.combinedAt, f.now)
+	assert.Equal(t, &rows[0], &s.shared.own[0], "own demand, for the combination")
+	assert.Assert(t, &rows[0] != &f.Demand(f.now, "g0")[0], "own demand as of an older Act")
+	f.reportReleases(0, 1, 1, 1, 1, 1, 1, 1, 1)
+	f.reportReleases(1, 1, 1, 1, 1, 1, 1, 1, 1)
+	f.now += outlookInterval
+	_, known := s.drainTime(f.now, 1)
+	assert.Assert(t, known)
+	s.outlook.total = 7
+	_, _ = s.drainTime(f.now, 2)
+	assert.Equal(t, s.outlook.total, 7.0, "releases, for each job")
+}
+
 // Contracts beyond the 16th are summed, so that no waiting work is lost.
 func TestDemandIsBounded(t *testing.T) {
 	f := newFleet(t, 1)
@@ -150,6 +175,66 @@
 	assert.Assert(t, !known, "the report is stale")
 }
 
+// TestEntryHeardByFewGuardsCountsInFull guards against an entry without runs that counts for less because
+// few guards have heard it lately: the more it lacks, the less it would be seen to lack.
+func TestEntryHeardByFewGuardsCountsInFull(t *testing.T) {
+	const always, seldom = 1.0, 0.34
+	for name, c := range map[string]struct {
+		// work and heard are the work waiting at each entry and the share of the guards that hear it.
+		work, heard []float64
+		tolerance   float64
+	}{
+		"heard by all":                  {[]float64{8, 0, 2}, []float64{always, always, always}, 0},
+		"one heard by few":              {[]float64{8, 0, 0, 0, 0, 2, 0, 0, 1}, []float64{seldom, always, always, always, always, always, always, always, always}, 0.01},
+		"one of several heard by few":   {[]float64{8, 0, 0, 0, 0, 2, 0, 0, 1}, []float64{seldom, seldom, seldom, seldom, seldom, always, always, always, always}, 0.1},
+		"idle entries are heard by few": {[]float64{0, 0, 0, 3, 3, 3}, []float64{seldom, seldom, seldom, always, always, always}, 0.1},
+		"all heard by few":              {[]float64{6, 1, 4, 1}, []float64{seldom, seldom, seldom, seldom}, 0.15},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, slices.Repeat([]int{1}, 60)...)
+			f.SetEntries(len(c.work) + 1)
+			random := rand.New(rand.NewPCG(1, 2))
+			want, sum := 0.0, 0.0
+			for _, w := range c.work {
+				want += w
+			}
+			const trials = 40
+			for range trials {
+				for g := range 60 {
+					d, entries := work.Demand{Contract: 1, WaitingMilli: 1}, 0
+					for e, share := range c.heard {
+						if random.Float64() < share {
+							entries++
+							d.Work += c.work[e]
+						}
+					}
+					f.reportOthers(g, 1, 1, entries, nil, d)
+				}
+				rows, _, known := f.othersDemand(f.now, f.service("teardown"))
+				assert.Assert(t, known)
+				sum += rows[0].Work / trials
+			}
+			t.Logf("%.2f of %.2f", sum, want)
+			assert.Assert(t, math.Abs(sum-want) <= c.tolerance*want+1e-9, "%f instead of %f", sum, want)
+		})
+	}
+}
+
+// TestReportsOnTooManyEntriesAreIgnored guards against one guard with a false number that multiplies the
+// demand of the other entries by it: it would have this entry reject its jobs.
+func TestReportsOnTooManyEntriesAreIgnored(t *testing.T) {
+	row := work.Demand{Contract: 1, WaitingMilli: 1000, Work: 4}
+	for entries, most := range map[int]int{0: maxOtherEntries, 1: maxOtherEntries, 2: 2, 10: 14, 55: 81} {
+		f := newFleet(t, 1)
+		f.SetEntries(entries)
+		for n, ignored := range map[int]bool{most: false, most + 1: true, -1: true} {
+			f.reportOthers(0, 1, 1, n, nil, row)
+			_, _, known := f.othersDemand(f.now, f.service("teardown"))
+			assert.Equal(t, known, !ignored, "%d of %d", n, entries)
+		}
+	}
+}
+
 // TestWorkAhead: more urgent work of other entries goes first, work as urgent by its slack.
 func TestWorkAhead(t *testing.T) {
 	own := work.ContractHash("card")
@@ -344,6 +429,25 @@
 	assert.Assert(t, f.now-begin <= maxReportAge+heldBackInterval, "%s", f.now-begin)
 }
 
+// TestHeldBackJobsDoNotProlongTheShortage guards against long jobs that are held back until they are
+// rejected because nothing waits but themselves, here and at other entries: they start once no other
+// task has waited for 200 ms, though the guards go on reporting urgent work that arrives.
+func TestHeldBackJobsDoNotProlongTheShortage(t *testing.T) {
+	f := newFleet(t, 100)
+	urgent := work.Demand{Contract: 1, Slack: 50 * ms, WaitingMilli: 4000, Jobs: 1, ArrivingMilli: 50_000}
+	f.reportOthers(0, 100, 0, 1, []int64{0, 0, 35_000, 0}, urgent)
+	assert.Equal(t, len(f.submitFor("check", 2, 8, 900*ms).HeldBack), 1)
+	rows := f.Demand(f.now, "g0")
+	assert.Assert(t, rows[0].Jobs == 1 && rows[0].WaitingMilli == 0 && rows[0].Work > 7, "%v", rows)
+	begin := f.now
+	urgent.WaitingMilli, urgent.Jobs = 0, 0
+	for starts := 0; starts == 0; starts = len(f.after(20 * ms).Starts) {
+		f.reportOthers(0, 100, 0, 1, []int64{0, 0, 35_000, 0}, urgent)
+		assert.Assert(t, f.now-begin <= shortageMemory+2*heldBackInterval, "%s", f.now-begin)
+	}
+	assert.Assert(t, f.now-begin >= shortageMemory)
+}
+
 // TestEntryWithoutSharedDemand guards against an entry on which the part is off, and that yet sends its
 // demand, holds jobs back or orders them by what the guards report.
 func TestEntryWithoutSharedDemand(t *testing.T) {
