dispatch/durations: the test of the tail allows the error of its samples

TestTailIsExpectedAsDeclared drew a new contract for each of 100 cases and asked that each estimate be within 0.71 and 1.29 times the declared run time.

--- a/dispatch/durations/durations_test.go
+++ b/dispatch/durations/durations_test.go
@@ -53,21 +53,31 @@
 }
 
 // Guards against a job of the tail that is expected to take four times the mean: its declaration is
-// averaged with the mean of all jobs.
+// averaged with the mean of all jobs. A contract learns from some fifteen to thirty jobs of the tail, whose
+// run times and declarations have a spread of 0.4, so that the estimate of one contract in some four
+// hundred is off by 30 %. The mean over contracts shows a bias, and few of them may be off that far.
 func TestTailIsExpectedAsDeclared(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		seed := rapid.Uint64().Draw(t, "seed")
-		c := &contract{random: rand.New(rand.NewPCG(seed, 1)), mean: 60 * ms, every: 33}
+	const contracts = 100
+	var sum, off float64
+	for seed := range contracts {
+		c := &contract{random: rand.New(rand.NewPCG(uint64(seed), 1)), mean: 60 * ms, every: 33}
 		d := New()
-		c.run(d, rapid.IntRange(2000, 4000).Draw(t, "jobs"))
+		c.run(d, 2000+20*seed)
 		assert.Assert(t, d.HasTail())
 		tail, known := d.Expected(7 * 60 * ms)
-		assert.Assert(t, known && tail > 5*60*ms && tail < 9*60*ms, "tail %v", tail)
+		assert.Assert(t, known)
+		sum += tail.Seconds()
+		if tail < 5*60*ms || tail > 9*60*ms {
+			off++
+		}
 		usual, _ := d.Expected(60 * ms)
 		assert.Assert(t, usual > 45*ms && usual < 85*ms, "usual %v", usual)
 		limit, known := d.Limit(7 * 60 * ms)
 		assert.Assert(t, !known || limit > tail, "limit %v of %v", limit, tail)
-	})
+	}
+	mean := seconds(sum / contracts)
+	assert.Assert(t, mean > 6*60*ms && mean < 8*60*ms, "mean %v", mean)
+	assert.Assert(t, off <= contracts/50, "%v of %d contracts are off", off, contracts)
 }
 
 // Guards against changed decisions where there is no tail, where single endpoints are slow, and
