--- a/bench/cmd/almondreplay/main.go
+++ b/bench/cmd/almondreplay/main.go
@@ -19,7 +19,7 @@
 
 func main() {
 	var seed uint64
-	var shares bool
+	var shares, handOver bool
 	root := &cobra.Command{
 		Use:           "almondreplay [LOAD...]",
 		Short:         "Simulate loads with each scheduling policy; all loads if none is named",
@@ -30,6 +30,9 @@
 			if err != nil {
 				return err
 			}
+			for i := range loads {
+				loads[i].HandOver = handOver
+			}
 			if shares {
 				return writeShares(cmd, loads, seed)
 			}
@@ -47,6 +50,7 @@
 	}
 	root.Flags().Uint64Var(&seed, "seed", 1, "seed of the random numbers")
 	root.Flags().BoolVar(&shares, "shares", false, "print only one line per load that compares production with the oracle")
+	root.Flags().BoolVar(&handOver, "hand-over", false, "entries hand jobs over to each other")
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "almondreplay:", err)
 		os.Exit(1)
--- a/bench/replay/result.go
+++ b/bench/replay/result.go
@@ -226,6 +226,9 @@
 		if r.Left+r.Returned.Submitted > 0 {
 			_, _ = fmt.Fprintf(t, "callers left: %d; submitted again: %d, answered %.3f, in a busiest 100 ms %.1f times the mean\t\t\t\t\t\t\n", r.Left, r.Returned.Submitted, r.Returned.AnsweredShare(), r.MaxReturnsTimes())
 		}
+		if r.HandedOver > 0 {
+			_, _ = fmt.Fprintf(t, "jobs handed over: %d, not taken: %d\t\t\t\t\t\t\n", r.HandedOver, r.NotTaken)
+		}
 		_, _ = fmt.Fprintf(t, "start orders refused by guards: %s; messages to entries: %d\t\t\t\t\t\t\n", reasons(r.RefusedOrders), r.Messages)
 	}
 	return t.Flush()
