--- a/e2e/fleet_handover_test.go
+++ b/e2e/fleet_handover_test.go
@@ -103,7 +103,8 @@
 	assert.DeepEqual(f.t, f.Checker.Violations(), []string(nil))
 }
 
-// Guards against "this entry is ending" for jobs that another entry can run, and against jobs that both run.
+// Guards against "this entry is ending" for jobs that another entry can run, against jobs that both run, and
+// against a false "not run" once the other entry shuts down as well.
 func TestFleetDrainingEntryHandsItsJobsOver(t *testing.T) {
 	f := startDrainingFleet(t)
 	before := f.Checker.Starts()
@@ -114,6 +115,10 @@
 	waitUntil(t, time.Second, "the jobs were not handed over", func() bool {
 		return countLines(f.Entries[0], `"msg":"job.handover_ended"`, `"end":"answered"`) == 10 && countLines(f.Entries[1], `"msg":"job.taken_over"`, `"from":"entry-1"`) == 10
 	})
+	f.Entries[1].Process().Terminate()
+	waitUntil(t, time.Second, "the second entry does not drain", func() bool { return countLines(f.Entries[1], `"msg":"edge.draining"`) == 1 })
+	a := f.Submit(t.Context(), 0, fleet.NewJob(1, 40), 1)
+	assert.Equal(t, a.Status, http.StatusServiceUnavailable, "%+v", a)
 }
 
 // Guards against a task that runs twice, and a false "not run", when the second entry fails with a job that
--- a/entry/jobs/events.go
+++ b/entry/jobs/events.go
@@ -55,7 +55,7 @@
 	jobReturned = eventlog.Define(1281, "job.returned", slog.LevelInfo,
 		"A job that this entry had rejected returned in its time to retry, and ended with the outcome given. It went before new jobs of its contract.", "None.")
 	jobHandedOver = eventlog.Define(1282, "job.handed_over", slog.LevelInfo,
-		"A job was handed over to the entry at the address in to. why is lag: this entry is short of processor time and would answer late; draining: it shuts down; "+
+		"A job was handed over to the entry at the address in to. why is lag: this entry is short of processor time; draining: it shuts down; "+
 			"or no_endpoint_reached: it reaches no endpoint of the job's service. lag_ms is the mean time by which it has handled events late.",
 		"lag: the host is too small for its callers, see entry.lag. no_endpoint_reached: check the network to the guards.")
 	handoverEnded = eventlog.Define(1283, "job.handover_ended", slog.LevelInfo,
