e2e/soak: a second entry fails while another hands jobs over to it

The soak knew no handovers: its entries named no cores, and a stopped entry had no callers left after the load balancer's notice. A group of three faults with a random stream of its own throttles the first entry of a pair or shuts it down while callers use it, half of whom leave, and kills, suspends or cuts off the second. The reports count handovers from the entries' logs, and almondsoak adds them up.

--- a/e2e/cmd/almondsoak/main.go
+++ b/e2e/cmd/almondsoak/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"sync"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -29,6 +30,18 @@
 	bin     string
 }
 
+// totals adds up the handovers of all seeds.
+type totals struct {
+	mu  sync.Mutex
+	sum soak.Handovers
+}
+
+func (t *totals) add(h soak.Handovers) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sum.Add(h)
+}
+
 func main() {
 	if err := command().ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -75,11 +88,12 @@
 	seeds := make(chan uint64)
 	go sendSeeds(s, seeds)
 	failures := make(chan uint64, 1024)
+	var handovers totals
 	done := make(chan struct{})
 	for range s.jobs {
 		go func() {
 			for seed := range seeds {
-				runSeed(ctx, s, binaries, filepath.Join(dir, fmt.Sprint(seed)), seed, failures)
+				runSeed(ctx, s, binaries, filepath.Join(dir, fmt.Sprint(seed)), seed, failures, &handovers)
 			}
 			done <- struct{}{}
 		}()
@@ -88,6 +102,7 @@
 		<-done
 	}
 	close(failures)
+	fmt.Println("handovers in all:", handovers.sum)
 	var failed []uint64
 	for seed := range failures {
 		failed = append(failed, seed)
@@ -113,13 +128,14 @@
 
 // runSeed runs one seed. It prints the report if the seed passed; otherwise it writes the
 // report to a file and sends the seed to failures.
-func runSeed(ctx context.Context, s settings, b harness.Binaries, dir string, seed uint64, failures chan<- uint64) {
+func runSeed(ctx context.Context, s settings, b harness.Binaries, dir string, seed uint64, failures chan<- uint64, handovers *totals) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		failures <- seed
 		return
 	}
 	report, err := soak.Run(ctx, soak.Options{Binaries: b, Dir: dir, Seed: seed, Length: s.length})
+	handovers.add(report.Handovers)
 	text := report.Text()
 	if err != nil {
 		text += err.Error() + "\n"
--- a/e2e/soak/callers.go
+++ b/e2e/soak/callers.go
@@ -48,11 +48,11 @@
 }
 
 // throttle suspends a node's process again and again for the duration of a fault, like a CPU
-// quota.
-func (r *run) throttle(ctx context.Context, n *fleet.Node, f Fault) {
+// quota, each time for less than longest.
+func (r *run) throttle(ctx context.Context, n *fleet.Node, f Fault, longest time.Duration) {
 	random := r.random(f)
 	for end := time.Now().Add(f.Duration); time.Now().Before(end) && ctx.Err() == nil; {
-		suspend(ctx, n, minThrottleSuspend+time.Duration(random.Int64N(int64(maxThrottleSuspend-minThrottleSuspend))))
+		suspend(ctx, n, minThrottleSuspend+time.Duration(random.Int64N(int64(longest-minThrottleSuspend))))
 		uptime.Sleep(ctx, time.Duration(random.Int64N(int64(maxThrottleRun))))
 	}
 }
@@ -63,9 +63,9 @@
 	defer throttled.Wait()
 	switch f.Kind {
 	case EntryThrottle, EntryHalfOpen:
-		throttled.Go(func() { r.throttle(ctx, entry, f) })
+		throttled.Go(func() { r.throttle(ctx, entry, f, maxThrottleSuspend) })
 	case GuardThrottle:
-		throttled.Go(func() { r.throttle(ctx, guard, f) })
+		throttled.Go(func() { r.throttle(ctx, guard, f, maxThrottleSuspend) })
 	}
 	switch f.Kind {
 	case CallersLeave, GuardThrottle:
--- a/e2e/soak/inject.go
+++ b/e2e/soak/inject.go
@@ -65,6 +65,8 @@
 		r.burst.Store(false)
 	case CallersLeave, EntryThrottle, GuardThrottle, CallersHalfOpen, EntryHalfOpen:
 		r.injectCallerFault(ctx, f, entry, guard)
+	case HandoverEntryKill, HandoverEntrySuspend, HandoverEntryCut:
+		r.handOver(ctx, f)
 	default:
 		r.injectNetworkFault(ctx, f)
 	}
--- a/e2e/soak/run.go
+++ b/e2e/soak/run.go
@@ -58,6 +58,7 @@
 	Violations []string
 	Answers    map[int]int
 	Starts     int
+	Handovers  Handovers
 	// trace are the lines about the jobs of violations and about the runners' processes.
 	trace    string
 	logs     map[string]string
@@ -68,7 +69,7 @@
 // violations and the logs.
 func (r Report) Text() string {
 	var b strings.Builder
-	_, _ = fmt.Fprintf(&b, "seed %d: %d faults, %d runs, answers %v, %d broken, %.1f s\n", r.Seed, len(r.Faults), r.Starts, r.Answers, len(r.Violations), r.duration.Seconds())
+	_, _ = fmt.Fprintf(&b, "seed %d: %d faults, %d runs, answers %v, handovers %v, %d broken, %.1f s\n", r.Seed, len(r.Faults), r.Starts, r.Answers, r.Handovers, len(r.Violations), r.duration.Seconds())
 	if len(r.Violations) == 0 {
 		return b.String()
 	}
@@ -103,7 +104,7 @@
 // Run runs a fleet under load with the faults of a seed's schedule, and returns ErrViolation
 // if an invariant was violated.
 func Run(ctx context.Context, o Options) (Report, error) {
-	f, err := fleet.New(ctx, fleet.Options{Binaries: o.Binaries, Dir: o.Dir, Entries: entries, Guards: guards, DataCentres: dataCentres})
+	f, err := fleet.New(ctx, fleet.Options{Binaries: o.Binaries, Dir: o.Dir, Entries: entries, Guards: guards, DataCentres: dataCentres, Cores: entryCores})
 	if err != nil {
 		return Report{}, err
 	}
@@ -132,6 +133,11 @@
 	report.Violations = f.Checker.Violations()
 	report.Answers = r.statusCounts
 	report.Starts = f.Checker.Starts()
+	for _, n := range f.Entries {
+		for _, p := range n.Processes() {
+			report.Handovers.Add(countHandovers(p.FullLog()))
+		}
+	}
 	report.duration = time.Since(r.startTime)
 	report.logs = map[string]string{}
 	if len(report.Violations) > 0 {
--- a/e2e/soak/schedule.go
+++ b/e2e/soak/schedule.go
@@ -59,6 +59,10 @@
 	CordonSeries Kind = "data centre cordoned, taken back and cordoned again within a second"
 
 	RunnerNoProgress Kind = "runner stops reporting progress while its runs go on"
+
+	HandoverEntryKill    Kind = "entry killed while another hands jobs over"
+	HandoverEntrySuspend Kind = "entry suspended while another hands jobs over"
+	HandoverEntryCut     Kind = "entry cut off while another hands jobs over"
 )
 
 var plannedKinds = []Kind{EntryTerm, EntryHangup, GuardTerm, GuardHangup, Configure, Configure}
@@ -128,6 +132,7 @@
 	{CallersHalfOpen, EntryHalfOpen, RunnerUnresponsive},
 	{Cordon, CordonSeries},
 	{RunnerNoProgress},
+	{HandoverEntryKill, HandoverEntrySuspend, HandoverEntryCut},
 }
 
 // additionalFaults returns the faults for one group of additionalKinds.
