--- a/bench/replay/handover_test.go
+++ b/bench/replay/handover_test.go
@@ -58,17 +58,20 @@
 	assert.Assert(t, worst(t, handingOver(l), "with handover") > worst(t, l, "without handover")+0.05)
 }
 
+// TestFloodedEntriesServeWhatRunnersCan guards against callers of small hosts who are served worse than the
+// runners allow when all callers come three times as often.
+func TestFloodedEntriesServeWhatRunnersCan(t *testing.T) {
+	t.Parallel()
+	l := load(t, "thin-flood")
+	assert.Assert(t, worst(t, handingOver(l), "with handover") >= 0.93*worst(t, onWholeCores(l), "on whole cores"))
+}
+
 // TestOverwhelmedEntriesServeWhatRunnersCan guards against callers of small hosts who are served worse than
-// the runners allow, also where the hosts have too little processor time for the requests or the jobs in
-// flight reach their bound; see KNOWN-RED.txt.
+// the runners allow where the hosts have too little processor time for the requests; see KNOWN-RED.txt.
 func TestOverwhelmedEntriesServeWhatRunnersCan(t *testing.T) {
-	for _, name := range []string{"thin-flood", "thin-slow"} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			l := load(t, name)
-			assert.Assert(t, worst(t, handingOver(l), "with handover") >= 0.93*worst(t, onWholeCores(l), "on whole cores"))
-		})
-	}
+	t.Parallel()
+	l := load(t, "thin-slow")
+	assert.Assert(t, worst(t, handingOver(l), "with handover") >= 0.93*worst(t, onWholeCores(l), "on whole cores"))
 }
 
 // TestNoHandOverBetweenLargeHosts guards against handovers where no entry is short of processor time.
--- a/dispatch/handover/handover.go
+++ b/dispatch/handover/handover.go
@@ -104,11 +104,14 @@
 
 // Shares of its processor time that an entry uses, in thousandths, at which it starts to hand jobs over
 // and at which it hands over all that it can. In between it hands over a share of them, so that the use
-// settles. The loads of the others are wanted before, at wantedUsed.
+// settles. The loads of the others are wanted before, at wantedUsed. An entry that is busy for half of its
+// time acknowledges late, and guards then offer more of the free capacity to others: with 500 and 700, callers of
+// small hosts are rejected three times as often as the others while runners are short (replay, thin-burst,
+// seed 1: 0.80 on time, 0.87 with 300 and 500).
 const (
-	wantedUsed = 400
-	someUsed   = 500
-	allUsed    = 700
+	wantedUsed = 200
+	someUsed   = 300
+	allUsed    = 500
 )
 
 // Numbers of times that an entry's lag delays a job.
--- a/entry/handover/beforesend_test.go
+++ b/entry/handover/beforesend_test.go
@@ -21,7 +21,8 @@
 	ctx, leave := context.WithCancel(t.Context())
 	defer leave()
 	c.opt.BeforeSend = leave
-	assert.ErrorIs(t, <-handOver(ctx, c, address, testJob(1)), context.Canceled)
+	_, err := c.HandOver(ctx, address, testJob(1))
+	assert.ErrorIs(t, err, context.Canceled)
 }
 
 // Guards against a heartbeat that lets a job go on whose caller has left: its cancellation must be in the
