--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -242,11 +242,11 @@
 	case <-runCtx.Done():
 		return nil
 	}
-	start := time.Now()
-	bounds := e.settings.Load().Bounds
+	start, bounds := time.Now(), e.settings.Load().Bounds
+	limit := bounds.GracePeriod.Std() - exitReserve
 	draining.Log(runCtx, e.opts.Logger, slog.Int("open", e.open()))
 	e.draining.Store(true)
-	e.jobs.Drain()
+	e.jobs.Drain(uptime.Now() + limit)
 	e.front.DisableKeepAlives()
 	time.Sleep(bounds.BalancerNotice.Std())
 	// New connections go to other entries by now, so callers whose idle connections are closed
@@ -254,7 +254,6 @@
 	// handed over or rejected.
 	e.callers.SetKeepAlivesEnabled(false)
 	e.front.RejectNewJobs()
-	limit := bounds.GracePeriod.Std() - exitReserve
 	for e.open() > 0 && time.Since(start) < limit {
 		time.Sleep(drainPollInterval)
 	}
--- a/entry/jobs/handover.go
+++ b/entry/jobs/handover.go
@@ -98,11 +98,13 @@
 	return s
 }
 
-// Drain makes the engine take no more jobs over. Jobs of its own callers are still run.
-func (e *Engine) Drain() {
+// Drain makes the engine take no more jobs over. Jobs of its own callers are still run. until is the uptime
+// at which the process exits even if jobs are open: a job that this entry does not start is handed over only
+// if its caller's deadline comes before that, as the answer would be lost otherwise.
+func (e *Engine) Drain(until time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.draining = true
+	e.draining, e.drainUntil = true, until
 }
 
 // TakesJobs reports whether this entry takes over jobs of others if it has the processor time.
@@ -135,7 +137,7 @@
 // which tasks run here or may have run stays, as does one that another entry has handed over. The caller
 // holds the lock.
 func (e *Engine) handOverIfDue(now time.Duration, s submission) *jobWaiters {
-	if e.handOver == nil || s.takenOver {
+	if e.handOver == nil || s.takenOver || s.elsewhere && e.drainUntil > 0 && s.deadline > e.drainUntil {
 		return nil
 	}
 	state := e.state()
--- a/entry/jobs/handover_test.go
+++ b/entry/jobs/handover_test.go
@@ -288,6 +288,20 @@
 	assert.Assert(t, served && a.Outcome == planner.Completed, "its answer is cached")
 }
 
+// Guards against a job whose caller gets no answer, because the entry that has handed it over ends before
+// it is answered.
+func TestJobThatOutlivesTheEntryIsNotHandedOver(t *testing.T) {
+	h := newHanding(t)
+	now := uptime.Now()
+	h.Drain(now + 2*time.Second)
+	_, served := h.SubmitElsewhere(t.Context(), job, terms, now+2*time.Second+time.Millisecond)
+	assert.Assert(t, !served)
+	assert.Equal(t, len(h.policy.states), 0)
+	go func() { (<-h.client).answer(planner.Completed, nil) }()
+	_, served = h.SubmitElsewhere(t.Context(), job, terms, now+2*time.Second)
+	assert.Assert(t, served)
+}
+
 // takeOver hands the job to the engine, as another entry does.
 func (h *handing) takeOver(ctx context.Context, contract string) (planner.Answer, error) {
 	return h.TakeOver(ctx, entryhandover.Job{Work: job, Contract: contract, TimeLeft: time.Second, Waited: 10 * time.Millisecond})
@@ -338,7 +352,7 @@
 // reads after it stood still: its caller may have submitted it elsewhere.
 func TestJobsNotTakenOver(t *testing.T) {
 	for why, prepare := range map[string]func(h *handing){
-		"draining":            func(h *handing) { h.Drain() },
+		"draining":            func(h *handing) { h.Drain(uptime.Now() + time.Minute) },
 		"turned_off":          func(h *handing) { h.handOver = nil },
 		"no_spare_cpu":        func(h *handing) { h.spareMilli = func() int { return 0 } },
 		"lag":                 func(h *handing) { h.lag = func() time.Duration { return maxTakeOverLag + 1 } },
--- a/entry/jobs/jobs.go
+++ b/entry/jobs/jobs.go
@@ -80,8 +80,10 @@
 	mu sync.Mutex
 	// policy decides which jobs are handed over.
 	policy policy
-	// draining is true once the entry shuts down.
-	draining bool
+	// draining is true once the entry shuts down. The process exits at drainUntil at the latest; zero if
+	// it is not draining.
+	draining   bool
+	drainUntil time.Duration
 	// unreachedAt is when a job was last submitted of whose service no endpoint was reached.
 	unreachedAt time.Duration
 	// handedOver and takenOver count the jobs in flight to and from other entries.
