entry/handover: messages are dated before the callers are checked

A first entry that was suspended between the check of its callers and the next message sent a job, or a heartbeat, that looked new although the check was old.

--- a/entry/handover/beforesend_test.go
+++ b/entry/handover/beforesend_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -24,6 +26,27 @@
 	assert.ErrorIs(t, <-handOver(ctx, c, address, testJob(1)), context.Canceled)
 }
 
+// Guards against a task that starts for a caller that has left: this entry was suspended between the check
+// of the callers and the message, which must not look newer than the check.
+func TestJobIsNotTakenIfTheCheckOfCallersIsOld(t *testing.T) {
+	var taken atomic.Int32
+	address, _ := serveTaker(t, func(ctx context.Context, j Job) (planner.Answer, error) {
+		taken.Add(1)
+		return completes(ctx, j)
+	})
+	c, _ := startClient(t)
+	var stalls atomic.Bool
+	c.opt.BeforeSend = func() {
+		if stalls.CompareAndSwap(true, false) {
+			time.Sleep(silenceLimit + 2*heartbeatInterval)
+		}
+	}
+	openStream(t, c, address)
+	stalls.Store(true)
+	assert.Assert(t, <-handOver(t.Context(), c, address, testJob(2)) != nil)
+	assert.Equal(t, taken.Load(), int32(0))
+}
+
 // Guards against a heartbeat that lets a job go on whose caller has left: its cancellation must be in the
 // same message, once, also if the goroutine that waits for the job has not run.
 func TestMessageCancelsJobsOfCallersThatLeft(t *testing.T) {
--- a/entry/handover/clientstream.go
+++ b/entry/handover/clientstream.go
@@ -241,10 +241,13 @@
 		if s.ctx.Err() != nil {
 			return context.Cause(s.ctx)
 		}
+		// The message is dated before the check: if this process is suspended between the two, the other
+		// entry finds the message old.
+		now := uptime.Now()
 		if beforeSend := s.client.opt.BeforeSend; beforeSend != nil {
 			beforeSend()
 		}
-		m, wait, err := s.next(uptime.Now())
+		m, wait, err := s.next(now)
 		if err != nil {
 			return err
 		}
