entry/handover: a late connection timeout does not end an open stream

The goroutine of the timeout could be past its last sleep when the handshake arrived, and end the stream after jobs had been sent. They counted as lost.

--- a/entry/handover/clientstream.go
+++ b/entry/handover/clientstream.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -55,6 +56,8 @@
 	heard   lastHeard
 	// connected is true once the other entry has accepted the stream. Only run uses it.
 	connected bool
+	// settled is set by the end of the connection attempt or by its timeout, whichever comes first.
+	settled atomic.Bool
 
 	mu sync.Mutex
 	// queue are the jobs that wait to be sent.
@@ -202,7 +205,7 @@
 				return
 			}
 		}
-		s.cancel(errConnectTimeout)
+		s.timeOutConnect()
 	}()
 	opt := s.client.opt
 	err := st.Send(&wirev1.HandOverRequest{
@@ -220,6 +223,9 @@
 		s.logForeign(err)
 		return err
 	}
+	if !s.settled.CompareAndSwap(false, true) {
+		return errConnectTimeout
+	}
 	s.connected = true
 	s.client.metrics.opened.Inc(1)
 	streamOpened.Log(s.ctx, opt.Logger, slog.String("side", sideOut), slog.String("address", s.address),
@@ -227,6 +233,13 @@
 	return nil
 }
 
+// timeOutConnect ends the stream unless it is open: jobs may have been sent on it by then.
+func (s *clientStream) timeOutConnect() {
+	if s.settled.CompareAndSwap(false, true) {
+		s.cancel(errConnectTimeout)
+	}
+}
+
 // send sends what is due until the stream ends.
 func (s *clientStream) send(st *streamToServer) error {
 	timer := time.NewTimer(0)
--- a/entry/handover/handover_test.go
+++ b/entry/handover/handover_test.go
@@ -218,6 +218,20 @@
 	waitForCounter(t, scope, "handover_connections_failed_total", 5)
 }
 
+// Guards against jobs that are sent and then lost because the connection timeout, which ended as the stream
+// opened, is handled late.
+func TestConnectTimeoutEndsNoOpenStream(t *testing.T) {
+	address, _ := serveTaker(t, completes)
+	c, _ := startClient(t)
+	openStream(t, c, address)
+	c.mu.Lock()
+	s := c.streams[address]
+	c.mu.Unlock()
+	s.timeOutConnect()
+	assert.NilError(t, s.ctx.Err())
+	assert.NilError(t, <-handOver(t.Context(), c, address, testJob(1)))
+}
+
 // Guards against a job that runs twice, as the first entry runs it though the second took it before it died,
 // and against jobs that go on for the silence limit after the first entry died.
 func TestConnectionBreaks(t *testing.T) {
