--- a/dispatch/handover/handover.go
+++ b/dispatch/handover/handover.go
@@ -55,14 +55,14 @@
 	ReasonUnreachable Reason = "no_endpoint_reached"
 )
 
-// Outcome is how a hand-over ended.
+// Outcome is how a handover ended.
 type Outcome int
 
 // Values of Outcome.
 const (
 	// Answered: the other entry answered with the job's outcome.
 	Answered Outcome = iota + 1
-	// NotTaken: the other entry took the job not over, or could not be reached.
+	// NotTaken: the other entry did not take the job over, or could not be reached.
 	NotTaken
 	// Lost: the connection ended after the job was sent.
 	Lost
@@ -189,10 +189,10 @@
 }
 
 // Choose returns the entry that a job is handed over to, and why; ok is false if the job stays here. A
-// chosen job counts as under way until Ended is called for it.
+// chosen job counts as in flight until Ended is called for it.
 func (p *Policy) Choose(now time.Duration, s State, j Job) (address string, why Reason, ok bool) {
 	p.observe(now, s.Lag)
-	why = p.reason(now, s, j)
+	why = p.reason(now, s)
 	if why == "" || p.inFlight >= maxInFlight {
 		return "", "", false
 	}
@@ -206,7 +206,7 @@
 }
 
 // reason returns why a job is to be handed over; empty if it is not.
-func (p *Policy) reason(now time.Duration, s State, j Job) Reason {
+func (p *Policy) reason(now time.Duration, s State) Reason {
 	switch {
 	case s.Draining:
 		return ReasonDraining
@@ -261,7 +261,7 @@
 	return a
 }
 
-// Ended records the end of a hand-over.
+// Ended records the end of a handover.
 func (p *Policy) Ended(now time.Duration, address string, o Outcome) {
 	e := p.others[address]
 	if e == nil || e.inFlight == 0 {
--- a/entry/handover/handover.go
+++ b/entry/handover/handover.go
@@ -1,5 +1,5 @@
 // Package handover carries jobs from one entry to another, and their answers back. Each pair of
-// entries uses one stream while jobs are under way between them.
+// entries uses one stream while jobs are in flight between them.
 package handover
 
 import (
@@ -10,7 +10,7 @@
 	"almondstand.dev/dispatch/work"
 )
 
-// Errors of a hand-over.
+// Errors of a handover.
 var (
 	// ErrNotTaken means that the other entry has ordered no task of the job and will order none.
 	ErrNotTaken = errors.New("handover: job not taken")
