dispatch/planner: a question asked before a job was taken over does not count for it

A job that had waited at another entry counted as one that had waited here for the answers of the other entries. An entry that had just been cut off started it without knowing the late starts.

--- a/dispatch/planner/admission.go
+++ b/dispatch/planner/admission.go
@@ -161,7 +161,7 @@
 // mayRejectEarly reports whether a job may be rejected before its time is over: capacity has been
 // short for long enough, none is free for it, and it can be rejected as not run.
 func (p *Planner) mayRejectEarly(now time.Duration, j *job) bool {
-	return j.service.isShort(now) && !p.inStartupGrace(now) && !j.retest && p.knowsLateStarts(now, j.arrived) &&
+	return j.service.isShort(now) && !p.inStartupGrace(now) && !j.retest && p.knowsLateStarts(now, j.received) &&
 		!p.mayHaveRunBefore(now, j) && !p.fitsNow(now, j)
 }
 
--- a/dispatch/planner/contact.go
+++ b/dispatch/planner/contact.go
@@ -122,11 +122,11 @@
 	return c.oldest
 }
 
-// knowsLateStarts reports whether the late starts of all endpoints are known, or a job that arrived at the
+// knowsLateStarts reports whether the late starts of all endpoints are known, or a job received at the
 // given time has waited for them long enough.
-func (p *Planner) knowsLateStarts(now, arrived time.Duration) bool {
+func (p *Planner) knowsLateStarts(now, received time.Duration) bool {
 	c := &p.contact
-	if c.unansweredAt >= max(arrived, c.replacedAt) {
+	if c.unansweredAt >= max(received, c.replacedAt) {
 		return true
 	}
 	needed := now - maxContactAge
--- a/dispatch/planner/contact_test.go
+++ b/dispatch/planner/contact_test.go
@@ -140,6 +140,23 @@
 	assert.Equal(t, len(f.act().Starts), 1)
 }
 
+// Guards against a task that runs twice: the entry was cut off, and takes over a job that has waited at
+// another entry since before the question that nobody answered.
+func TestQuestionThatNobodyAnsweredDoesNotHoldForJobsTakenOver(t *testing.T) {
+	f := newContactFleet(t, 2)
+	f.now += 2 * maxContactAge
+	f.hear(1)
+	asked := f.now
+	f.now += 150 * ms
+	f.RecordPeersUnanswered(asked)
+	w := work.Job{ID: "j", Steps: []work.Step{{Count: 1, Need: core, Declared: 100 * ms}}}
+	assert.Equal(t, f.SubmitWaited(f.now, f.now+1500*ms, 200*ms, w, terms), Accepted)
+	assert.Equal(t, len(f.act().Starts), 0)
+	assert.Assert(t, f.MustAskPeers(f.now))
+	f.RecordPeersAsked(f.now)
+	assert.Equal(t, len(f.act().Starts), 1)
+}
+
 // Guards against jobs that wait longer after a loss of power: the entry is the first to have it again.
 func TestEntryThatHasJustStartedServesWithoutAnswers(t *testing.T) {
 	f := newStartedFleet(t, 1)
--- a/dispatch/planner/job.go
+++ b/dispatch/planner/job.go
@@ -20,6 +20,9 @@
 	tasks                 []*task
 	// arrived is the time of submission, deadline the end of the caller's wait.
 	arrived, deadline time.Duration
+	// received is when this entry got the job; later than arrived if it waited at another entry. What was
+	// known of late starts before that does not count for it.
+	received time.Duration
 	// startBy is the latest start that meets the response-time target, keepUntil the latest
 	// start for an answer that is of any use.
 	startBy, keepUntil time.Duration
--- a/dispatch/planner/place.go
+++ b/dispatch/planner/place.go
@@ -40,7 +40,7 @@
 		if len(missed) >= maxMissedNeeds {
 			return
 		}
-		if !p.knowsLateStarts(now, j.arrived) {
+		if !p.knowsLateStarts(now, j.received) {
 			p.contact.blocked = true
 			continue
 		}
--- a/dispatch/planner/planner.go
+++ b/dispatch/planner/planner.go
@@ -232,8 +232,8 @@
 }
 
 // SubmitWaited is Submit for a job that has waited at another entry, or to be taken over by one, for
-// the given time. Its response-time target and what is known of its late starts count from its arrival
-// there.
+// the given time. Its response-time target counts from its arrival there, what must be known of late
+// starts from now.
 func (p *Planner) SubmitWaited(now, deadline, waited time.Duration, w work.Job, t Terms) Verdict {
 	if j := p.jobs[w.ID]; j != nil {
 		if j.outcome != 0 {
@@ -242,6 +242,7 @@
 		return Duplicate
 	}
 	j := newJob(now-waited, deadline, w, t)
+	j.received = now
 	for _, t := range j.tasks {
 		t.attempt = max(p.attempts[w.ID], p.olderAttempts[w.ID])
 	}
@@ -487,7 +488,7 @@
 	switch {
 	case len(j.service.endpoints) == 0:
 		return ReasonNoRunner
-	case !p.knowsLateStarts(now, j.arrived):
+	case !p.knowsLateStarts(now, j.received):
 		return ReasonLateStartsUnknown
 	default:
 		return ReasonOverload
