bench/replay: hand jobs over with the planner's forecast, and keep their times

The decision used a slack computed from the declared run time instead of Planner.Preview, and a job that was taken over got its response-time target and deadline anew. Entries use Preview and SubmitWaited.

--- a/bench/replay/handover.go
+++ b/bench/replay/handover.go
@@ -99,13 +99,10 @@
 		return nil
 	}
 	now := e.sim.now
-	k := e.sim.load.Kinds[a.kind]
-	expected := time.Duration(float64(k.Run) * a.declared)
-	j := handover.Job{
-		Slack:    a.at + k.target(a.declared) - now - expected,
-		TimeLeft: a.at + a.deadline - now,
-	}
-	address, _, ok := e.hand.policy.Choose(now, e.state(), j)
+	deadline := a.at + a.deadline
+	j, terms := e.sim.job("", a)
+	preview := e.plan.Preview(now, deadline, now-a.at, j, terms)
+	address, _, ok := e.hand.policy.Choose(now, e.state(), handover.Job{Slack: preview.Slack, TimeLeft: deadline - now})
 	if !ok {
 		return nil
 	}
--- a/bench/replay/link.go
+++ b/bench/replay/link.go
@@ -1,7 +1,6 @@
 package replay
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -62,7 +61,10 @@
 const never = time.Duration(1<<63 - 1)
 
 func (g *guard) attach(e *entry) {
-	l := &session{guard: g, entry: e, owner: runs.Owner{Entry: fmt.Sprint("entry-", e.number), Incarnation: 1}, capacityDue: g.sim.now, reportsDue: never, open: map[work.RunID]struct{}{}}
+	l := &session{
+		guard: g, entry: e, owner: runs.Owner{Entry: e.name, Incarnation: 1},
+		capacityDue: g.sim.now, reportsDue: never, open: map[work.RunID]struct{}{},
+	}
 	g.sessions = append(g.sessions, l)
 	l.scheduleFlush()
 	g.sim.after(pingInterval, l.ping)
--- a/bench/replay/sim.go
+++ b/bench/replay/sim.go
@@ -270,18 +270,27 @@
 // submitAs passes a job to the planner under an id; from is the entry that handed it over, nil if none
 // did.
 func (e *entry) submitAs(id string, a arrival, returning bool, from *entry) {
-	k := e.sim.load.Kinds[a.kind]
 	e.jobs[id] = &pendingJob{arrival: a, returning: returning, from: from}
+	j, terms := e.sim.job(id, a)
+	if from != nil {
+		e.plan.SubmitWaited(e.sim.now, a.at+a.deadline, e.sim.now-a.at, j, terms)
+	} else {
+		e.plan.Submit(e.sim.now, e.sim.now+a.deadline, j, terms)
+	}
+	e.runPlanner()
+}
+
+// job returns the job of an arrival under an id, and its terms.
+func (s *sim) job(id string, a arrival) (work.Job, planner.Terms) {
+	k := s.load.Kinds[a.kind]
 	j := work.Job{ID: id, Steps: []work.Step{{
 		Count:    k.Tasks,
 		Need:     work.Amounts{CPUMilli: k.CPUMilli},
 		Declared: time.Duration(float64(k.Run) * a.declared),
 	}}}
-	terms := e.sim.policy.Terms(planner.Terms{
+	return j, s.policy.Terms(planner.Terms{
 		Contract: k.Name, Service: service, Priority: k.Priority, MaxAttempts: 2, TargetFactor: targetFactor, TargetMargin: targetAllowance,
 	})
-	e.plan.Submit(e.sim.now, e.sim.now+a.deadline, j, terms)
-	e.runPlanner()
 }
 
 // runPlanner carries out the planner's decisions and sets the timer for the next ones.
