--- a/dispatch/planner/shareddemand_test.go
+++ b/dispatch/planner/shareddemand_test.go
@@ -184,9 +184,13 @@
 		work, heard []float64
 		tolerance   float64
 	}{
-		"heard by all":                  {[]float64{8, 0, 2}, []float64{always, always, always}, 0},
-		"one heard by few":              {[]float64{8, 0, 0, 0, 0, 2, 0, 0, 1}, []float64{seldom, always, always, always, always, always, always, always, always}, 0.01},
-		"one of several heard by few":   {[]float64{8, 0, 0, 0, 0, 2, 0, 0, 1}, []float64{seldom, seldom, seldom, seldom, seldom, always, always, always, always}, 0.1},
+		"heard by all": {[]float64{8, 0, 2}, []float64{always, always, always}, 0},
+		"one heard by few": {
+			[]float64{8, 0, 0, 0, 0, 2, 0, 0, 1}, append([]float64{seldom}, slices.Repeat([]float64{always}, 8)...), 0.01,
+		},
+		"one of several heard by few": {
+			[]float64{8, 0, 0, 0, 0, 2, 0, 0, 1}, []float64{seldom, seldom, seldom, seldom, seldom, always, always, always, always}, 0.1,
+		},
 		"idle entries are heard by few": {[]float64{0, 0, 0, 3, 3, 3}, []float64{seldom, seldom, seldom, always, always, always}, 0.1},
 		"all heard by few":              {[]float64{6, 1, 4, 1}, []float64{seldom, seldom, seldom, seldom}, 0.15},
 	} {
--- a/entry/sessions/demand_test.go
+++ b/entry/sessions/demand_test.go
@@ -36,7 +36,8 @@
 		st := fleetwire.NewClient(&http.Client{Transport: transport}, l.Addr().String()).Attach(ctx)
 		full := fleetwire.ToAmounts(work.Amounts{CPUMilli: 4000})
 		assert.NilError(t, st.Send(&wirev1.AttachRequest{Handshake: &wirev1.GuardHandshake{Guard: "g", Incarnation: 1}, ClockUs: 1}))
-		assert.NilError(t, st.Send(&wirev1.AttachRequest{ClockUs: 2, Capacity: &wirev1.Capacity{Service: "s", Runner: "r", Open: true, Total: full, Allocated: full}}))
+		capacity := &wirev1.Capacity{Service: "s", Runner: "r", Open: true, Total: full, Allocated: full}
+		assert.NilError(t, st.Send(&wirev1.AttachRequest{ClockUs: 2, Capacity: capacity}))
 		go func() {
 			job := work.Job{ID: "j", Steps: []work.Step{{Count: 1, Need: work.Amounts{CPUMilli: 1000}, Declared: 900 * time.Millisecond}}}
 			e.Submit(ctx, job, planner.Terms{Contract: "c", Service: "s", MaxAttempts: 2, TargetFactor: 3, TargetMargin: time.Second}, uptime.Now()+5*time.Second)
