entry/sessions/turns: turns of ended sessions do not add up

A session that ends keeps the turn that it has reserved. Guards whose connections break again and again while tasks wait would put off the turns of all guards by 10 ms with each session, without limit.

--- a/entry/sessions/turns/turns.go
+++ b/entry/sessions/turns/turns.go
@@ -18,6 +18,9 @@
 	// Slot is the least time between two messages to any guards. A message takes some 45 µs of processor
 	// time, so that 100 of them a second take less than half a percent of a core.
 	Slot = 10 * time.Millisecond
+	// maxAhead is the furthest that a turn is reserved ahead: a slot for each of 1,000 guards. Sessions that
+	// end do not give their turns back.
+	maxAhead = 1000 * Slot
 )
 
 // Queue is the order in which the guards of one entry get their turns. The zero value is ready for
@@ -31,7 +34,7 @@
 func (q *Queue) reserve(earliest time.Duration) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.last = max(q.last+Slot, earliest)
+	q.last = min(max(q.last+Slot, earliest), earliest+maxAhead)
 	return q.last
 }
 
--- a/entry/sessions/turns/turns_test.go
+++ b/entry/sessions/turns/turns_test.go
@@ -45,3 +45,17 @@
 		})
 	}
 }
+
+// TestTurnsOfEndedSessionsDoNotAddUp guards against demand that no guard without a run is sent for minutes,
+// because guards whose connections broke again and again have reserved a turn with each session.
+func TestTurnsOfEndedSessionsDoNotAddUp(t *testing.T) {
+	var q Queue
+	now := time.Second
+	for range 30_000 {
+		var ended Turn
+		ended.Due(now, now, true, &q)
+	}
+	var turn Turn
+	turn.Due(now, now, true, &q)
+	assert.Assert(t, turn.In(now, time.Hour) <= Interval+maxAhead, "%v", turn.In(now, time.Hour))
+}
