bench/replay: no handover between hosts with simulated processor time to spare

TestNoHandOverBetweenLargeHosts passes whatever the policy decides by: without a share of a core an entry of the replay has no lag and no known use.

--- a/bench/replay/handover_test.go
+++ b/bench/replay/handover_test.go
@@ -87,3 +87,20 @@
 		})
 	}
 }
+
+// TestNoHandOverBetweenHostsWithSpareTime guards against handovers between hosts whose processor time is
+// simulated and not short. The entries of TestNoHandOverBetweenLargeHosts measure neither lag nor use.
+func TestNoHandOverBetweenHostsWithSpareTime(t *testing.T) {
+	for _, name := range []string{"calm", "one-zone"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := handingOver(load(t, name))
+			l.For = min(l.For, 8*time.Second)
+			l.DataCentres = slices.Clone(l.DataCentres)
+			for i := range l.DataCentres {
+				l.DataCentres[i].CPUShare = 0.8
+			}
+			assert.Equal(t, replay.Simulate(l, replay.Policies()[0], 1).HandedOver, 0)
+		})
+	}
+}
