--- a/dispatch/handover/handover.go
+++ b/dispatch/handover/handover.go
@@ -55,14 +55,14 @@
 	ReasonUnreachable Reason = "no_endpoint_reached"
 )
 
-// Outcome is how a hand-over ended.
+// Outcome is how a handover ended.
 type Outcome int
 
 // Values of Outcome.
 const (
 	// Answered: the other entry answered with the job's outcome.
 	Answered Outcome = iota + 1
-	// NotTaken: the other entry took the job not over, or could not be reached.
+	// NotTaken: the other entry did not take the job over, or could not be reached.
 	NotTaken
 	// Lost: the connection ended after the job was sent.
 	Lost
@@ -261,7 +261,7 @@
 	return a
 }
 
-// Ended records the end of a hand-over.
+// Ended records the end of a handover.
 func (p *Policy) Ended(now time.Duration, address string, o Outcome) {
 	e := p.others[address]
 	if e == nil || e.inFlight == 0 {
