--- a/entry/handover/beforesend_test.go
+++ b/entry/handover/beforesend_test.go
@@ -44,7 +44,8 @@
 	}
 	openStream(t, c, address)
 	stalls.Store(true)
-	assert.Assert(t, <-handOver(t.Context(), c, address, testJob(2)) != nil)
+	_, err := c.HandOver(t.Context(), address, testJob(2))
+	assert.Assert(t, err != nil)
 	assert.Equal(t, taken.Load(), int32(0))
 }
 
--- a/entry/handover/handover_test.go
+++ b/entry/handover/handover_test.go
@@ -82,11 +82,18 @@
 	go func() { _ = r.Serve(t.Context(), l) }()
 	c, first := startClient(t)
 	p := &pair{c, l.Addr().String(), r, first, second}
-	for err = ErrNotTaken; errors.Is(err, ErrNotTaken); _, err = p.HandOver(t.Context(), p.address, testJob(openingJob)) {
-		// On a busy machine a connection may take longer than connectTimeout.
+	openStream(t, c, p.address)
+	return p
+}
+
+// openStream opens the stream of a client to an entry. On a busy machine a connection may take longer than
+// connectTimeout.
+func openStream(t *testing.T, c *Client, address string) {
+	err := ErrNotTaken
+	for errors.Is(err, ErrNotTaken) {
+		_, err = c.HandOver(t.Context(), address, testJob(openingJob))
 	}
 	assert.NilError(t, err)
-	return p
 }
 
 // set sets what the relay does with the bytes in each direction.
@@ -104,7 +111,7 @@
 	return done
 }
 
-// openingJob is the number of the job that opens the stream of a pair. serveTaker answers it at once.
+// openingJob is the number of the job of openStream. serveTaker answers it at once.
 const openingJob = 1 << 40
 
 func startClient(t testing.TB) (*Client, tally.TestScope) {
@@ -235,7 +242,8 @@
 	c.mu.Unlock()
 	s.timeOutConnect()
 	assert.NilError(t, s.ctx.Err())
-	assert.NilError(t, <-handOver(t.Context(), c, address, testJob(1)))
+	_, err := c.HandOver(t.Context(), address, testJob(1))
+	assert.NilError(t, err)
 }
 
 // Guards against a job that runs twice, as the first entry runs it though the second took it before it died,
