--- a/dispatch/planner/shareddemand_test.go
+++ b/dispatch/planner/shareddemand_test.go
@@ -169,7 +169,7 @@
 	assert.Equal(t, total, 5.0, "the number of entries is not valid")
 	f.AttachEndpoint("g1", "a", true)
 	total, _ = sum()
-	assert.Equal(t, total, 10.0, "the new guard has told nothing")
+	assert.Equal(t, total, 10.0, "the new guard has reported nothing")
 	f.now += maxReportAge
 	_, known = sum()
 	assert.Assert(t, !known, "the report is stale")
--- a/entry/explain/explain_test.go
+++ b/entry/explain/explain_test.go
@@ -59,7 +59,7 @@
 		"1 times kept beyond the limit because of progress at g1, 1 times stopped without progress at g2")
 }
 
-// A placement that the endpoint's speed decided is told with the cause: elsewhere the request would
+// A placement that the endpoint's speed decided is reported with the cause: elsewhere the request would
 // have been late.
 func TestPlacementBySpeed(t *testing.T) {
 	log := strings.Replace(entryLog, `"guard":"g1"}`, `"guard":"g1","chosen_for_speed":0.46}`, 1)
@@ -69,7 +69,7 @@
 }
 
 // Guards against a rejection on arrival that explain does not justify: the work ahead, the predicted wait
-// and the time left must be told, those of the last rejection if the job returned.
+// and the time left must be reported, those of the last rejection if the job returned.
 func TestRejectionOnArrival(t *testing.T) {
 	const log = `{"time":"2026-01-01T00:00:01.000Z","msg":"job.taken","entry":"e1","event":1251,"job":"a"}
 {"time":"2026-01-01T00:00:01.000Z","msg":"job.rejected_early","entry":"e1","event":1280,"job":"a","rule":"predicted_wait","on_arrival":true,"work_ahead":31.5,"predicted_wait_ms":2100,"time_left_ms":800}
@@ -84,7 +84,7 @@
 	assert.Assert(t, !strings.Contains(second, "rejected on arrival"), s.Cause)
 }
 
-// An operator must be told that a job waited for reserved capacity: no other line says why it was not
+// An operator must be able to read that a job waited for reserved capacity: no other line says why it was not
 // started while runners had free capacity.
 func TestHeldBackJob(t *testing.T) {
 	log := `{"time":"2026-01-01T00:00:01.000Z","level":"INFO","msg":"job.held_back","entry":"e1","event":1290,"job":"a"}
--- a/guard/advertise/urgency_test.go
+++ b/guard/advertise/urgency_test.go
@@ -15,7 +15,7 @@
 }
 
 // TestUrgentDemandIsOfferedCapacityFirst guards against long, least urgent work that takes the cores
-// because its entry has more of it or was told earlier.
+// because its entry has more of it or was sent capacity earlier.
 func TestUrgentDemandIsOfferedCapacityFirst(t *testing.T) {
 	const ms = time.Millisecond
 	for name, c := range map[string]struct{ first, second *session }{
@@ -44,7 +44,7 @@
 }
 
 // TestNoEntryStarves guards against an entry with lasting urgent demand that gets every offer: one of
-// four goes to the entry that was told the longest time ago.
+// four goes to the entry that was sent capacity the longest time ago.
 func TestNoEntryStarves(t *testing.T) {
 	urgent, other := waiting(0, time.Second), waiting(2, time.Second)
 	other.sent = now.Add(-time.Second)
--- a/guard/progress/progress.go
+++ b/guard/progress/progress.go
@@ -75,7 +75,7 @@
 // Kind is a kind of work. One runner may report progress for some kinds and not for others.
 type Kind struct {
 	Priority int
-	// Expected is the expected run time; kinds are told apart by its octave.
+	// Expected is the expected run time; kinds differ by its octave.
 	Expected time.Duration
 }
 
--- a/guard/uplink/demand_test.go
+++ b/guard/uplink/demand_test.go
@@ -53,7 +53,7 @@
 }
 
 // TestMostUrgentDemandExpires guards against an entry that is suspended or cut off and still gets the
-// first offer of each capacity, for up to 3 s, because its last message told of urgent work.
+// first offer of each capacity, for up to 3 s, because its last message reported urgent work.
 func TestMostUrgentDemandExpires(t *testing.T) {
 	a := demandSession(New(Options{SharedDemand: true}, noHost{}), "a", 1)
 	a.receive(demandMessage(&wirev1.ContractDemand{Contract: 7, WaitingMilli: 100}))
