--- a/bench/replay/competing_test.go
+++ b/bench/replay/competing_test.go
@@ -43,7 +43,7 @@
 }
 
 // TestEntriesSendAsRealOnes guards against a replay whose guards hear every entry all the time, so that a
-// part that depends on it looks better than it is: guards without a run hear an entry once a second, and
+// part that depends on it appears better than it is: guards without a run hear an entry once a second, and
 // more often only in turn while tasks wait.
 func TestEntriesSendAsRealOnes(t *testing.T) {
 	t.Parallel()
--- a/dispatch/backlog/backlog_test.go
+++ b/dispatch/backlog/backlog_test.go
@@ -31,7 +31,7 @@
 	assert.Equal(t, backlog.Share(10, 40), 2.5)
 }
 
-// Guards against callers that are all told to return at the same time, outside the bounds, or before
+// Guards against callers that are all asked to return at the same time, outside the bounds, or before
 // their slot, and against bookings that never lapse.
 func TestScheduleProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -45,9 +45,9 @@
 			work := rapid.Float64Range(0.01, cores/10).Draw(t, "work")
 			b := s.Book(now, earliest, work, cores)
 			assert.Assert(t, b.After >= backlog.MinRetry && b.After <= backlog.MaxRetry, b.After)
-			assert.Assert(t, b.After >= min(earliest, backlog.MaxRetry), "told %s, free after %s", b.After, earliest)
+			assert.Assert(t, b.After >= min(earliest, backlog.MaxRetry), "return after %s, free after %s", b.After, earliest)
 			assert.Equal(t, b.At, now+b.After)
-			assert.Equal(t, b.After%time.Second, time.Duration(0), "not when a caller returns that is told whole seconds")
+			assert.Equal(t, b.After%time.Second, time.Duration(0), "not when a caller returns that is given whole seconds")
 			slot := b.At / backlog.SlotLength
 			booked[slot] += work
 			// A slot may exceed its size only if no later one had free capacity.
@@ -141,7 +141,7 @@
 				if a.Contract != b.Contract || a.Priority != b.Priority || position[a.n] < position[b.n] {
 					continue
 				}
-				assert.Assert(t, !a.Returning && (b.Returning || b.Arrived < a.Arrived), "%v was overtaken by %v", a, b)
+				assert.Assert(t, !a.Returning && (b.Returning || b.Arrived < a.Arrived), "%v came after %v", a, b)
 			}
 		}
 		for i, a := range after {
--- a/dispatch/planner/admission_test.go
+++ b/dispatch/planner/admission_test.go
@@ -122,7 +122,7 @@
 }
 
 // Guards against a contract whose waiting work grows without limit, against a limit for the first two
-// jobs of a contract, and against callers that are all told to return at once.
+// jobs of a contract, and against callers that are all asked to return at once.
 func TestBacklogLimit(t *testing.T) {
 	f := shortFleet(t, 1)
 	all := f.rejections("bulk", 2, 300)
--- a/entry/handover/beforesend_test.go
+++ b/entry/handover/beforesend_test.go
@@ -28,7 +28,7 @@
 }
 
 // Guards against a task that starts for a caller that has left: this entry was suspended between the check
-// of the callers and the message, which must not look newer than the check.
+// of the callers and the message, which must not appear newer than the check.
 func TestJobIsNotTakenIfTheCheckOfCallersIsOld(t *testing.T) {
 	var taken atomic.Int32
 	address, _ := serveTaker(t, func(ctx context.Context, j Job) (planner.Answer, error) {
--- a/guard/demand/demand_test.go
+++ b/guard/demand/demand_test.go
@@ -16,12 +16,12 @@
 // suspended, cut off or dead must free its share within MaxAge.
 func TestDemandAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		type told struct {
+		type reported struct {
 			at   time.Duration
 			work float64
 		}
 		var table Table
-		oracle := map[string]told{}
+		oracle := map[string]reported{}
 		now := time.Second
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			now += time.Duration(rapid.IntRange(0, 90).Draw(t, "ms")) * time.Millisecond
@@ -34,12 +34,12 @@
 				late := now - time.Duration(rapid.IntRange(1, 300).Draw(t, "late"))*time.Millisecond
 				table.Record(late, entry, []work.Demand{{Contract: 1, Work: 100}})
 				if o, found := oracle[entry]; !found || o.at <= late {
-					oracle[entry] = told{late, 100}
+					oracle[entry] = reported{late, 100}
 				}
 			default:
 				amount := float64(rapid.IntRange(0, 9).Draw(t, "work"))
 				table.Record(now, entry, []work.Demand{{Contract: 1, Work: amount}})
-				oracle[entry] = told{now, amount}
+				oracle[entry] = reported{now, amount}
 			}
 			sum, entries := table.Others(now, "0")
 			want, wantEntries := 0.0, 0
--- a/guard/host/progress_test.go
+++ b/guard/host/progress_test.go
@@ -10,7 +10,7 @@
 	"almondstand.dev/guard/runs"
 )
 
-// Guards against a stalled run of which the entry is only told with some later message, and against a
+// Guards against a stalled run of which the entry is notified only with some later message, and against a
 // run that is taken as stalled because the polls of its runner go unanswered.
 func TestStalledRunIsSignalledAtOnce(t *testing.T) {
 	f := newFakeRunner()
--- a/guard/runs/progress_test.go
+++ b/guard/runs/progress_test.go
@@ -52,7 +52,7 @@
 }
 
 // Guards against reports that tell an entry nothing new, and against runs that an entry would stop
-// because it is not told that they move, or keep because it is not told that they are stalled.
+// because no report says that they move, or keep because none says that they are stalled.
 func TestProgressIsReportedWhereItMatters(t *testing.T) {
 	p := newProgressTable(t, "normal", "long", "stalled")
 	for at := 20 * ms; at <= 100*ms; at += 20 * ms {
@@ -134,7 +134,7 @@
 	assert.Equal(t, omitted, 0)
 	many.Resume(testStart+90*ms, entryA, open)
 	due, _ = many.DueProgress(testStart+91*ms, entryA)
-	assert.Equal(t, len(due), MaxProgress, "a new session is told everything again")
+	assert.Equal(t, len(due), MaxProgress, "a new session is sent everything again")
 }
 
 // Guards against estimates of runs whose progress a runner stops reporting, reports out of order or
--- a/guard/uplink/progress_test.go
+++ b/guard/uplink/progress_test.go
@@ -37,7 +37,7 @@
 	h.due = append(h.due, p)
 }
 
-// Guards against a stalled run of which the entry is told with the next heartbeat only, against
+// Guards against a stalled run of which the entry is notified with the next heartbeat only, against
 // reports that cause messages of their own, and against those taken by a session that was replaced.
 func TestProgressGoesWithMessagesAndStalledRunsAtOnce(t *testing.T) {
 	entry := &recordingEntry{id: "e"}
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -147,7 +147,7 @@
 	assert.Equal(t, r.Checker.Starts(), 2)
 }
 
-// Guards against a stand-in whose runs look stalled while they go on, or move while they hang.
+// Guards against a stand-in whose runs appear stalled while they go on, or move while they hang.
 func TestRunsReportProgress(t *testing.T) {
 	r := newTestRunner(0)
 	start := func(task string, fault Fault) *run {
