e2e: entries of the handover tests have a grace period of 20 s

A draining entry hands over only jobs whose callers' deadlines come before it exits. The checks are unchanged.

--- a/e2e/fleet/fleet.go
+++ b/e2e/fleet/fleet.go
@@ -54,6 +54,8 @@
 	// Cores are the cores of the entries' hosts as named in their settings, in the order of the entries;
 	// those of further entries are not named. An entry takes over jobs of others only if they are.
 	Cores []float64
+	// GracePeriod is the entries' time between SIGTERM and SIGKILL; zero for the default of their settings.
+	GracePeriod time.Duration
 }
 
 // defaultDataCentre is the data centre of a fleet with a single one.
@@ -277,9 +279,13 @@
 	if i := slices.Index(f.Entries, n); i < len(f.options.Cores) {
 		host["cores"] = f.options.Cores[i]
 	}
+	bounds := map[string]string{}
+	if f.options.GracePeriod > 0 {
+		bounds["grace"] = f.options.GracePeriod.String()
+	}
 	return capacitySection(map[string]any{
-		"host": host,
-		"id":   n.ID, "zone": f.options.dataCentre(0),
+		"host": host, "bounds": bounds,
+		"id": n.ID, "zone": f.options.dataCentre(0),
 		"listen": map[string]string{"callers": n.CallersAddress, "ready": n.ReadyAddress, "guards": fmt.Sprintf("%s:%d", n.IP, entryPort), "advertise": fmt.Sprintf("%s:%d", n.AdvertisedIP, entryPort), "metrics": n.MetricsAddress},
 		"seeds":  f.seeds(),
 		"store":  store,
--- a/e2e/fleet_handover_test.go
+++ b/e2e/fleet_handover_test.go
@@ -19,6 +19,9 @@
 	balancerNotice = 2300 * time.Millisecond
 	// handoverDrainTime is how long the drain of the first entry lasts after that.
 	handoverDrainTime = 3 * time.Second
+	// handoverGracePeriod is longer than the drain and the longest time that a caller waits: a job whose
+	// caller waits beyond the end of its entry is not handed over.
+	handoverGracePeriod = 20 * time.Second
 	// lostHandoverLimit is the longest time until a caller is answered whose job was handed over to an
 	// entry that is silent: the limit for the silence, and slack for a busy machine.
 	lostHandoverLimit = 900 * time.Millisecond
@@ -34,7 +37,7 @@
 // startDrainingFleet returns a fleet whose first entry starts no more jobs.
 func startDrainingFleet(t *testing.T) *drainingFleet {
 	t.Helper()
-	f := startFleetOf(t, fleet.Options{Entries: 3, Guards: 2, Cores: []float64{0, 2}})
+	f := startFleetOf(t, fleet.Options{Entries: 3, Guards: 2, Cores: []float64{0, 2}, GracePeriod: handoverGracePeriod})
 	// An open job keeps the first entry from ending.
 	open := fleet.NewJob(1, int((balancerNotice + handoverDrainTime).Milliseconds()))
 	open.Deadline = 20 * time.Second
