entry/registry: entries exchange digests and ages, and guards are sent differences

Each change of the list of entries went whole to every guard, each gossip answer carried it whole, and the log named it whole: at a start, when the list grows step by step, the square of the entries times the sessions. Entries read the store's list as they started and then 3 s later, all at once; what the first list lacked stayed unknown until then. All entries called the others in the same order, one after another, and kept a connection to each. An address was passed on only by who had confirmed it, so an entry whose key the store had dropped was known only where it had called within 15 s.

The new package membership (pure) holds the list. A gossip call carries a digest; the answer has the list only if the digests differ, else only the entries that the store does not list. Each goes with its age, counted from the question, so that it never grows younger on the way and an entry that is gone is dropped by all. After the start calls follow each other every 50 ms, then at intervals that double; reads of the store's list double from 200 ms; all are jittered, and each entry calls in an order of its own, over a connection for each call. Guards are sent the list once and then differences, gathered for 250 ms. Log lines have counts.

Checks on the list of entries in tests of sessions and of the registry now go by the added and removed addresses and by Update; they are as strict.

--- a/entry/registry/events.go
+++ b/entry/registry/events.go
@@ -12,7 +12,10 @@
 	eventLeaseLost = eventlog.Define(1582, "registry.lease_lost", slog.LevelWarn,
 		"The lease has expired; the entry registers again.", "None after an outage of the store.")
 	eventMembers = eventlog.Define(1585, "registry.members", slog.LevelInfo,
-		"The list of entries known to this one has changed; it is sent to the guards.", "None.")
+		"The list of entries known to this one has changed, and the change is sent to the guards. entries is the number of known entries; at most five "+
+			"of those added and removed are named.", "None.")
+	eventSettled = eventlog.Define(1588, "registry.settled", slog.LevelInfo,
+		"This entry, which has started, has discovered the other entries; guards that wait for it open the rest of their sessions.", "None.")
 	eventListFailed = eventlog.Define(1586, "registry.list_failed", slog.LevelWarn,
 		"The list of entries could not be read from the store; until it can, entries learn of each other by gossip.",
 		"If this persists, check the store and the network to it.")
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -6,15 +6,16 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"slices"
-	"sort"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"almondstand.dev/contract/cordon"
+	"almondstand.dev/entry/registry/membership"
 	"almondstand.dev/platform/store"
 	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/fleetwire"
@@ -28,19 +29,35 @@
 	// leaseRenewInterval is the pause between lease renewals; three may fail before the lease
 	// expires.
 	leaseRenewInterval = 3 * time.Second
-	// listInterval is the pause between reads of the list of entries.
-	listInterval = 3 * time.Second
-	// gossipInterval is the pause between gossip calls while the store is reachable, and
-	// staleGossipInterval while it is not: a new configuration then arrives by gossip within
-	// 2 s.
-	gossipInterval      = 4 * time.Second
-	staleGossipInterval = 400 * time.Millisecond
+	// listInterval is the pause between reads of the list of entries. After the start it doubles
+	// from firstListInterval: the first list lacks the entries that start at the same time.
+	listInterval      = 3 * time.Second
+	firstListInterval = 200 * time.Millisecond
 	// callTimeout bounds a call.
 	callTimeout = 500 * time.Millisecond
 	// retryInterval is the pause after a failed call to the store.
 	retryInterval = time.Second
-	// addressTTL is how long an address is kept that nobody has reported again.
-	addressTTL = 15 * time.Second
+	// publishInterval is the shortest time between two changes of the list that guards are sent.
+	publishInterval = 250 * time.Millisecond
+	// jitter is the part of a pause that is random, so that entries that start together do not
+	// call together.
+	jitter = 0.5
+)
+
+// Intervals between gossip calls.
+const (
+	// gossipInterval applies while this entry and all that it knows are in contact with the store.
+	gossipInterval = 4 * time.Second
+	// staleGossipInterval applies while this entry cannot read the store, or while the store does
+	// not list an entry that is known: a new configuration then arrives by gossip within 2 s, and
+	// every entry hears of that one before it would drop it.
+	staleGossipInterval = 400 * time.Millisecond
+	// discoveryGossipInterval applies after the start and after an entry was added; it doubles from
+	// then on.
+	discoveryGossipInterval = 50 * time.Millisecond
+	// maxInFlightCalls bounds concurrent gossip calls: one to an entry whose host is gone must
+	// not delay the next.
+	maxInFlightCalls = 2
 )
 
 // Store is the platform's store; see platform/store.
@@ -79,56 +96,105 @@
 	config Config
 	logger *slog.Logger
 
-	mu sync.Mutex
-	// reportedAt is when an address was last reported by anybody, and confirmedAt is when it
-	// was last reported by the store, by a guard that reaches it, or by the entry itself.
-	// Only confirmed addresses are passed on to other entries: if two entries passed on to
-	// each other every address they received, neither would ever drop that of a host that
-	// is gone, and guards would dial it forever.
-	reportedAt, confirmedAt map[string]time.Time
-	list                    []string
-	version                 uint64
-	next                    int
+	// newPeer returns a client for the gossip calls to an address, and ends its connection.
+	newPeer func(address string) (peer, func())
+
+	mu   sync.Mutex
+	list *membership.List
+	// published is what guards are sent, since publishedAt.
+	published   membership.Snapshot
+	publishedAt time.Time
+	// order holds the entries still to be called in this round, in random order.
+	order []string
+	// listedAt is when the store last returned the list of entries, or when the registry was made.
+	listedAt time.Time
 	// listed is closed once the list of entries was read for the first time, or could not be.
 	listed chan struct{}
 }
 
+// peer is the part of another entry's service that the registry uses.
+type peer interface {
+	Meet(ctx context.Context, req *connect.Request[wirev1.MeetRequest]) (*connect.Response[wirev1.MeetResponse], error)
+}
+
 // New returns a registry that knows only this entry.
 func New(o Options, s Store, c Config) *Registry {
-	r := &Registry{opt: o, store: s, config: c, logger: o.Logger, reportedAt: map[string]time.Time{}, confirmedAt: map[string]time.Time{}, listed: make(chan struct{})}
-	r.rebuild()
+	r := &Registry{opt: o, store: s, config: c, logger: o.Logger, newPeer: dialPeer, list: membership.New(o.Address, time.Now()), listedAt: time.Now(), listed: make(chan struct{})}
+	r.published = r.list.Snapshot()
 	return r
 }
 
-// Addresses returns the entries' addresses and a version number that changes with them.
-func (r *Registry) Addresses() ([]string, uint64) {
+// dialPeer uses a connection of its own for each peer and call: with connections that are kept,
+// every entry would end up with one to every other.
+func dialPeer(address string) (peer, func()) {
+	transport := fleetwire.NewTransport(fleetwire.DialTimeout)
+	return fleetwire.NewClient(&http.Client{Transport: transport}, address), transport.Close
+}
+
+// Members returns the known entries. Changes in quick succession are gathered into one.
+func (r *Registry) Members() membership.Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.list, r.version
+	current, now := r.list.Snapshot(), time.Now()
+	if current.Version != r.published.Version && now.Sub(r.publishedAt) >= publishInterval {
+		r.published, r.publishedAt = current, now
+	}
+	return r.published
 }
 
-// AddConfirmed adds addresses of entries that the caller reaches.
-func (r *Registry) AddConfirmed(addresses []string) {
-	addresses = r.validAddresses(addresses)
+// Status describes what is known of the entries.
+type Status struct {
+	// Members is the number of known entries, this one included, and Unlisted is the number of
+	// those that the store does not list.
+	Members, Unlisted int
+	// ListAge is the time since the store last returned the list of entries.
+	ListAge time.Duration
+}
+
+// Status returns what is known of the entries now.
+func (r *Registry) Status() Status {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, a := range addresses {
-		r.reportedAt[a], r.confirmedAt[a] = time.Now(), time.Now()
-	}
-	r.rebuild()
+	now := time.Now()
+	return Status{Members: len(r.list.Addresses()), Unlisted: r.list.Unlisted(now), ListAge: now.Sub(r.listedAt)}
 }
 
-// addReported adds addresses of entries that another entry has confirmed.
-func (r *Registry) addReported(addresses []string) {
-	addresses = r.validAddresses(addresses)
+func (r *Registry) recordListed(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, a := range addresses {
-		r.reportedAt[a] = time.Now()
+	r.listedAt = at
+}
+
+// AddConfirmed adds addresses of entries that the caller reaches.
+func (r *Registry) AddConfirmed(addresses []string) {
+	addresses = r.validAddresses(addresses)
+	r.update(func(l *membership.List, now time.Time) { l.Seen(addresses, now) })
+}
+
+// update applies what was learned to the list and logs how the list has changed.
+func (r *Registry) update(apply func(l *membership.List, now time.Time)) {
+	r.mu.Lock()
+	now := time.Now()
+	apply(r.list, now)
+	before := r.list.Phase()
+	change := r.list.Update(now)
+	phase, known := r.list.Phase(), len(r.list.Addresses())
+	r.mu.Unlock()
+	if !change.IsZero() {
+		eventMembers.Log(context.Background(), r.logger, slog.Int("entries", known),
+			slog.Int("added", len(change.Added)), slog.Any("first_added", firstOf(change.Added)),
+			slog.Int("removed", len(change.Removed)), slog.Any("first_removed", firstOf(change.Removed)))
+	}
+	if phase != before {
+		eventSettled.Log(context.Background(), r.logger, slog.Int("entries", known))
 	}
-	r.rebuild()
 }
 
+// maxLoggedAddresses bounds the addresses of one log line.
+const maxLoggedAddresses = 5
+
+func firstOf(addresses []string) []string { return addresses[:min(len(addresses), maxLoggedAddresses)] }
+
 // validAddresses leaves out values that are no entry address, and logs them.
 func (r *Registry) validAddresses(values []string) []string {
 	addresses, malformed := fleetwire.EntryAddresses(values)
@@ -143,41 +209,6 @@
 
 func truncate(s string) string { return s[:min(len(s), maxLoggedValue)] }
 
-// confirmedAddresses returns this entry's address and those that may be passed on.
-func (r *Registry) confirmedAddresses() []string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	list := []string{r.opt.Address}
-	for a, at := range r.confirmedAt {
-		if a != r.opt.Address && time.Since(at) <= addressTTL {
-			list = append(list, a)
-		}
-	}
-	sort.Strings(list)
-	return list
-}
-
-// rebuild recomputes the list. The caller holds the lock.
-func (r *Registry) rebuild() {
-	list := []string{r.opt.Address}
-	for a, at := range r.reportedAt {
-		if time.Since(at) > addressTTL {
-			delete(r.reportedAt, a)
-			delete(r.confirmedAt, a)
-			continue
-		}
-		if a != r.opt.Address {
-			list = append(list, a)
-		}
-	}
-	sort.Strings(list)
-	if !slices.Equal(list, r.list) {
-		r.list = list
-		r.version++
-		eventMembers.Log(context.Background(), r.logger, slog.Any("entries", list))
-	}
-}
-
 // Run registers, lists and gossips until ctx ends; then it revokes the lease.
 func (r *Registry) Run(ctx context.Context) error {
 	var loops sync.WaitGroup
@@ -212,7 +243,7 @@
 			}
 		}
 		failing = err != nil
-		uptime.Sleep(ctx, pause)
+		uptime.Sleep(ctx, jittered(pause))
 	}
 	if lease != 0 {
 		_ = r.withTimeout(context.WithoutCancel(ctx), func(c context.Context) error { return r.store.RevokeLease(c, lease) })
@@ -242,102 +273,159 @@
 // listLoop reads the list of entries periodically.
 func (r *Registry) listLoop(ctx context.Context) {
 	failing, first := false, true
+	next := firstListInterval
 	for ctx.Err() == nil {
 		var items []store.Item
 		err := r.withTimeout(ctx, func(c context.Context) (err error) {
 			items, err = r.store.List(c, fleetwire.EntriesPrefix)
 			return err
 		})
-		pause := listInterval
+		pause := next
 		if err != nil {
 			pause = retryInterval
 		}
+		next = min(2*next, listInterval)
 		if err != nil && !failing {
 			eventListFailed.Log(ctx, r.logger, slog.String("error", err.Error()))
 		}
 		failing = err != nil
-		var addresses []string
+		if err == nil {
+			r.recordListed(time.Now())
+		}
+		var values []string
 		for _, i := range items {
-			addresses = append(addresses, string(i.Value))
+			values = append(values, string(i.Value))
 		}
-		r.AddConfirmed(addresses)
+		addresses := r.validAddresses(values)
+		r.update(func(l *membership.List, now time.Time) { l.Listed(addresses, now) })
 		if first {
 			close(r.listed)
 			first = false
 		}
-		uptime.Sleep(ctx, pause)
+		uptime.Sleep(ctx, jittered(pause))
 	}
 }
 
-// gossipLoop calls the other entries in turn.
+// jittered returns a random pause with the given mean.
+func jittered(pause time.Duration) time.Duration {
+	return time.Duration(float64(pause) * (1 + jitter*(rand.Float64()-0.5)))
+}
+
+// gossipLoop calls the other entries, in an order of this entry's own.
 func (r *Registry) gossipLoop(ctx context.Context) {
-	transport := fleetwire.NewTransport(fleetwire.DialTimeout)
-	defer transport.Close()
-	client := &http.Client{Transport: transport}
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	inFlight := make(chan struct{}, maxInFlightCalls)
 	var last time.Time
 	for ctx.Err() == nil {
-		if time.Since(last) >= gossipInterval || !r.config.Fresh() {
+		interval := r.currentGossipInterval()
+		if time.Since(last) >= interval {
 			last = time.Now()
-			if a := r.nextPeer(); a != "" {
-				r.gossipWith(ctx, client, a)
-			}
+			r.startGossip(ctx, &calls, inFlight)
 		}
-		uptime.Sleep(ctx, staleGossipInterval)
+		uptime.Sleep(ctx, jittered(min(interval, staleGossipInterval)))
 	}
 }
 
-// Peers returns the addresses of the other entries that were reported lately, or of the seeds if there are
+// startGossip calls the next entry unless maxInFlightCalls are unanswered.
+func (r *Registry) startGossip(ctx context.Context, calls *sync.WaitGroup, inFlight chan struct{}) {
+	select {
+	case inFlight <- struct{}{}:
+	default:
+		return
+	}
+	address := r.nextPeer()
+	calls.Go(func() {
+		defer func() { <-inFlight }()
+		if address != "" {
+			r.gossipWith(ctx, address)
+		}
+	})
+}
+
+// currentGossipInterval returns the interval between gossip calls.
+func (r *Registry) currentGossipInterval() time.Duration {
+	r.update(func(*membership.List, time.Time) {})
+	fresh := r.config.Fresh()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	steady := gossipInterval
+	if !fresh || r.list.Unlisted(time.Now()) > 0 {
+		steady = staleGossipInterval
+	}
+	return r.list.GossipInterval(discoveryGossipInterval, steady)
+}
+
+// Peers returns the addresses of the other entries that were seen lately, or of the seeds if there are
 // none. It waits until the store was asked for them, or ctx ends.
 func (r *Registry) Peers(ctx context.Context) []string {
 	select {
 	case <-r.listed:
 	case <-ctx.Done():
 	}
-	if peers := r.othersOf(r.listOfEntries()); len(peers) > 0 {
+	if peers := r.others(); len(peers) > 0 {
 		return peers
 	}
-	return r.othersOf(r.opt.Seeds())
+	return r.withoutSelf(r.opt.Seeds())
 }
 
-// listOfEntries returns a copy of the list.
-func (r *Registry) listOfEntries() []string {
+// others returns a copy of the list without this entry.
+func (r *Registry) others() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Clone(r.list)
+	return r.withoutSelf(slices.Clone(r.list.Addresses()))
 }
 
-// othersOf removes this entry's address.
-func (r *Registry) othersOf(addresses []string) []string {
+// withoutSelf removes this entry's address.
+func (r *Registry) withoutSelf(addresses []string) []string {
 	return slices.DeleteFunc(addresses, func(a string) bool { return a == r.opt.Address })
 }
 
+// nextPeer returns the entry to call next, or "" if none is known. Each round calls every entry
+// that was known at its start once, in random order.
 func (r *Registry) nextPeer() string {
-	all := r.othersOf(append(r.listOfEntries(), r.opt.Seeds()...))
-	if len(all) == 0 {
+	seeds := r.opt.Seeds()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.order) == 0 || r.list.Phase() == membership.Discovering {
+		r.order = r.withoutSelf(slices.Concat(r.list.Addresses(), seeds))
+		slices.Sort(r.order)
+		r.order = slices.Compact(r.order)
+		rand.Shuffle(len(r.order), func(i, j int) { r.order[i], r.order[j] = r.order[j], r.order[i] })
+	}
+	if len(r.order) == 0 {
 		return ""
 	}
-	r.next++
-	return all[r.next%len(all)]
+	next := r.order[0]
+	r.order = r.order[1:]
+	return next
 }
 
-func (r *Registry) gossipWith(ctx context.Context, client *http.Client, address string) {
+func (r *Registry) gossipWith(ctx context.Context, address string) {
 	revision, _ := r.config.Current()
 	cordons := r.config.Cordons()
+	client, closeConnection := r.newPeer(address)
+	defer closeConnection()
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	res, err := fleetwire.NewClient(client, address).Meet(callCtx, connect.NewRequest(&wirev1.MeetRequest{
+	asked := time.Now()
+	had, digest := r.addressesAndDigest()
+	res, err := client.Meet(callCtx, connect.NewRequest(&wirev1.MeetRequest{
 		Entry:           r.opt.Entry,
 		Address:         r.opt.Address,
 		ConfigRevision:  revision,
 		CordonsRevision: cordons.RevisionOrZero(),
+		EntriesDigest:   digest,
 	}))
 	if err != nil {
 		eventMeetFailed.Log(ctx, r.logger, slog.String("address", address), slog.String("error", err.Error()))
-		client.CloseIdleConnections()
 		return
 	}
-	r.addReported(res.Msg.GetEntries())
-	r.AddConfirmed([]string{address})
+	answer := r.answerOf(res.Msg)
+	r.update(func(l *membership.List, now time.Time) {
+		l.Merge(answer, had, asked)
+		l.Seen([]string{address}, now)
+	})
 	if res.Msg.GetConfigRevision() > revision {
 		r.config.Apply(ctx, res.Msg.GetConfigRevision(), res.Msg.GetConfig())
 	}
@@ -346,10 +434,27 @@
 	}
 }
 
+func (r *Registry) addressesAndDigest() ([]string, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list.Addresses(), r.list.Digest()
+}
+
+// answerOf converts what another entry answered, without malformed addresses.
+func (r *Registry) answerOf(m *wirev1.MeetResponse) membership.Answer {
+	a := membership.Answer{SameEntries: m.GetSameEntries(), OthersAge: time.Duration(m.GetOthersAgeMs()) * time.Millisecond}
+	for _, k := range m.GetKnown() {
+		if valid := r.validAddresses([]string{k.GetAddress()}); len(valid) > 0 {
+			a.Known = append(a.Known, membership.Known{Address: valid[0], Age: time.Duration(k.GetAgeMs()) * time.Millisecond})
+		}
+	}
+	return a
+}
+
 // Meet serves another entry's gossip call.
 func (r *Registry) Meet(_ context.Context, req *connect.Request[wirev1.MeetRequest]) (*connect.Response[wirev1.MeetResponse], error) {
 	r.AddConfirmed([]string{req.Msg.GetAddress()})
-	res := &wirev1.MeetResponse{Entries: r.confirmedAddresses()}
+	res := r.answer(req.Msg.GetEntriesDigest())
 	if revision, raw := r.config.Current(); revision > req.Msg.GetConfigRevision() {
 		res.ConfigRevision, res.Config = revision, raw
 	}
@@ -359,6 +464,18 @@
 	return connect.NewResponse(res), nil
 }
 
+// answer returns what to answer an entry whose list has the given digest.
+func (r *Registry) answer(digest uint64) *wirev1.MeetResponse {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.list.Answer(digest, time.Now())
+	res := &wirev1.MeetResponse{SameEntries: a.SameEntries, OthersAgeMs: uint32(a.OthersAge.Milliseconds())}
+	for _, k := range a.Known {
+		res.Known = append(res.Known, &wirev1.KnownEntry{Address: k.Address, AgeMs: uint32(k.Age.Milliseconds())})
+	}
+	return res
+}
+
 func (r *Registry) withTimeout(ctx context.Context, f func(context.Context) error) error {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/entry/registry/registry_test.go
+++ b/entry/registry/registry_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	"almondstand.dev/contract/cordon"
+	"almondstand.dev/entry/registry/membership"
 	"almondstand.dev/platform/store"
 	"almondstand.dev/wire/fleetwire"
 	"almondstand.dev/wire/wirev1"
@@ -48,10 +49,14 @@
 // gossip has a make one gossip call to b, as gossipLoop does.
 func gossip(t *testing.T, a, b *Registry) {
 	t.Helper()
-	res, err := b.Meet(t.Context(), connect.NewRequest(&wirev1.MeetRequest{Entry: a.opt.Entry, Address: a.opt.Address}))
-	assert.NilError(t, err)
-	a.addReported(res.Msg.GetEntries())
-	a.AddConfirmed([]string{b.opt.Address})
+	a.newPeer = func(string) (peer, func()) { return b, func() {} }
+	a.gossipWith(t.Context(), b.opt.Address)
+}
+
+// known returns the entries that a registry knows.
+func known(r *Registry) []string {
+	r.update(func(*membership.List, time.Time) {})
+	return r.list.Addresses()
 }
 
 // A host is replaced by one at another address. When entries passed on every address
@@ -69,8 +74,7 @@
 			time.Sleep(2 * time.Second)
 		}
 		for _, r := range []*Registry{a, b, c} {
-			r.AddConfirmed(nil)
-			known, _ := r.Addresses()
+			known := known(r)
 			assert.Assert(t, !slices.Contains(known, "10.0.0.9:1"), "%s: %v", r.opt.Entry, known)
 			assert.Equal(t, len(known), 3, "%v", known)
 		}
@@ -83,8 +87,7 @@
 	a, b, c := registryAt("10.0.0.1:1"), registryAt("10.0.0.2:1"), registryAt("10.0.0.3:1")
 	gossip(t, c, b)
 	gossip(t, a, b)
-	known, _ := a.Addresses()
-	assert.DeepEqual(t, known, []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
+	assert.DeepEqual(t, known(a), []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
 }
 
 // peerService serves the gossip of a registry.
@@ -109,11 +112,7 @@
 	server.Config.Protocols = fleetwire.NewServer(mux).Protocols
 	server.Start()
 	defer server.Close()
-	transport := fleetwire.NewTransport(fleetwire.DialTimeout)
-	defer transport.Close()
-	gossipOnce := func() {
-		a.gossipWith(t.Context(), &http.Client{Transport: transport}, server.Listener.Addr().String())
-	}
+	gossipOnce := func() { a.gossipWith(t.Context(), server.Listener.Addr().String()) }
 	gossipOnce()
 	assert.Assert(t, ours.cordons.Contains("north"))
 	theirs.cordons = cordon.New(19, nil)
--- a/entry/sessions/session.go
+++ b/entry/sessions/session.go
@@ -11,6 +11,7 @@
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/entry/internal/clockoffset"
 	"almondstand.dev/entry/jobs"
+	"almondstand.dev/entry/registry/membership"
 	"almondstand.dev/entry/sessions/turns"
 	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/fleetwire"
@@ -47,7 +48,8 @@
 	// message was received.
 	clock, clockAt time.Duration
 	lastReceived   time.Duration
-	membersVersion uint64
+	// members is what the guard has been sent of the entries.
+	members membership.Snapshot
 	// offset estimates the age of the guard's messages.
 	offset clockoffset.Estimate
 
@@ -123,10 +125,10 @@
 
 // serve runs the session until either side ends it.
 func (s *session) serve(ctx context.Context, open []work.RunID) error {
-	entries, version := s.server.members.Addresses()
-	s.server.jobs.SetEntries(len(entries))
+	members := s.server.members.Members()
+	s.server.jobs.SetEntries(len(members.Addresses))
 	s.mu.Lock()
-	s.membersVersion = version
+	s.members = members
 	for _, r := range open {
 		s.open[r] = struct{}{}
 	}
@@ -136,11 +138,12 @@
 		handshake.Open = append(handshake.Open, &wirev1.OpenRun{Task: fleetwire.ToTaskName(r.Task), Attempt: uint32(r.Attempt)})
 	}
 	first := &wirev1.AttachResponse{
-		Handshake: handshake,
-		Entries:   entries,
-		Guards:    uint32(s.server.jobs.Guards()),
-		ReadUs:    s.clock.Microseconds(),
-		Cordon:    s.cordon.next(uptime.Now(), s.server.jobs.Cordons(), s.dataCentre),
+		Handshake:   handshake,
+		Entries:     members.Addresses,
+		Discovering: members.Phase == membership.Discovering,
+		Guards:      uint32(s.server.jobs.Guards()),
+		ReadUs:      s.clock.Microseconds(),
+		Cordon:      s.cordon.next(uptime.Now(), s.server.jobs.Cordons(), s.dataCentre),
 	}
 	if err := s.stream.Send(first); err != nil {
 		return err
@@ -373,7 +376,7 @@
 // queue when there is nothing to send and no heartbeat is due yet; delay is then the time until
 // the next message is due. The starts that have expired are taken off the queue and returned.
 func (s *session) nextMessage(now, since time.Duration) (m *wirev1.AttachResponse, delay time.Duration, expired []planner.Start) {
-	entries, version := s.server.members.Addresses()
+	members := s.server.members.Members()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	expired = s.takeExpired(now)
@@ -381,7 +384,7 @@
 	if len(s.open) > 0 {
 		interval = heartbeatBusy
 	}
-	hasUpdate := len(s.starts) > 0 || len(s.stops) > 0 || s.sendNow || version != s.membersVersion
+	hasUpdate := len(s.starts) > 0 || len(s.stops) > 0 || s.sendNow || members.Version != s.members.Version
 	ackDue := s.ackAt > 0 && now >= s.ackAt
 	if !hasUpdate && !ackDue && since < interval {
 		return nil, s.nextDue(now, interval-since), expired
@@ -390,15 +393,18 @@
 		EchoUs: (s.clock + now - s.clockAt).Microseconds(),
 		ReadUs: s.readClock.Microseconds(),
 		Starts: groupByStep(now, s.starts),
+
+		Discovering: members.Phase == membership.Discovering,
 	}
 	s.ackAt = 0
 	for _, x := range s.stops {
 		m.Stops = append(m.Stops, &wirev1.StopOrder{Task: fleetwire.ToTaskName(x.Run.Task), Attempt: uint32(x.Run.Attempt)})
 	}
 	s.starts, s.stops, s.sendNow = nil, nil, false
-	if version != s.membersVersion {
-		s.membersVersion = version
-		m.Entries = entries
+	if members.Version != s.members.Version {
+		change := membership.Diff(s.members.Addresses, members.Addresses)
+		m.EntriesAdded, m.EntriesRemoved = change.Added, change.Removed
+		s.members = members
 	}
 	return m, 0, expired
 }
--- a/entry/sessions/sessions.go
+++ b/entry/sessions/sessions.go
@@ -13,6 +13,7 @@
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/entry/jobs"
 	"almondstand.dev/entry/lag"
+	"almondstand.dev/entry/registry/membership"
 	"almondstand.dev/entry/sessions/turns"
 	"almondstand.dev/wire/wirev1"
 )
@@ -61,8 +62,8 @@
 
 // Members is the entry's view of the cluster membership.
 type Members interface {
-	// Addresses returns the addresses of the entries and a version that changes whenever they do.
-	Addresses() (addresses []string, version uint64)
+	// Members returns the known entries.
+	Members() membership.Snapshot
 	// AddConfirmed adds addresses at which a guard reports that it reaches entries.
 	AddConfirmed(addresses []string)
 }
@@ -110,8 +111,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			entries, _ := s.members.Addresses()
-			s.jobs.SetEntries(len(entries))
+			s.jobs.SetEntries(len(s.members.Members().Addresses))
 			s.removeLost()
 		}
 	}
--- a/entry/sessions/sessions_test.go
+++ b/entry/sessions/sessions_test.go
@@ -15,6 +15,7 @@
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/entry/jobs"
 	"almondstand.dev/entry/lag"
+	"almondstand.dev/entry/registry/membership"
 	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/fleetwire"
 	"almondstand.dev/wire/wirev1"
@@ -26,24 +27,31 @@
 	version uint64
 }
 
-func (m *fakeMembers) Addresses() ([]string, uint64) { return m.list, m.version }
-func (m *fakeMembers) AddConfirmed([]string)         {}
+func (m *fakeMembers) Members() membership.Snapshot {
+	return membership.Snapshot{Addresses: m.list, Version: m.version}
+}
+func (m *fakeMembers) AddConfirmed([]string) {}
 
 // Guards against an entry that never gets a guard: an entry that no guard's settings name is found
 // only through the addresses that other entries send. The change must be sent, once, even when the
 // session has no orders and has just sent a heartbeat.
 func TestNewEntriesAreSentToGuards(t *testing.T) {
 	members := &fakeMembers{list: []string{"a"}, version: 1}
-	s := &session{server: &Server{members: members}, membersVersion: 1}
+	s := &session{server: &Server{members: members}, members: members.Members()}
 	m, delay, _ := s.nextMessage(time.Second, time.Millisecond)
 	assert.Assert(t, m == nil)
 	assert.Assert(t, delay > 0 && delay <= heartbeatBusy)
 	members.list, members.version = []string{"a", "b"}, 2
 	m, _, _ = s.nextMessage(time.Second, time.Millisecond)
 	assert.Assert(t, m != nil)
-	assert.DeepEqual(t, m.GetEntries(), []string{"a", "b"})
+	assert.DeepEqual(t, m.GetEntriesAdded(), []string{"b"})
+	assert.Equal(t, len(m.GetEntries())+len(m.GetEntriesRemoved()), 0, "%v", m)
 	m, _, _ = s.nextMessage(time.Second, time.Millisecond)
 	assert.Assert(t, m == nil, "sent only once")
+	members.list, members.version = []string{"b"}, 3
+	m, _, _ = s.nextMessage(time.Second, time.Millisecond)
+	assert.DeepEqual(t, m.GetEntriesRemoved(), []string{"a"})
+	assert.Equal(t, len(m.GetEntries())+len(m.GetEntriesAdded()), 0, "%v", m)
 }
 
 // Starts of one job and step are combined into one order, and the message's clock is the guard's
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,8 +79,8 @@
 	withReports bool
 	// retiring is true while the guard asks the entry to end the session.
 	retiring, sentRetiring bool
-	// entries are the addresses that the entry last listed, and guards is the number of guards
-	// that are attached to it.
+	// entries are the addresses of the entries that the entry knows, replaced as a whole when they
+	// change, and guards is the number of guards that are attached to it.
 	entries []string
 	guards  int
 }
@@ -190,9 +191,13 @@
 	if len(m.GetEntries()) > 0 {
 		s.entries = m.GetEntries()
 	}
+	if removed := m.GetEntriesRemoved(); len(removed) > 0 {
+		s.entries = slices.DeleteFunc(slices.Clone(s.entries), func(a string) bool { return slices.Contains(removed, a) })
+	}
+	s.entries = slices.Concat(s.entries, m.GetEntriesAdded())
 	s.mu.Unlock()
-	if len(m.GetEntries()) > 0 {
-		s.up.addEntries(m.GetEntries())
+	if added := slices.Concat(m.GetEntries(), m.GetEntriesAdded()); len(added) > 0 {
+		s.up.addEntries(added)
 	}
 }
 
