guard/uplink: a starting guard waits for entries that discover each other

After a start of everything a guard read the store's list once, when few entries had registered, and opened twelve sessions with these, or with the three in its settings if the list was empty; three seconds later it closed most of them and opened others. Entries that registered late had no guard until then: 261 processes had their first session after 3.1 s at the latest, some entry had 149 sessions of the 52 that it keeps.

An entry says while it still discovers the others, and a guard that has started too keeps three sessions until one that it reaches knows them, 2 s at most; then it chooses its subset. An empty list is read again every 100 ms on average, for half a second, before the settings are used. A guard that starts alone is told with the first handshake that it need not wait. Line 2221 names a number of entries, not each.

Metrics: known entries, open sessions, sessions opened.

--- a/guard/side/side.go
+++ b/guard/side/side.go
@@ -85,6 +85,7 @@
 
 		SharedDemand: s.Scheduling.SharedDemand,
 		Logger:       o.Logger,
+		Scope:        o.Metrics.Scope,
 	}, g.host)
 	return g
 }
--- a/guard/uplink/events.go
+++ b/guard/uplink/events.go
@@ -7,8 +7,8 @@
 )
 
 var (
-	entryDiscovered = eventlog.Define(2221, "guard.entry_learnt", slog.LevelInfo,
-		"The guard discovered an entry and connects to it if the entry is in its subset.", "None.")
+	entriesDiscovered = eventlog.Define(2221, "guard.entries_discovered", slog.LevelInfo,
+		"The guard discovered entries and connects to those in its subset. entries is the number of known entries; at most five of those added are named.", "None.")
 	entryLost = eventlog.Define(2222, "guard.entry_lost", slog.LevelWarn,
 		"A session with an entry ended; the guard reconnects. Runs of an entry that stays silent are stopped.",
 		"If it persists, check that entry and the network between it and the guard.")
--- a/guard/uplink/links.go
+++ b/guard/uplink/links.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"log/slog"
+	"slices"
 	"time"
 
 	"almondstand.dev/guard/subset"
@@ -26,6 +27,31 @@
 	// used. After a restart entries see few guards for a moment, and every guard would widen
 	// its subset at that time: 4,000 more sessions with 240 guards.
 	settledAfter = 5 * time.Second
+	// joinSize is the number of sessions that a guard opens while the entries that it reaches
+	// still discover the others. Its subset is not known before; with sessions to entries outside
+	// of it, those that register first would be attached to by every guard.
+	joinSize = 3
+	// joinTimeout bounds the time for which a guard waits for that.
+	joinTimeout = 2 * time.Second
+	// maxLoggedAddresses bounds the addresses of one log line.
+	maxLoggedAddresses = 5
+)
+
+// phase is the phase of a guard since its start.
+//
+//	phase   | event                                    | next
+//	--------|------------------------------------------|--------
+//	joining | an attached entry discovers others       | joining
+//	joining | an attached entry has discovered them    | joined
+//	joining | joinTimeout has passed                   | joined
+//	joined  | any                                      | joined
+type phase int
+
+const (
+	// joining: the guard keeps the first joinSize sessions that it opens.
+	joining phase = iota
+	// joined: the guard keeps sessions with its subset.
+	joined
 )
 
 // link is the state of one known entry address.
@@ -61,13 +87,28 @@
 
 // addLinks adds entries to those known. u.mu is held.
 func (u *Uplink) addLinks(addresses []string) {
+	var added []string
 	for _, a := range addresses {
 		if l, known := u.links[a]; known {
 			l.lastNamed = time.Now()
 			continue
 		}
 		u.links[a] = &link{address: a, rank: subset.Rank(u.opt.Guard, a), lastNamed: time.Now()}
-		entryDiscovered.Log(u.ctx, u.logger, slog.String("address", a))
+		added = append(added, a)
+	}
+	if len(added) > 0 {
+		entriesDiscovered.Log(u.ctx, u.logger, slog.Int("entries", len(u.links)), slog.Int("added", len(added)),
+			slog.Any("first_added", added[:min(len(added), maxLoggedAddresses)]))
+	}
+}
+
+// endJoining opens the sessions with the subset. It does nothing for a guard that has joined.
+func (u *Uplink) endJoining() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.phase == joining {
+		u.phase = joined
+		u.choose()
 	}
 }
 
@@ -78,6 +119,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.allEntries = hasLateStarts
+	if time.Since(u.startedAt) >= joinTimeout {
+		u.phase = joined
+	}
 	u.addLinks(seeds)
 	var guards []int
 	for _, l := range u.links {
@@ -97,6 +141,8 @@
 		}
 	}
 	u.choose()
+	u.metrics.entries.Update(float64(len(u.links)))
+	u.metrics.sessions.Update(float64(len(u.current)))
 }
 
 // choose connects to the entries of the subset and releases the others. u.mu is held.
@@ -106,8 +152,12 @@
 		entries = append(entries, subset.Entry{Address: l.address, Rank: l.rank, Down: l.down})
 	}
 	size := u.size
-	if u.allEntries {
+	switch {
+	case u.allEntries:
 		size = len(u.links)
+	case u.phase == joining:
+		u.connectFirst(entries)
+		return
 	}
 	chosen := map[string]bool{}
 	for _, a := range subset.Choose(entries, size) {
@@ -122,6 +172,25 @@
 	}
 }
 
+// connectFirst connects to entries of the highest rank until joinSize sessions are open or being
+// opened. It releases none: which entries are known changes with each message. u.mu is held.
+func (u *Uplink) connectFirst(entries []subset.Entry) {
+	open := 0
+	for _, l := range u.links {
+		if l.cancel != nil && !l.down {
+			open++
+		}
+	}
+	idle := slices.DeleteFunc(entries, func(e subset.Entry) bool { return u.links[e.Address].cancel != nil })
+	for _, a := range subset.Choose(idle, joinSize) {
+		if open >= joinSize {
+			return
+		}
+		u.connect(u.links[a])
+		open++
+	}
+}
+
 // connect starts connecting to an entry of the subset. u.mu is held.
 func (u *Uplink) connect(l *link) {
 	l.unselectedSince = time.Time{}
--- a/guard/uplink/links_test.go
+++ b/guard/uplink/links_test.go
@@ -35,9 +35,15 @@
 	named   []string
 	// guards is the guard count that the entry reports.
 	guards uint32
+	// discovery is closed once the entry has discovered all of discovered; nil if it has
+	// discovered the others from the start.
+	discovery  chan struct{}
+	discovered []string
 
 	mu       sync.Mutex
 	sessions int
+	// attempts counts the sessions that were opened.
+	attempts int
 	// holds prevents the release of a guard, as open runs do.
 	holds bool
 	// releaseRequests counts the messages in which a guard asked to be released.
@@ -50,7 +56,10 @@
 	}
 	e.add(1)
 	defer e.add(-1)
-	err := st.Send(&wirev1.AttachResponse{Handshake: &wirev1.EntryHandshake{Entry: e.name, Incarnation: 1}, Entries: e.named, Guards: e.guards})
+	discovering := e.discovering()
+	err := st.Send(&wirev1.AttachResponse{
+		Handshake: &wirev1.EntryHandshake{Entry: e.name, Incarnation: 1}, Entries: e.named, Guards: e.guards, Discovering: discovering,
+	})
 	if err != nil {
 		return err
 	}
@@ -66,16 +75,35 @@
 		if retiring && e.releases() {
 			return nil
 		}
-		if err := st.Send(&wirev1.AttachResponse{Guards: e.guards}); err != nil {
+		next := &wirev1.AttachResponse{Guards: e.guards, Discovering: e.discovering()}
+		if discovering && !next.GetDiscovering() {
+			next.EntriesAdded = e.discovered
+		}
+		discovering = next.GetDiscovering()
+		if err := st.Send(next); err != nil {
 			return err
 		}
 	}
 }
 
+// discovering reports whether the entry still discovers the others.
+func (e *entry) discovering() bool {
+	if e.discovery == nil {
+		return false
+	}
+	select {
+	case <-e.discovery:
+		return false
+	default:
+		return true
+	}
+}
+
 func (e *entry) add(n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sessions += n
+	e.attempts += max(n, 0)
 }
 
 func (e *entry) attached() bool {
@@ -308,3 +336,83 @@
 	}
 	awaitAttached(t, all, all)
 }
+
+// Guards against sessions that are opened twice after a start of all processes: a guard that finds
+// few entries, which still discover the others, opens few sessions until it can choose its subset
+// from all, whatever their number.
+func TestGuardWaitsForEntriesThatDiscoverOthers(t *testing.T) {
+	for _, n := range []int{20, 40} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			all := entries(t, n)
+			few := all[:n/4]
+			discovery := make(chan struct{})
+			for _, e := range few {
+				e.named, e.discovered, e.discovery = addresses(few), addresses(all[n/4:]), discovery
+			}
+			startGuard(t, all, func(context.Context) ([]string, error) { return addresses(few), nil })
+			awaitSessions(t, all, joinSize)
+			time.Sleep(joinTimeout / 4)
+			assert.Equal(t, count(all, (*entry).openSessions), joinSize)
+			close(discovery)
+			in, _ := chosen(all)
+			awaitAttached(t, all, in)
+			attempts := count(all, func(e *entry) int { return e.attempts })
+			assert.Assert(t, attempts <= subset.DefaultSize+joinSize, "%d sessions opened", attempts)
+		})
+	}
+}
+
+// Guards against a guard that waits for good for entries that never discover the others.
+func TestGuardJoinsWithoutDiscovery(t *testing.T) {
+	all := entries(t, 16)
+	for _, e := range all {
+		e.discovery = make(chan struct{})
+	}
+	startGuard(t, all, func(context.Context) ([]string, error) { return addresses(all), nil })
+	awaitSessions(t, all, joinSize)
+	in, _ := chosen(all)
+	awaitAttached(t, all, in)
+}
+
+// The list of entries is empty when a guard starts, because the entries are starting too. If every
+// guard used the entries in its settings then, these would be attached to by all.
+func TestGuardReadsAnEmptyListAgain(t *testing.T) {
+	all := entries(t, 20)
+	reads := 0
+	startGuard(t, all, func(context.Context) ([]string, error) {
+		if reads++; reads < 3 {
+			return nil, nil
+		}
+		return addresses(all), nil
+	})
+	in, _ := chosen(all)
+	awaitAttached(t, all, in)
+	for _, e := range all {
+		assert.Equal(t, e.attached(), slices.Contains(in, e), "%s", e.name)
+	}
+	assert.Equal(t, count(all, func(e *entry) int { return e.attempts }), subset.DefaultSize)
+}
+
+// awaitSessions waits until the entries have n sessions together.
+func awaitSessions(t *testing.T, all []*entry, n int) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if open := count(all, (*entry).openSessions); open != n {
+			return poll.Continue("%d sessions, want %d", open, n)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(8*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+func (e *entry) openSessions() int { return e.sessions }
+
+// count adds up a value of all entries.
+func count(all []*entry, value func(*entry) int) int {
+	sum := 0
+	for _, e := range all {
+		e.mu.Lock()
+		sum += value(e)
+		e.mu.Unlock()
+	}
+	return sum
+}
--- a/guard/uplink/session.go
+++ b/guard/uplink/session.go
@@ -199,6 +199,9 @@
 	if added := slices.Concat(m.GetEntries(), m.GetEntriesAdded()); len(added) > 0 {
 		s.up.addEntries(added)
 	}
+	if !m.GetDiscovering() {
+		s.up.endJoining()
+	}
 }
 
 // recordCordon records what a message says about the cordon on the guard's data centre.
--- a/guard/uplink/uplink.go
+++ b/guard/uplink/uplink.go
@@ -5,16 +5,20 @@
 	"context"
 	"log/slog"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"almondstand.dev/dispatch/work"
 	"almondstand.dev/guard/advertise"
 	"almondstand.dev/guard/demand"
 	"almondstand.dev/guard/load"
 	"almondstand.dev/guard/runs"
 	"almondstand.dev/guard/subset"
+	"almondstand.dev/telemetry/uptime"
 	"almondstand.dev/wire/fleetwire"
 )
 
@@ -54,8 +58,11 @@
 	// lookupHeadStart is how long the seeds wait for the list: the store answers within 4 ms,
 	// and a data centre is some milliseconds away.
 	lookupHeadStart = 60 * time.Millisecond
-	// lookupTimeout bounds the read: by then the seeds have listed the entries.
+	// lookupTimeout bounds the reads: by then the seeds have listed the entries.
 	lookupTimeout = 500 * time.Millisecond
+	// lookupInterval is the pause between two reads while the list is empty: the entries are
+	// starting too.
+	lookupInterval = 100 * time.Millisecond
 )
 
 // Host manages the runner; see guard/host.
@@ -85,21 +92,27 @@
 	// Seeds returns the entry addresses in the settings; it is called again at each refresh.
 	Seeds func() []string
 	// Entries reads the list of registered entries; nil if there is no such list. It is called
-	// once, when the guard starts.
+	// when the guard starts, until the list is not empty.
 	Entries func(ctx context.Context) ([]string, error)
 	// SharedDemand: the demand of the other entries is sent to each entry, and the most urgent demand
 	// is offered free capacity first.
 	SharedDemand bool
 	Logger       *slog.Logger
+	// Scope is where the metrics are published; nil for none.
+	Scope tally.Scope
 }
 
 // Uplink manages the guard's sessions with entries.
 type Uplink struct {
-	opt    Options
-	host   Host
-	logger *slog.Logger
+	opt     Options
+	host    Host
+	logger  *slog.Logger
+	metrics metrics
 
 	mu sync.Mutex
+	// phase is the phase since startedAt.
+	phase     phase
+	startedAt time.Time
 	// links are the known entries, by address.
 	links map[string]*link
 	// size is the number of reachable entries to keep sessions with.
@@ -129,13 +142,13 @@
 
 // New returns an uplink without sessions.
 func New(o Options, h Host) *Uplink {
-	return &Uplink{opt: o, host: h, logger: o.Logger, links: map[string]*link{}, size: subset.DefaultSize, current: map[string]*session{}}
+	return &Uplink{opt: o, host: h, logger: o.Logger, metrics: newMetrics(o.Scope), links: map[string]*link{}, size: subset.DefaultSize, current: map[string]*session{}}
 }
 
 // Run keeps the guard connected until the context ends.
 func (u *Uplink) Run(ctx context.Context) error {
 	u.mu.Lock()
-	u.ctx = ctx
+	u.ctx, u.startedAt = ctx, time.Now()
 	u.mu.Unlock()
 	u.discover(ctx)
 	u.refresh()
@@ -160,22 +173,45 @@
 	if u.opt.Entries == nil {
 		return
 	}
-	done := make(chan struct{})
+	done, empty := make(chan struct{}), make(chan struct{}, 1)
 	u.attach.Go(func() {
 		defer close(done)
-		called, cancel := context.WithTimeout(ctx, lookupTimeout)
-		defer cancel()
-		entries, err := u.opt.Entries(called)
+		u.lookup(ctx, empty)
+	})
+	timeout := time.NewTimer(lookupHeadStart)
+	defer timeout.Stop()
+	for {
+		select {
+		case <-empty:
+			timeout.Reset(lookupTimeout)
+		case <-done:
+			return
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// lookup reads the registered entries until there are any. It signals on empty if there are none
+// yet.
+func (u *Uplink) lookup(ctx context.Context, empty chan struct{}) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		entries, err := u.opt.Entries(ctx)
 		if err != nil {
 			lookupFailed.Log(ctx, u.logger, slog.String("error", err.Error()))
 			return
 		}
-		u.addEntries(entries)
-	})
-	select {
-	case <-done:
-	case <-time.After(lookupHeadStart):
-	case <-ctx.Done():
+		if len(entries) > 0 {
+			u.addEntries(entries)
+			return
+		}
+		notify(empty)
+		// The pause is random, so that guards that start together do not read together.
+		uptime.Sleep(ctx, lookupInterval/2+rand.N(lookupInterval))
 	}
 }
 
@@ -194,6 +230,7 @@
 	u.mu.Lock()
 	older := u.current[s.owner.Entry]
 	u.current[s.owner.Entry] = s
+	u.metrics.opened.Inc(1)
 	l := s.link
 	l.lastReached, l.session = time.Now(), s
 	if l.down {
