entry/edge: metrics of the known entries and of open connections

What an entry knows of the others, how old the store's list is, and whose connections it holds could be read from its log only, if at all. Gauges: members, members_unlisted, members_list_age_seconds, connections by callers and by guards and entries. TestFleetMetrics checks them.

--- a/e2e/fleet_metrics_test.go
+++ b/e2e/fleet_metrics_test.go
@@ -73,10 +73,18 @@
 		`almondstand_store_call_seconds_bucket{`,
 		`almondstand_config_version`,
 		`almondstand_log_lines_left_out`,
+		`almondstand_members 1`,
+		`almondstand_members_unlisted 0`,
+		`almondstand_members_list_age_seconds`,
+		`almondstand_connections{from="callers"}`,
+		`almondstand_connections{from="fleet"} 2`,
 	)
 	waitMetrics(t, f.Guards[0],
 		`almondguard_runner_starts_total`,
 		`almondguard_runner_lease_left_seconds_bucket{`,
 		`almondguard_runner_leases_late_total 0`,
+		`almondguard_known_entries 1`,
+		`almondguard_entry_sessions 1`,
+		`almondguard_entry_sessions_opened_total 1`,
 	)
 }
--- a/entry/edge/edge.go
+++ b/entry/edge/edge.go
@@ -62,7 +62,11 @@
 	handOver *handover.Client
 	takeOver *handover.Server
 	// callers is the server of the callers' connections.
-	callers  *http.Server
+	callers *http.Server
+	// callerConnections and fleetConnections count the connections of callers, and those of guards
+	// and other entries.
+	callerConnections, fleetConnections connectionCount
+
 	draining atomic.Bool
 	// runnerReached is true once at least one runner was reachable. Until then the
 	// entry is not ready: it would reject jobs that other entries can serve.
@@ -111,6 +115,7 @@
 	e.callers = &http.Server{
 		Handler:           e.front,
 		ConnContext:       ingress.ConnContext,
+		ConnState:         e.callerConnections.observe,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -191,7 +196,9 @@
 	addActor(func(c context.Context) error {
 		mux := http.NewServeMux()
 		mux.Handle(fleetwire.NewHandler(e.fleetService(s)))
-		return serve(c, s.Listen.Guards.String(), fleetwire.NewServer(mux))
+		server := fleetwire.NewServer(mux)
+		server.ConnState = e.fleetConnections.observe
+		return serve(c, s.Listen.Guards.String(), server)
 	})
 	addActor(func(c context.Context) error {
 		return serve(c, s.Listen.Ready.String(), &http.Server{Handler: http.HandlerFunc(e.ready), ReadHeaderTimeout: readHeaderTimeout})
--- a/entry/edge/gauges.go
+++ b/entry/edge/gauges.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -12,6 +15,19 @@
 // gaugeInterval is how often the gauges are updated; they are scraped every 5 s.
 const gaugeInterval = 2 * time.Second
 
+// connectionCount is the number of open connections to a server.
+type connectionCount struct{ open atomic.Int64 }
+
+// observe is an http.Server's ConnState.
+func (c *connectionCount) observe(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		c.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		c.open.Add(-1)
+	}
+}
+
 // publishGauges updates the gauges with the entry's view of its configuration, jobs
 // and runners until ctx ends.
 func (e *Entry) publishGauges(ctx context.Context) error {
@@ -44,6 +60,11 @@
 	spare := scope.Gauge("spare_cores")
 	handedOver := scope.Tagged(map[string]string{"side": "out"}).Gauge("handovers_in_flight")
 	takenOver := scope.Tagged(map[string]string{"side": "in"}).Gauge("handovers_in_flight")
+	callers := scope.Tagged(map[string]string{"from": "callers"}).Gauge("connections")
+	peers := scope.Tagged(map[string]string{"from": "fleet"}).Gauge("connections")
+	members := scope.Gauge("members")
+	unlisted := scope.Gauge("members_unlisted")
+	listAge := scope.Gauge("members_list_age_seconds")
 	tick := time.NewTicker(gaugeInterval)
 	defer tick.Stop()
 	for {
@@ -84,6 +105,12 @@
 		out, in := e.jobs.InFlight()
 		handedOver.Update(float64(out))
 		takenOver.Update(float64(in))
+		callers.Update(float64(e.callerConnections.open.Load()))
+		peers.Update(float64(e.fleetConnections.open.Load()))
+		known := e.members.Status()
+		members.Update(float64(known.Members))
+		unlisted.Update(float64(known.Unlisted))
+		listAge.Update(known.ListAge.Seconds())
 		droppedLines.Update(float64(e.opts.Metrics.LinesDropped()))
 	}
 }
