entry/front: requests wait for the first configuration of an entry that has just started

After a loss of power balancers send requests before an entry has read its configuration, 0.08 s after its start in the middle and 0.3 s at most; 250 of them were answered 503 although the entry could serve them a moment later. A request now waits for the first configuration, until 1 s after the process has started; from then on an entry without one rejects at once, as before. The time for which a request was unread is taken before it waits, so that the wait does not count as lag. TestFirstConfigurationIsAwaited.

--- a/entry/follower/cordons.go
+++ b/entry/follower/cordons.go
@@ -73,6 +73,7 @@
 		return
 	}
 	f.cordons.Store(set)
+	f.signalTable()
 	if !set.Same(previous) {
 		eventCordons.Log(ctx, f.logger, slog.Int64("revision", set.Revision), slog.Any("data_centres", set.DataCentres()))
 	}
--- a/entry/follower/follower.go
+++ b/entry/follower/follower.go
@@ -39,6 +39,9 @@
 	// FreshnessPeriod is how long after a read was sent its result counts as the newest
 	// configuration.
 	FreshnessPeriod = 1900 * time.Millisecond
+	// firstTableTimeout is how long after its start an entry waits for its first configuration.
+	// The read takes some milliseconds, and longer while all processes of a deployment start.
+	firstTableTimeout = time.Second
 )
 
 // Store reads keys; see platform/store.
@@ -59,6 +62,8 @@
 	// lastReadAt is when the latest answered read was sent, in nanoseconds since startedAt.
 	lastReadAt atomic.Int64
 	startedAt  time.Time
+	// tableKnown is closed once there is a configuration.
+	tableKnown chan struct{}
 
 	mu       sync.Mutex
 	revision int64
@@ -70,7 +75,7 @@
 
 // New returns a follower without a configuration.
 func New(s Store, logger *slog.Logger) *Follower {
-	f := &Follower{store: s, logger: logger, startedAt: time.Now(), reachable: true}
+	f := &Follower{store: s, logger: logger, startedAt: time.Now(), tableKnown: make(chan struct{}), reachable: true}
 	f.lastReadAt.Store(int64(-FreshnessPeriod))
 	return f
 }
@@ -84,6 +89,34 @@
 	return f.table.Load()
 }
 
+// AwaitTable returns the newest configuration. Shortly after its start an entry that has none waits
+// for the first one. It returns nil if there is still none then, or ctx ends.
+func (f *Follower) AwaitTable(ctx context.Context) *route.Table {
+	if table := f.Table(); table != nil {
+		return table
+	}
+	timeout := time.NewTimer(firstTableTimeout - time.Since(f.startedAt))
+	defer timeout.Stop()
+	select {
+	case <-f.tableKnown:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	return f.Table()
+}
+
+// signalTable closes tableKnown once there is a configuration. The caller holds the lock.
+func (f *Follower) signalTable() {
+	if f.Table() == nil {
+		return
+	}
+	select {
+	case <-f.tableKnown:
+	default:
+		close(f.tableKnown)
+	}
+}
+
 // Fresh reports whether the store has recently confirmed that there is no newer
 // configuration.
 func (f *Follower) Fresh() bool { return f.Age() < FreshnessPeriod }
@@ -197,6 +230,7 @@
 	}
 	f.revision, f.raw = revision, raw
 	f.table.Store(table)
+	f.signalTable()
 	eventApplied.Log(ctx, f.logger, slog.Int64("revision", revision), slog.Int64("version", table.Version), slog.Int("contracts", table.Len()))
 }
 
--- a/entry/follower/follower_test.go
+++ b/entry/follower/follower_test.go
@@ -8,12 +8,14 @@
 	"log/slog"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"almondstand.dev/contract/cordon"
+	"almondstand.dev/contract/route"
 	"almondstand.dev/platform/operator"
 	"almondstand.dev/platform/store"
 )
@@ -97,3 +99,26 @@
 	assert.Assert(t, !f.read(t.Context()))
 	assert.Assert(t, !f.Fresh(), "a configuration from another entry says nothing about the store")
 }
+
+// Guards against rejected requests after a loss of power: balancers send them before the entry has
+// read its configuration, which it does within a moment. An entry that cannot read it rejects them.
+func TestFirstConfigurationIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := New(failingStore{}, slog.New(slog.DiscardHandler))
+		found := make(chan *route.Table, 2)
+		go func() { found <- f.AwaitTable(t.Context()) }()
+		time.Sleep(300 * time.Millisecond)
+		f.Apply(t.Context(), 10, config(5))
+		synctest.Wait()
+		assert.Equal(t, len(found), 0, "the cordoned data centres are unknown")
+		f.ApplyCordons(t.Context(), cordon.New(1, nil))
+		assert.Equal(t, (<-found).Version, int64(5))
+
+		start := time.Now()
+		f = New(failingStore{}, slog.New(slog.DiscardHandler))
+		assert.Assert(t, f.AwaitTable(t.Context()) == nil)
+		assert.Equal(t, time.Since(start), firstTableTimeout)
+		assert.Assert(t, f.AwaitTable(t.Context()) == nil)
+		assert.Equal(t, time.Since(start), firstTableTimeout, "a later request does not wait")
+	})
+}
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -35,7 +35,9 @@
 
 // Config provides the operator's configuration; see entry/follower.
 type Config interface {
-	Table() *route.Table
+	// AwaitTable returns the newest configuration, or nil if there is none yet. Shortly after the
+	// process has started it waits for the first one.
+	AwaitTable(ctx context.Context) *route.Table
 	Fresh() bool
 }
 
@@ -87,7 +89,8 @@
 	if f.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	table := f.config.Table()
+	received := arrivalOf(req)
+	table := f.config.AwaitTable(req.Context())
 	if table == nil {
 		f.rejectEarly(w, req, "no configuration yet")
 		return
@@ -104,7 +107,7 @@
 	case !ingress.ValidID(id):
 		ingress.WriteError(w, http.StatusBadRequest, "the path must end with an id of 16 hexadecimal digits", 0)
 	case req.Method == http.MethodPost:
-		f.submit(w, req, table, contract, id)
+		f.submit(w, req, received, table, contract, id)
 	case req.Method == http.MethodGet:
 		f.state(w, id)
 	case req.Method == http.MethodDelete:
@@ -125,9 +128,12 @@
 	ingress.WriteError(w, http.StatusNotFound, "no such queue", 0)
 }
 
-func (f *Handler) submit(w http.ResponseWriter, req *http.Request, table *route.Table, c *route.Contract, id string) {
+func (f *Handler) submit(w http.ResponseWriter, req *http.Request, received arrival, table *route.Table, c *route.Contract, id string) {
 	closed := f.closed.Load()
-	job, deadline, err := f.readJob(w, req, table, c, id)
+	if f.onRequest != nil {
+		f.onRequest(received.unread)
+	}
+	job, deadline, err := readJob(w, req, received.at, table, c, id)
 	if closed {
 		if err == nil {
 			if answer, served := f.jobs.SubmitElsewhere(req.Context(), job, jobs.Terms(c), deadline); served {
@@ -145,13 +151,16 @@
 	f.writeOutcome(w, f.jobs.Submit(req.Context(), job, jobs.Terms(c), deadline))
 }
 
+// arrival is when a request arrived at this host, and for how long it was unread.
+type arrival struct{ at, unread time.Duration }
+
+func arrivalOf(req *http.Request) arrival {
+	unread := ingress.ReceivedBefore(req.Context())
+	return arrival{at: uptime.Now() - unread, unread: unread}
+}
+
 // readJob reads and checks a request. deadline is the uptime until which its caller waits.
-func (f *Handler) readJob(w http.ResponseWriter, req *http.Request, table *route.Table, c *route.Contract, id string) (job work.Job, deadline time.Duration, err error) {
-	age := ingress.ReceivedBefore(req.Context())
-	arrived := uptime.Now() - age
-	if f.onRequest != nil {
-		f.onRequest(age)
-	}
+func readJob(w http.ResponseWriter, req *http.Request, arrived time.Duration, table *route.Table, c *route.Contract, id string) (job work.Job, deadline time.Duration, err error) {
 	timeout, present, err := ingress.Deadline(req)
 	if err != nil {
 		return work.Job{}, 0, err
--- a/entry/front/front_test.go
+++ b/entry/front/front_test.go
@@ -24,8 +24,8 @@
 	fresh bool
 }
 
-func (c *config) Table() *route.Table { return c.table }
-func (c *config) Fresh() bool         { return c.fresh }
+func (c *config) AwaitTable(context.Context) *route.Table { return c.table }
+func (c *config) Fresh() bool                             { return c.fresh }
 
 // noJobs is a Jobs that runs no job.
 type noJobs struct{}
