guard/uplink: a joining guard connects to entries as they are discovered

A guard that joined kept its first three sessions until an entry had ended its discovery.

It now connects to the three entries of the highest rank of those that it knows at each moment, and releases none while it joins. With the list growing from L to N entries that is 3 (1 + ln (N/L)) sessions, at most as many again as the subset has. Entries publish their list every 0.1 s during discovery (0.25 s) and every 1 s later, and three exchanges without a new entry end it (four).

--- a/entry/registry/membership/membership.go
+++ b/entry/registry/membership/membership.go
@@ -24,7 +24,7 @@
 	listedTTL = 5 * time.Second
 	// quietExchanges is the number of successive exchanges that add no entry after which discovery
 	// ends, and maxDiscovery is its longest duration.
-	quietExchanges = 4
+	quietExchanges = 3
 	maxDiscovery   = 2 * time.Second
 )
 
--- a/entry/registry/registry.go
+++ b/entry/registry/registry.go
@@ -37,8 +37,10 @@
 	callTimeout = 500 * time.Millisecond
 	// retryInterval is the pause after a failed call to the store.
 	retryInterval = time.Second
-	// publishInterval is the shortest time between two changes of the list that guards are sent.
-	publishInterval = 250 * time.Millisecond
+	// publishInterval is the shortest time between two changes of the list that guards are sent,
+	// and discoveryPublishInterval that during discovery, while some entries have no guard yet.
+	publishInterval          = time.Second
+	discoveryPublishInterval = 100 * time.Millisecond
 	// jitter is the part of a pause that is random, so that entries that start together do not
 	// call together.
 	jitter = 0.5
@@ -135,8 +137,12 @@
 func (r *Registry) Members() membership.Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	interval := publishInterval
+	if r.published.Phase == membership.Discovering {
+		interval = discoveryPublishInterval
+	}
 	current, now := r.list.Snapshot(), time.Now()
-	if current.Version != r.published.Version && now.Sub(r.publishedAt) >= publishInterval {
+	if current.Version != r.published.Version && now.Sub(r.publishedAt) >= interval {
 		r.published, r.publishedAt = current, now
 	}
 	return r.published
--- a/guard/uplink/links.go
+++ b/guard/uplink/links.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"log/slog"
-	"slices"
 	"time"
 
 	"almondstand.dev/guard/subset"
@@ -27,9 +26,10 @@
 	// used. After a restart entries see few guards for a moment, and every guard would widen
 	// its subset at that time: 4,000 more sessions with 240 guards.
 	settledAfter = 5 * time.Second
-	// joinSize is the number of sessions that a guard opens while the entries that it reaches
-	// still discover the others. Its subset is not known before; with sessions to entries outside
-	// of it, those that register first would be attached to by every guard.
+	// joinSize is the number of known entries with which a guard keeps sessions while those that
+	// it reaches still discover the others. Its subset is not known before: with all of its
+	// sessions, the entries that register first would be attached to by every guard, and with
+	// none, those that are discovered would have no runners.
 	joinSize = 3
 	// joinTimeout bounds the time for which a guard waits for that.
 	joinTimeout = 2 * time.Second
@@ -48,7 +48,8 @@
 type phase int
 
 const (
-	// joining: the guard keeps the first joinSize sessions that it opens.
+	// joining: the guard keeps sessions with the first joinSize entries by rank, and those opened
+	// before.
 	joining phase = iota
 	// joined: the guard keeps sessions with its subset.
 	joined
@@ -172,22 +173,11 @@
 	}
 }
 
-// connectFirst connects to entries of the highest rank until joinSize sessions are open or being
-// opened. It releases none: which entries are known changes with each message. u.mu is held.
+// connectFirst connects to the joinSize entries of the highest rank. It releases none: which
+// entries are known changes with each message. u.mu is held.
 func (u *Uplink) connectFirst(entries []subset.Entry) {
-	open := 0
-	for _, l := range u.links {
-		if l.cancel != nil && !l.down {
-			open++
-		}
-	}
-	idle := slices.DeleteFunc(entries, func(e subset.Entry) bool { return u.links[e.Address].cancel != nil })
-	for _, a := range subset.Choose(idle, joinSize) {
-		if open >= joinSize {
-			return
-		}
+	for _, a := range subset.Choose(entries, joinSize) {
 		u.connect(u.links[a])
-		open++
 	}
 }
 
