--- a/review/src/main.go
+++ b/review/src/main.go
@@ -23,7 +23,7 @@
 		os.Exit(int(couldntGo))
 	}
 	cases := map[string]func(*record, *deployment, bool) (verdict, string){
-		"cut-at-exit": cutAtExit, "wrong-kind": wrongKind, "stale-handover": staleHandover,
+		"cut-at-exit": cutAtExit, "wrong-kind": wrongKind, "false-failure": falseFailure, "stale-handover": staleHandover,
 	}
 	run := cases[os.Args[1]]
 	if run == nil {
