--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/src-2"
 mkdir -p ../../target
-GOWORK=off GOFLAGS=-mod=mod GOPROXY=off go build -o ../../target/review-2 .
+GOWORK=off GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local CGO_ENABLED=0 go build -o ../../target/review-2 .
--- a/review/src-2/chaos.go
+++ b/review/src-2/chaos.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"net/http"
 	"os"
 	"strconv"
 	"sync"
@@ -11,6 +12,13 @@
 	"time"
 )
 
+// lateShare is the share of orders to runners that get no answer and are carried out late.
+func lateShare() float64 {
+	share, _ := strconv.ParseFloat(os.Getenv("LATE"), 64)
+	return share
+}
+
+// chaosJob is a job of playChaos, which is no case: it looks for faults with random disruptions.
 type chaosJob struct {
 	id        string
 	steps     []map[string]any
@@ -30,6 +38,24 @@
 			r.labels = []string{"b", "r1-1"}
 			r.cpu = 24000
 		}
+		r.onCall = func(path string, b call, _ http.ResponseWriter, q *http.Request) bool {
+			if rand.Float64() >= lateShare() {
+				return false
+			}
+			r.mu.Lock()
+			life := r.id
+			r.mu.Unlock()
+			time.AfterFunc(time.Duration(2000+rand.Intn(10000))*time.Millisecond, func() {
+				r.mu.Lock()
+				same := r.id == life && !r.down
+				r.mu.Unlock()
+				if same {
+					r.do(path, b)
+				}
+			})
+			<-q.Context().Done()
+			return true
+		}
 	}
 	f.awaitReady()
 	ctx, stop := context.WithTimeout(context.Background(), time.Duration(secs)*time.Second)
@@ -37,7 +63,7 @@
 	var mu sync.Mutex
 	jobs := map[string]*chaosJob{}
 	var all sync.WaitGroup
-	for range 40 {
+	for range clients() {
 		all.Go(func() {
 			for ctx.Err() == nil {
 				j := &chaosJob{id: newID()}
@@ -214,3 +240,18 @@
 	}
 	rec.add("jobs %d, runs %d", len(jobs), len(runs))
 }
+
+// cores is the processor share of an entry: that of the small deployments, or another one in playChaos.
+func cores() float64 {
+	if share, err := strconv.ParseFloat(os.Getenv("CORES"), 64); err == nil {
+		return share
+	}
+	return 0.4
+}
+
+func clients() int {
+	if n, err := strconv.Atoi(os.Getenv("CLIENTS")); err == nil {
+		return n
+	}
+	return 40
+}
--- a/review/src-2/fleet.go
+++ b/review/src-2/fleet.go
@@ -40,6 +40,7 @@
 	dir     string
 	rec     *Record
 	store   *Store
+	storeAt string
 	Entries []*Node
 	Guards  []*Node
 	Runners []*Runner
@@ -92,6 +93,7 @@
 	cleanup = f.close
 	f.store.put("op/config", config(3))
 	address := f.store.serve()
+	f.storeAt = address
 	stale := len(seeds) > 0
 	for i := range entries {
 		ip := freeIP()
@@ -105,7 +107,7 @@
 		n.Control = ip
 	}
 	for _, n := range f.Entries {
-		f.write(n, map[string]any{"id": n.Name, "zone": "z", "seeds": seeds, "store": address, "bounds": map[string]any{"grace": "6s"}, "host": map[string]any{"cores": 0.4},
+		f.write(n, map[string]any{"id": n.Name, "zone": "z", "seeds": seeds, "store": address, "bounds": map[string]any{"grace": "6s"}, "host": map[string]any{"cores": cores()},
 			"listen": map[string]any{"callers": n.Front, "ready": n.Ready, "guards": fmt.Sprintf("%s:%d", n.Control, entryPort), "metrics": free(n.Control)}})
 	}
 	for i := range guards {
@@ -240,3 +242,28 @@
 	f.rec.add("client: %s %s to %s: %d %s", method, id, n.Name, res.StatusCode, text)
 	return Answer{res.StatusCode, string(text)}
 }
+
+// moveEntries starts the entries at new addresses, and names them as seeds in the settings of the guards, without a signal.
+func (f *Fleet) moveEntries() {
+	var seeds []string
+	for _, n := range f.Entries {
+		ip := freeIP()
+		n.Control, n.Front, n.Ready = ip, free(ip), free(ip)
+		seeds = append(seeds, ip+":8166")
+	}
+	for i, n := range f.Entries {
+		n.Name = fmt.Sprintf("edge-%d", len(f.Entries)+i+1)
+		n.settings = filepath.Join(f.dir, n.Name+".json")
+		n.args = []string{"entry", "--settings", n.settings}
+		f.write(n, map[string]any{"id": n.Name, "zone": "z", "seeds": seeds, "store": f.storeAt, "bounds": map[string]any{"grace": "6s"}, "host": map[string]any{"cores": 0.4},
+			"listen": map[string]any{"callers": n.Front, "ready": n.Ready, "guards": fmt.Sprintf("%s:%d", n.Control, entryPort), "metrics": free(n.Control)}})
+		f.start(n)
+	}
+	for _, n := range f.Guards {
+		raw, _ := os.ReadFile(n.settings)
+		var s map[string]map[string]any
+		_ = json.Unmarshal(raw, &s)
+		s["capacity"]["seeds"] = seeds
+		f.write(n, s["capacity"])
+	}
+}
--- a/review/src-2/main.go
+++ b/review/src-2/main.go
@@ -14,7 +14,7 @@
 	name := flag.String("case", "", "the case")
 	record := flag.String("record", "record.txt", "the file for what was sent, answered and run")
 	flag.Parse()
-	play := map[string]func(*Record){"cancel": playCancel, "revive": playRevive, "chaos": playChaos, "recover": playRecover}[*name]
+	play := map[string]func(*Record){"cancel": playCancel, "revive": playRevive, "chaos": playChaos, "recover": playRecover, "replaced": playReplaced}[*name]
 	if play == nil {
 		cannotRun("no case %q", *name)
 	}
--- a/review/src-2/recover.go
+++ b/review/src-2/recover.go
@@ -73,3 +73,29 @@
 	answers.Wait()
 	return sent, good.Load()
 }
+
+// playReplaced is no case, since no rule names what it shows: all entries are removed at once, and others come at new
+// addresses 2 s later. The store stays up; the settings of the guards change without a signal.
+func playReplaced(rec *Record) {
+	f := newFleet(3, 4, rec)
+	f.awaitReady()
+	sent, served := f.traffic(observeFor)
+	rec.add("before the replacement: %d of %d requests are served", served, sent)
+	if !trouble {
+		return
+	}
+	for _, n := range f.Entries {
+		f.kill(n)
+	}
+	time.Sleep(2 * time.Second)
+	f.moveEntries()
+	time.Sleep(recoverWithin + stable)
+	for span := range 2 {
+		sent, served = f.traffic(observeFor)
+		rec.add("after the replacement, %d: %d of %d requests are served", span, served, sent)
+		time.Sleep(20 * time.Second)
+	}
+	if served*4 < sent {
+		rec.breaks("%d of %d requests are served after the entries were replaced", served, sent)
+	}
+}
--- a/review/src-2/runner.go
+++ b/review/src-2/runner.go
@@ -71,7 +71,7 @@
 	Wait  int64  `json:"wait_ms"`
 }
 
-// spec is what this project's clients of the review put into task_spec.
+// spec is what the clients of the cases put into task_spec.
 type spec struct {
 	Ms  int   `json:"ms"`
 	CPU int64 `json:"cpu"`
