--- a/review/src-3/main.go
+++ b/review/src-3/main.go
@@ -35,6 +35,7 @@
 	"cancel-elsewhere":        cancelElsewhere,
 	"foreign-heartbeat":       foreignHeartbeat,
 	"drain-queued":            drainQueued,
+	"drain-exit":              drainExit,
 	"late-start-of-lost-host": lateStartOfLostHost,
 }
 
